--- /dev/null
+++ b/cmd/kumquatd/main.go
@@ -0,0 +1,12 @@
+// Command kumquatd is one host of the system.
+package main
+
+import (
+	"os"
+
+	"kumquatglade/internal/host/kqmain"
+)
+
+func main() {
+	os.Exit(kqmain.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/admin/kqadmin/doc.go
@@ -0,0 +1,2 @@
+// Package kqadmin serves operators on the admin address of every host.
+package kqadmin
--- /dev/null
+++ b/internal/admin/kqadmin/gather.go
@@ -0,0 +1,121 @@
+package kqadmin
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"kumquatglade/internal/call/kqaccount"
+	"kumquatglade/internal/host/kqevent"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Methods by which one host gathers what all hosts know.
+const (
+	MethodStatus  = "status"
+	MethodAccount = "account"
+	MethodEvents  = "events"
+)
+
+// gatherLimit bounds the wait for a host that does not answer.
+const gatherLimit = 2 * time.Second
+
+type accountQuery struct {
+	Owner string `json:"owner"`
+}
+
+type eventQuery struct {
+	Since kqevent.Stamp `json:"since"`
+}
+
+type statusList struct {
+	Hosts   []Status `json:"hosts"`
+	Missing []string `json:"missing,omitempty"`
+}
+
+type accountAnswer struct {
+	Rows    []kqaccount.Row `json:"rows"`
+	Missing []string        `json:"missing,omitempty"` // hosts that did not answer
+}
+
+type eventAnswer struct {
+	Events  []kqevent.Event `json:"events"`
+	Missing []string        `json:"missing,omitempty"`
+}
+
+// gather asks all hosts and returns their answers by the order of their names,
+// and the names of those that did not answer.
+func gather[T any](ctx context.Context, s *Server, method string, query any) (list []T, missing []string) {
+	ctx, cancel := context.WithTimeout(ctx, gatherLimit)
+	defer cancel()
+	hosts := s.cfg.Hosts()
+	slices.Sort(hosts)
+	answers := make([]*T, len(hosts))
+	done := make(chan struct{})
+	for i, h := range hosts {
+		go func() {
+			var v T
+			if err := s.cfg.Link.Call(ctx, h, method, query, &v); err == nil {
+				answers[i] = &v
+			}
+			done <- struct{}{}
+		}()
+	}
+	for range hosts {
+		<-done
+	}
+	list = []T{}
+	for i, a := range answers {
+		if a == nil {
+			missing = append(missing, hosts[i])
+			continue
+		}
+		list = append(list, *a)
+	}
+	return list, missing
+}
+
+// mergeEvents orders the events of all hosts by their hybrid time.
+func mergeEvents(lists [][]kqevent.Event) []kqevent.Event {
+	all := slices.Concat(lists...)
+	slices.SortStableFunc(all, func(a, b kqevent.Event) int {
+		switch {
+		case a.Time.Less(b.Time):
+			return -1
+		case b.Time.Less(a.Time):
+			return 1
+		}
+		return 0
+	})
+	if all == nil {
+		all = []kqevent.Event{}
+	}
+	return all
+}
+
+// Answer handles what another host gathers.
+func (s *Server) Answer(kind string, body json.RawMessage) (any, error) {
+	switch kind {
+	case MethodStatus:
+		return s.cfg.Status(), nil
+	case MethodAccount:
+		var q accountQuery
+		if err := json.Unmarshal(body, &q); err != nil {
+			return nil, errors.Wrap(err, "admin: account")
+		}
+		if s.cfg.Account == nil {
+			return []kqaccount.Row{}, nil
+		}
+		return s.cfg.Account(q.Owner), nil
+	case MethodEvents:
+		var q eventQuery
+		if err := json.Unmarshal(body, &q); err != nil {
+			return nil, errors.Wrap(err, "admin: events")
+		}
+		list, _ := s.cfg.Events.Since(q.Since)
+		return list, nil
+	}
+	return nil, errors.Newf("admin: no method %q", kind)
+}
--- /dev/null
+++ b/internal/admin/kqadmin/server.go
@@ -0,0 +1,152 @@
+package kqadmin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+	"time"
+
+	kq "kumquatglade"
+	"kumquatglade/internal/call/kqaccount"
+	"kumquatglade/internal/host/kqevent"
+	"kumquatglade/internal/route/kqdirectory"
+	"kumquatglade/internal/state/kqcontract"
+	"kumquatglade/internal/state/kqcontrol"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rcrowley/go-metrics"
+)
+
+// submitLimit bounds how long an operator's change may stay undecided.
+const submitLimit = 10 * time.Second
+
+// Config constructs a Server.
+type Config struct {
+	Operator string // key that operators present
+	Link     kq.Link
+	Store    kqcontrol.Store
+	Events   *kqevent.Recorder
+	Metrics  metrics.Registry
+	Status   func() Status
+	Targets  func() []kqdirectory.Record  // nil on a host without the role entry
+	Account  func(string) []kqaccount.Row // nil on a host without the role entry
+	Health   func() bool                  // whether callers and targets may use this host
+	Hosts    func() []string              // all hosts to gather from
+}
+
+// Status is what operators see of one host.
+type Status struct {
+	Host     string          `json:"host"`
+	Domain   string          `json:"domain"`
+	Region   string          `json:"region"`
+	Roles    []string        `json:"roles"`
+	Revision uint64          `json:"revision"` // contracts in force here
+	Serving  bool            `json:"serving"`  // false: cut off, not ready, or stopping
+	Hub      string          `json:"hub,omitempty"`
+	Calls    int64           `json:"calls"`
+	Replica  any             `json:"replica,omitempty"`
+	Peers    map[string]bool `json:"peers,omitempty"` // linked or not
+}
+
+// Server answers operators.
+type Server struct {
+	cfg    Config
+	key    [sha256.Size]byte
+	denied metrics.Counter
+}
+
+// NewServer returns a Server.
+func NewServer(cfg Config) *Server {
+	return &Server{
+		cfg: cfg, key: sha256.Sum256([]byte(cfg.Operator)),
+		denied: metrics.GetOrRegisterCounter("admin.denied", cfg.Metrics),
+	}
+}
+
+// Register adds the operators' routes.
+func (s *Server) Register(e *echo.Echo) {
+	e.GET("/v1/health", s.health)
+	g := e.Group("/v1", s.authorize)
+	g.PUT("/contracts/:owner", s.putContract)
+	g.DELETE("/contracts/:owner", s.deleteContract)
+	g.GET("/contracts/:owner", s.getContract)
+	g.GET("/contracts", s.listContracts)
+	g.GET("/history", s.history)
+	g.GET("/hosts", s.getHosts)
+	g.PUT("/hosts", s.putHosts)
+	g.GET("/status", s.status)
+	g.GET("/targets", s.targets)
+	g.GET("/accounts/:owner", s.account)
+	g.GET("/events", s.events)
+	g.GET("/metrics", s.metrics)
+}
+
+// failure is the body of every refusal to an operator.
+type failure struct {
+	Error   string               `json:"error"`
+	Detail  string               `json:"detail,omitempty"`
+	Winner  *kqcontract.Accepted `json:"winner,omitempty"`  // what took the version
+	Want    uint64               `json:"want,omitempty"`    // version that would be accepted
+	Unknown bool                 `json:"unknown,omitempty"` // the change may or may not be accepted
+}
+
+// authorize compares the presented key in constant time.
+func (s *Server) authorize(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		key, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+		sum := sha256.Sum256([]byte(key))
+		if !ok || subtle.ConstantTimeCompare(sum[:], s.key[:]) != 1 {
+			s.denied.Inc(1)
+			return c.JSON(http.StatusUnauthorized, failure{Error: "key", Detail: "wrong operator key"})
+		}
+		return next(c)
+	}
+}
+
+func (s *Server) health(c echo.Context) error {
+	if !s.cfg.Health() {
+		return c.String(http.StatusServiceUnavailable, "not serving\n")
+	}
+	return c.String(http.StatusOK, "ok\n")
+}
+
+func (s *Server) status(c echo.Context) error {
+	if c.QueryParam("all") == "" {
+		return c.JSON(http.StatusOK, s.cfg.Status())
+	}
+	list, missing := gather[Status](c.Request().Context(), s, MethodStatus, nil)
+	return c.JSON(http.StatusOK, statusList{list, missing})
+}
+
+func (s *Server) targets(c echo.Context) error {
+	if s.cfg.Targets == nil {
+		return c.JSON(http.StatusNotFound, failure{Error: "role", Detail: "ask an entry host"})
+	}
+	return c.JSON(http.StatusOK, s.cfg.Targets())
+}
+
+func (s *Server) account(c echo.Context) error {
+	lists, missing := gather[[]kqaccount.Row](c.Request().Context(), s, MethodAccount, accountQuery{c.Param("owner")})
+	return c.JSON(http.StatusOK, accountAnswer{Rows: kqaccount.Merge(lists...), Missing: missing})
+}
+
+func (s *Server) events(c echo.Context) error {
+	since, err := kqevent.ParseStamp(c.QueryParam("since"))
+	if err != nil {
+		return c.JSON(http.StatusBadRequest, failure{Error: "since", Detail: err.Error()})
+	}
+	if c.QueryParam("all") == "" {
+		list, _ := s.cfg.Events.Since(since)
+		return c.JSON(http.StatusOK, eventAnswer{Events: list})
+	}
+	lists, missing := gather[[]kqevent.Event](c.Request().Context(), s, MethodEvents, eventQuery{since})
+	return c.JSON(http.StatusOK, eventAnswer{Events: mergeEvents(lists), Missing: missing})
+}
+
+func (s *Server) metrics(c echo.Context) error {
+	c.Response().Header().Set("Content-Type", "application/json")
+	c.Response().WriteHeader(http.StatusOK)
+	metrics.WriteJSONOnce(s.cfg.Metrics, c.Response())
+	return nil
+}
--- /dev/null
+++ b/internal/admin/kqclient/client.go
@@ -0,0 +1,134 @@
+package kqclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	requestLimit = 30 * time.Second
+	maxAnswer    = 256 << 20 // bytes
+)
+
+// Config constructs a Client.
+type Config struct {
+	Servers []string // admin addresses, tried in turn
+	Key     string   // operator key
+}
+
+// Client asks one admin address after the other.
+type Client struct {
+	cfg  Config
+	http *http.Client
+}
+
+// New returns a Client.
+func New(cfg Config) *Client {
+	return &Client{cfg: cfg, http: &http.Client{Timeout: requestLimit, Transport: &http.Transport{
+		ResponseHeaderTimeout: requestLimit, DisableKeepAlives: true,
+	}}}
+}
+
+// Refused is an answer that says no.
+type Refused struct {
+	Status  int
+	Word    string `json:"error"`
+	Detail  string `json:"detail"`
+	Want    uint64 `json:"want"`
+	Unknown bool   `json:"unknown"`
+	Winner  *struct {
+		Hash string    `json:"hash"`
+		Time time.Time `json:"time"`
+	} `json:"winner"`
+}
+
+func (r *Refused) Error() string {
+	s := fmt.Sprintf("refused: %s", r.Word)
+	if r.Detail != "" {
+		s += ": " + r.Detail
+	}
+	if r.Winner != nil {
+		s += fmt.Sprintf("; accepted at %s with hash %s", r.Winner.Time.Format(time.RFC3339), r.Winner.Hash)
+	}
+	if r.Want > 0 {
+		s += fmt.Sprintf("; next version is %d", r.Want)
+	}
+	return s
+}
+
+// ErrUnknown says that the outcome of a change is unknown: it is safe to
+// repeat the same command.
+var ErrUnknown = errors.New("unknown outcome, safe to repeat the same command")
+
+// Get reads a document into out, from the first server that can answer.
+func (c *Client) Get(ctx context.Context, path string, out any) error {
+	return c.do(ctx, http.MethodGet, path, nil, out)
+}
+
+// Put sends a document; the change is idempotent, so the next server is tried
+// also when an answer was lost.
+func (c *Client) Put(ctx context.Context, path string, body []byte, out any) error {
+	return c.change(ctx, http.MethodPut, path, body, out)
+}
+
+// Delete removes a document.
+func (c *Client) Delete(ctx context.Context, path string, out any) error {
+	return c.change(ctx, http.MethodDelete, path, nil, out)
+}
+
+func (c *Client) change(ctx context.Context, method, path string, body []byte, out any) error {
+	err := c.do(ctx, method, path, body, out)
+	var no *Refused
+	if err == nil || errors.As(err, &no) && !no.Unknown && no.Status < http.StatusInternalServerError {
+		return err
+	}
+	return errors.WithSecondaryError(errors.Wrap(ErrUnknown, err.Error()), err)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, out any) error {
+	err := errors.New("no server given")
+	for _, s := range c.cfg.Servers {
+		err = c.once(ctx, s, method, path, body, out)
+		var no *Refused
+		if err == nil || errors.As(err, &no) && no.Status < http.StatusInternalServerError {
+			return err
+		}
+	}
+	return err
+}
+
+func (c *Client) once(ctx context.Context, server, method, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+server+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.cfg.Key)
+	res, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	p, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err != nil {
+		return errors.Wrapf(err, "answer of %s", server)
+	}
+	if res.StatusCode != http.StatusOK {
+		no := &Refused{Status: res.StatusCode}
+		if json.Unmarshal(p, no) != nil || no.Word == "" {
+			no.Word = res.Status
+		}
+		return no
+	}
+	if raw, ok := out.(*json.RawMessage); ok {
+		*raw = p
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(p, out), "answer of %s", server)
+}
--- /dev/null
+++ b/internal/admin/kqclient/doc.go
@@ -0,0 +1,2 @@
+// Package kqclient is the operators' client of the admin address.
+package kqclient
--- /dev/null
+++ b/internal/admin/kqcommand/doc.go
@@ -0,0 +1,3 @@
+// Package kqcommand is the operators' command line: it turns arguments into
+// requests of kqclient and prints their answers.
+package kqcommand
--- /dev/null
+++ b/internal/call/kqcall/doc.go
@@ -0,0 +1,3 @@
+// Package kqcall serves callers: it feeds the reducer of kqdispatch with calls,
+// carries out its effects by kqforward, and passes answers back whole.
+package kqcall
--- /dev/null
+++ b/internal/call/kqcall/problem.go
@@ -0,0 +1,59 @@
+package kqcall
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Header fields between callers, the system and targets.
+const (
+	HeaderOwner    = "Kumquat-Owner"
+	HeaderService  = "Kumquat-Service"
+	HeaderDeadline = "Kumquat-Deadline" // milliseconds left
+	HeaderRun      = "Kumquat-Run"
+	HeaderLoad     = "Kumquat-Load"    // busy/slots of a target
+	HeaderRetries  = "Kumquat-Retries" // extra sends that calls below may make
+	HeaderDepth    = "Kumquat-Depth"   // calls above this one
+	HeaderCall     = "Kumquat-Call"    // identity of the call for the time line
+	HeaderKey      = "Idempotency-Key"
+)
+
+// What an answer that the system makes says of the call.
+const (
+	RunNo      = "no"      // certainly not run
+	RunUnknown = "unknown" // may have run
+)
+
+// problem is the body of every answer that the system itself makes.
+type problem struct {
+	Error   string `json:"error"`
+	Owner   string `json:"owner,omitempty"`
+	Service string `json:"service,omitempty"`
+	Version uint64 `json:"version,omitempty"`
+	Run     string `json:"run"`
+	Wait    string `json:"wait,omitempty"`
+	Detail  string `json:"detail,omitempty"`
+
+	status int
+	wait   time.Duration
+}
+
+func (p problem) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderRun, p.Run)
+	if p.wait > 0 {
+		p.Wait = p.wait.Round(time.Millisecond).String()
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.wait.Seconds()))))
+	}
+	body, err := json.Marshal(p)
+	if err != nil {
+		panic(err) // plain fields always encode
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)+1))
+	w.WriteHeader(p.status)
+	w.Write(append(body, '\n')) //nolint:errcheck // the caller is gone
+}
--- /dev/null
+++ b/internal/call/kqforward/conn.go
@@ -0,0 +1,80 @@
+package kqforward
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	bufferSize  = 8 << 10
+	unackedTime = 3 * time.Second // unacknowledged data breaks a connection after this
+)
+
+// conn is one connection to a target.
+type conn struct {
+	net.Conn
+	addr  string
+	r     *bufio.Reader
+	w     *bufio.Writer
+	idle  time.Time // since when it waits in the pool
+	wrote int64     // bytes given to the kernel for the request under way
+}
+
+func newConn(raw net.Conn, addr string) *conn {
+	c := &conn{Conn: raw, addr: addr}
+	c.r = bufio.NewReaderSize(raw, bufferSize)
+	c.w = bufio.NewWriterSize(counting{c}, bufferSize)
+	return c
+}
+
+// counting notes how many bytes may have reached the target.
+type counting struct{ c *conn }
+
+func (w counting) Write(p []byte) (int, error) {
+	n, err := w.c.Conn.Write(p)
+	w.c.wrote += int64(n)
+	return n, err
+}
+
+// quiet reports whether the other end has neither closed the connection nor
+// sent anything that belongs to no request.
+func (c *conn) quiet() bool {
+	if c.r.Buffered() > 0 {
+		return false
+	}
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// tune bounds how long unacknowledged data may wait.
+func tune(raw net.Conn) {
+	t, ok := raw.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	sys, err := t.SyscallConn()
+	if err != nil {
+		return
+	}
+	sys.Control(func(fd uintptr) { //nolint:errcheck // the deadline covers it
+		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTime.Milliseconds())) //nolint:errcheck // as above
+	})
+}
--- /dev/null
+++ b/internal/call/kqforward/send.go
@@ -0,0 +1,197 @@
+package kqforward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// inlineBody is the largest request body in bytes that is written before the
+// answer is read: it fits the buffers between the two ends.
+const inlineBody = 32 << 10
+
+// Request is one attempt of a call.
+type Request struct {
+	Method  string
+	URL     *url.URL // path and query as the caller sent them
+	Host    string
+	Header  http.Header // without hop-by-hop fields
+	Body    []byte
+	Trailer http.Header
+	Addr    string // IP:port of the target
+	Conns   int    // connections to the target that this host may have open
+	Once    bool   // must not run twice
+}
+
+// Error says what is known of a request that got no answer.
+type Error struct {
+	Unsent bool // no byte can have reached the target
+	Full   bool // all connections are in use: the target itself is not at fault
+	err    error
+}
+
+func (e *Error) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.err }
+
+// Reply is the answer of a target. Close must be called.
+type Reply struct {
+	Status  int
+	Header  http.Header
+	Trailer http.Header // complete after Body has ended
+	Body    io.Reader   // ends with io.EOF only after the whole answer
+	Length  int64       // bytes of Body, -1 if unknown
+
+	pool  *Pool
+	conn  *conn
+	stop  func() bool
+	keep  bool
+	whole bool
+}
+
+// Send sends the request once and reads the answer's head.
+func (p *Pool) Send(ctx context.Context, req Request) (*Reply, error) {
+	maxIdle := MaxIdle
+	if req.Once {
+		maxIdle = SureIdle
+	}
+	c, err := p.get(ctx, req.Addr, req.Conns, maxIdle)
+	if err != nil {
+		return nil, &Error{Unsent: true, Full: errors.Is(err, errFull), err: errors.Wrapf(err, "connect to %s", req.Addr)}
+	}
+	c.wrote = 0
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	reply, err := p.exchange(ctx, c, req)
+	if err == nil {
+		reply.stop = stop
+		return reply, nil
+	}
+	stop()
+	p.drop(c)
+	return nil, &Error{Unsent: c.wrote == 0, err: errors.Wrapf(err, "call to %s", req.Addr)}
+}
+
+func (p *Pool) exchange(ctx context.Context, c *conn, req Request) (*Reply, error) {
+	out := outgoing(ctx, req)
+	written := make(chan error, 1)
+	if len(req.Body) <= inlineBody {
+		written <- c.write(out)
+	} else {
+		// A target may answer before it has read a large body.
+		go func() { written <- c.write(out) }()
+	}
+	if len(req.Body) <= inlineBody {
+		if err := <-written; err != nil {
+			return nil, err
+		}
+		written <- nil
+	}
+	res, err := readHead(c, out)
+	if err != nil {
+		c.Close() // ends a write that is still under way
+		<-written
+		return nil, err
+	}
+	return p.reply(c, res, written), nil
+}
+
+func (c *conn) write(out *http.Request) error {
+	if err := out.Write(c.w); err != nil {
+		return err
+	}
+	return c.w.Flush()
+}
+
+func outgoing(ctx context.Context, req Request) *http.Request {
+	out := &http.Request{
+		Method: req.Method, URL: req.URL, Host: req.Host, Header: req.Header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Trailer: req.Trailer,
+	}
+	if len(req.Body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(req.Body))
+		out.ContentLength = int64(len(req.Body))
+	}
+	if len(req.Trailer) > 0 {
+		out.ContentLength = -1
+		out.TransferEncoding = []string{"chunked"}
+		out.Body = io.NopCloser(bytes.NewReader(req.Body))
+	}
+	return out.WithContext(ctx)
+}
+
+// readHead reads the first final answer head.
+func readHead(c *conn, out *http.Request) (*http.Response, error) {
+	for {
+		res, err := http.ReadResponse(c.r, out)
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("target switches protocols")
+		}
+		if res.StatusCode >= http.StatusOK {
+			return res, nil
+		}
+	}
+}
+
+func (p *Pool) reply(c *conn, res *http.Response, written <-chan error) *Reply {
+	r := &Reply{
+		Status: res.StatusCode, Header: res.Header, Trailer: res.Trailer,
+		Length: res.ContentLength, pool: p, conn: c,
+	}
+	chunked := len(res.TransferEncoding) > 0
+	bounded := chunked || res.ContentLength >= 0 || res.Body == http.NoBody
+	r.Body = &body{reply: r, res: res, bounded: bounded, written: written}
+	return r
+}
+
+// ErrUnbounded says that the answer's end cannot be told from a break.
+var ErrUnbounded = errors.New("answer of unknown length ended by close")
+
+// body reads the answer and notes whether it ended whole.
+type body struct {
+	reply   *Reply
+	res     *http.Response
+	bounded bool
+	written <-chan error
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.res.Body.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if !b.bounded {
+		return n, ErrUnbounded
+	}
+	b.reply.Trailer = b.res.Trailer
+	b.reply.whole = true
+	select {
+	case werr := <-b.written:
+		b.reply.keep = werr == nil && !b.res.Close
+	default:
+	}
+	return n, err
+}
+
+// Close gives the connection back if the whole answer was read, and closes it
+// otherwise, so that a late rest can never be taken for another answer.
+func (r *Reply) Close() {
+	if r.conn == nil {
+		return
+	}
+	c := r.conn
+	r.conn = nil
+	if r.stop() && r.keep && r.whole {
+		r.pool.put(c)
+		return
+	}
+	r.pool.drop(c)
+}
--- /dev/null
+++ b/internal/host/kqdaemon/peers.go
@@ -0,0 +1,123 @@
+package kqdaemon
+
+import (
+	"maps"
+	"slices"
+
+	"kumquatglade/internal/admin/kqadmin"
+	"kumquatglade/internal/state/kqreplica"
+)
+
+// controls returns the names of the control hosts in the settings.
+func (d *Daemon) controls() []string {
+	var list []string
+	for _, c := range d.settings.Control {
+		list = append(list, c.Host)
+	}
+	return list
+}
+
+// controlAddrs returns the known control hosts with their peers addresses.
+func (d *Daemon) controlAddrs() map[string]string {
+	addrs := map[string]string{}
+	for _, c := range d.settings.Control {
+		addrs[c.Host] = c.Peers
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, m := range d.members {
+		addrs[m.Host] = m.Peers
+	}
+	return addrs
+}
+
+func (d *Daemon) otherControls() []string {
+	list := slices.Collect(maps.Keys(d.controlAddrs()))
+	return slices.DeleteFunc(list, func(h string) bool { return h == d.settings.Host })
+}
+
+// setMembers takes the control hosts of the replicated member list.
+func (d *Daemon) setMembers(list []kqreplica.Member) {
+	d.mu.Lock()
+	d.members = list
+	d.mu.Unlock()
+	d.dialPeers()
+}
+
+// peerAddrs returns all hosts that this one should be linked to: the control
+// hosts, and for an entry host the other entry hosts in force.
+func (d *Daemon) peerAddrs() map[string]string {
+	addrs := d.controlAddrs()
+	if d.follower != nil {
+		if v := d.follower.Known(); v != nil {
+			for _, h := range v.Hosts.Entry {
+				addrs[h.Name] = h.Peers
+			}
+		}
+	}
+	delete(addrs, d.settings.Host)
+	return addrs
+}
+
+func (d *Daemon) dialPeers() {
+	select {
+	case <-d.ready:
+	default:
+		return // the start does it
+	}
+	for host, addr := range d.peerAddrs() {
+		d.mesh.Dial(host, addr)
+	}
+}
+
+func (d *Daemon) hubHost() string {
+	if d.follower == nil {
+		return ""
+	}
+	return d.follower.Hub()
+}
+
+// allHosts returns every host that operators may ask this one about.
+func (d *Daemon) allHosts() []string {
+	addrs := d.peerAddrs()
+	addrs[d.settings.Host] = ""
+	if d.control != nil && d.follower == nil {
+		acked, _ := d.hub.Acked()
+		for h := range acked {
+			addrs[h] = ""
+		}
+	}
+	return slices.Collect(maps.Keys(addrs))
+}
+
+func (d *Daemon) status() kqadmin.Status {
+	s := kqadmin.Status{
+		Host: d.settings.Host, Domain: d.settings.Domain, Region: d.settings.Region, Roles: d.settings.Roles,
+		Serving: d.healthy(), Hub: d.hubHost(), Peers: map[string]bool{},
+	}
+	for h := range d.peerAddrs() {
+		s.Peers[h] = d.mesh.Up(h)
+	}
+	if d.follower != nil {
+		s.Calls = d.engine.Calls()
+		if v := d.follower.Known(); v != nil {
+			s.Revision = v.Revision
+		}
+	}
+	if d.control != nil {
+		if st, err := d.control.Status(); err == nil {
+			s.Replica = st
+		}
+	}
+	return s
+}
+
+func (d *Daemon) healthy() bool {
+	d.mu.Lock()
+	leaving := d.leaving
+	d.mu.Unlock()
+	if d.follower != nil {
+		return !leaving && d.follower.View() != nil
+	}
+	return d.control.Leader() != ""
+}
--- /dev/null
+++ b/internal/host/kqdaemon/receiver.go
@@ -0,0 +1,95 @@
+package kqdaemon
+
+import (
+	"context"
+	"encoding/json"
+
+	"kumquatglade/internal/admin/kqadmin"
+	"kumquatglade/internal/route/kqannounce"
+	"kumquatglade/internal/state/kqcontrol"
+	"kumquatglade/internal/state/kqfeed"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+// receiver hands what peers send to the part that it is for.
+type receiver struct {
+	d *Daemon
+}
+
+// Receive handles a one-way message.
+func (r receiver) Receive(peer, kind string, body json.RawMessage) {
+	<-r.d.ready
+	if err := r.receive(peer, kind, body); err != nil {
+		metrics.GetOrRegisterCounter("peers.malformed", r.d.metrics).Inc(1)
+		r.d.log.Warnf("peer %s: %v", peer, err)
+	}
+}
+
+func (r receiver) receive(peer, kind string, body json.RawMessage) error {
+	d := r.d
+	switch kind {
+	case kqcontrol.MethodReplica:
+		if d.control != nil {
+			return d.control.ReceiveRaw(peer, body)
+		}
+	case kqfeed.MethodInForce:
+		if d.hub != nil {
+			return d.hub.Receive(peer, kind, body)
+		}
+	case kqfeed.MethodChange, kqfeed.MethodFresh:
+		if d.follower != nil {
+			return d.follower.Receive(peer, kind, body)
+		}
+	case kqannounce.MethodTargets, kqannounce.MethodDigest, kqannounce.MethodSync, kqannounce.MethodLeaving:
+		if d.roster != nil {
+			return d.roster.Receive(peer, kind, body)
+		}
+	}
+	return errors.Newf("no receiver for %q", kind)
+}
+
+// Answer handles a request.
+func (r receiver) Answer(ctx context.Context, peer, kind string, body json.RawMessage) (any, error) {
+	<-r.d.ready
+	d := r.d
+	switch kind {
+	case kqcontrol.MethodSubmit, kqcontrol.MethodCommand, kqcontrol.MethodRead, kqcontrol.MethodReached:
+		if d.control != nil {
+			return d.local.Answer(ctx, kind, body)
+		}
+	case kqfeed.MethodSubscribe:
+		if d.hub != nil {
+			return d.hub.Answer(ctx, peer, body)
+		}
+	case kqfeed.MethodStanding, kqfeed.MethodView:
+		if d.follower != nil {
+			return d.follower.Answer(kind)
+		}
+	case kqannounce.MethodTargets:
+		if d.roster != nil {
+			return d.roster.Answer(peer, body)
+		}
+	case kqadmin.MethodStatus, kqadmin.MethodAccount, kqadmin.MethodEvents:
+		if d.admin != nil {
+			return d.admin.Answer(kind, body)
+		}
+	}
+	return nil, errors.Newf("no part answers %q", kind)
+}
+
+// Linked tells the parts of a link that came up or broke.
+func (r receiver) Linked(peer string, up bool) {
+	<-r.d.ready
+	d := r.d
+	if d.control != nil {
+		d.control.Linked(peer, up)
+	}
+	if d.hub != nil && !up {
+		d.hub.Unlink(peer)
+	}
+	if d.roster != nil {
+		d.roster.Linked(peer, up)
+	}
+}
--- /dev/null
+++ b/internal/host/kqdisk/doc.go
@@ -0,0 +1,2 @@
+// Package kqdisk implements kq.Disk by a folder of the file system.
+package kqdisk
--- /dev/null
+++ b/internal/host/kqlog/doc.go
@@ -0,0 +1,2 @@
+// Package kqlog opens the structured log of a host.
+package kqlog
--- /dev/null
+++ b/internal/host/kqmain/doc.go
@@ -0,0 +1,2 @@
+// Package kqmain is the command line of the daemon.
+package kqmain
--- /dev/null
+++ b/internal/host/kqmain/main.go
@@ -0,0 +1,102 @@
+package kqmain
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"kumquatglade/internal/host/kqdaemon"
+	"kumquatglade/internal/host/kqlog"
+	"kumquatglade/internal/host/kqsettings"
+
+	"github.com/integrii/flaggy"
+)
+
+// Exit codes.
+const (
+	exitDone  = 0
+	exitFatal = 1
+	exitUsage = 2
+)
+
+// Run parses args and runs the daemon until it is stopped; it returns the exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	var path, file string
+	p := flaggy.NewParser("kumquatd")
+	p.Description = "one host of kumquatglade: entry, control, or both"
+	p.ShowCompletion = false
+	p.DisableShowVersionWithVersion()
+	p.String(&path, "", "settings", "settings file")
+	check := flaggy.NewSubcommand("check")
+	check.Description = "validate a settings file and exit"
+	check.AddPositionalValue(&file, "file", 1, true, "settings file")
+	p.AttachSubcommand(check, 1)
+	dev := flaggy.NewSubcommand("dev")
+	dev.Description = "run one host with a sample target on loopback"
+	p.AttachSubcommand(dev, 1)
+	if err := p.ParseArgs(args); err != nil {
+		fmt.Fprintln(stderr, "kumquatd:", err)
+		return exitUsage
+	}
+	switch {
+	case check.Used:
+		return checkFile(file, stdout, stderr)
+	case dev.Used:
+		return runDev(stdout, stderr)
+	case path == "":
+		fmt.Fprintln(stderr, "kumquatd: --settings FILE is required")
+		return exitUsage
+	}
+	return runFile(path, stderr)
+}
+
+func checkFile(path string, stdout, stderr io.Writer) int {
+	s, err := kqsettings.Load(path)
+	if err != nil {
+		fmt.Fprintln(stderr, "kumquatd:", err)
+		return exitUsage
+	}
+	fmt.Fprintf(stdout, "%s: host %s is valid\n", path, s.Host)
+	return exitDone
+}
+
+func runFile(path string, stderr io.Writer) int {
+	s, err := kqsettings.Load(path)
+	if err != nil {
+		fmt.Fprintln(stderr, "kumquatd:", err)
+		return exitUsage
+	}
+	log, err := kqlog.Open(s.Host, s.Log.Level, s.Log.Path)
+	if err != nil {
+		fmt.Fprintln(stderr, "kumquatd:", err)
+		return exitFatal
+	}
+	d, err := kqdaemon.Start(s, log.Part("daemon"))
+	if err != nil {
+		fmt.Fprintln(stderr, "kumquatd:", err)
+		return exitFatal
+	}
+	return serve(d, stderr)
+}
+
+// serve runs until a signal or a fatal error; a second signal hurries.
+func serve(d *kqdaemon.Daemon, stderr io.Writer) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	select {
+	case err := <-d.Fatal():
+		fmt.Fprintln(stderr, "kumquatd:", err)
+		d.Close()
+		return exitFatal
+	case <-signals:
+	}
+	hurry := make(chan struct{})
+	go func() {
+		<-signals
+		close(hurry)
+	}()
+	d.Stop(hurry)
+	return exitDone
+}
--- /dev/null
+++ b/internal/peer/kqlink/handshake.go
@@ -0,0 +1,114 @@
+package kqlink
+
+import (
+	"bufio"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"time"
+
+	"kumquatglade/internal/state/kqcontract"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	handshakeTimeout = 3 * time.Second
+	nonceSize        = 16  // bytes
+	maxLine          = 512 // bytes of one handshake line
+)
+
+// greeting is one line of the handshake.
+type greeting struct {
+	Host  string `json:"host,omitempty"`
+	Nonce string `json:"nonce,omitempty"`
+	Proof string `json:"proof,omitempty"`
+}
+
+// prove binds the secret to the direction, both hosts and both nonces.
+func prove(secret, role string, dialer, listener greeting) string {
+	mac := hmac.New(sha256.New, []byte(secret))
+	for _, s := range []string{role, dialer.Host, dialer.Nonce, listener.Host, listener.Nonce} {
+		mac.Write([]byte(s))
+		mac.Write([]byte{0})
+	}
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+func newNonce() string {
+	var p [nonceSize]byte
+	rand.Read(p[:]) //nolint:errcheck // never fails
+	return hex.EncodeToString(p[:])
+}
+
+func writeLine(c net.Conn, g greeting) error {
+	p, err := json.Marshal(g)
+	if err != nil {
+		return err
+	}
+	_, err = c.Write(append(p, '\n'))
+	return err
+}
+
+func readLine(r *bufio.Reader) (greeting, error) {
+	var g greeting
+	line, err := r.ReadSlice('\n')
+	if err != nil {
+		return g, err
+	}
+	if len(line) > maxLine {
+		return g, errors.New("line too long")
+	}
+	return g, json.Unmarshal(line, &g)
+}
+
+// dialSide proves this host to the listener and wants its proof first.
+func dialSide(c net.Conn, r *bufio.Reader, host, peer, secret string) error {
+	c.SetDeadline(time.Now().Add(handshakeTimeout))
+	me := greeting{Host: host, Nonce: newNonce()}
+	if err := writeLine(c, me); err != nil {
+		return err
+	}
+	other, err := readLine(r)
+	if err != nil {
+		return err
+	}
+	if other.Host != peer {
+		return errors.Newf("the address answers as %q", other.Host)
+	}
+	if !hmac.Equal([]byte(other.Proof), []byte(prove(secret, "listener", me, other))) {
+		return errors.New("wrong secret")
+	}
+	if err := writeLine(c, greeting{Proof: prove(secret, "dialer", me, other)}); err != nil {
+		return err
+	}
+	return c.SetDeadline(time.Time{})
+}
+
+// listenSide proves this host and returns the proven name of the dialer.
+func listenSide(c net.Conn, r *bufio.Reader, host, secret string) (string, error) {
+	c.SetDeadline(time.Now().Add(handshakeTimeout))
+	other, err := readLine(r)
+	if err != nil {
+		return "", err
+	}
+	if !kqcontract.IsWord(other.Host) || other.Host == host || len(other.Nonce) != 2*nonceSize {
+		return "", errors.New("malformed greeting")
+	}
+	me := greeting{Host: host, Nonce: newNonce()}
+	me.Proof = prove(secret, "listener", other, me)
+	if err := writeLine(c, me); err != nil {
+		return "", err
+	}
+	last, err := readLine(r)
+	if err != nil {
+		return "", err
+	}
+	if !hmac.Equal([]byte(last.Proof), []byte(prove(secret, "dialer", other, me))) {
+		return "", errors.Newf("wrong secret from %q", other.Host)
+	}
+	return other.Host, c.SetDeadline(time.Time{})
+}
--- /dev/null
+++ b/internal/peer/kqlink/mesh.go
@@ -0,0 +1,329 @@
+package kqlink
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	kq "kumquatglade"
+	"kumquatglade/internal/host/kqevent"
+	"kumquatglade/internal/host/kqlog"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	dialTimeout = time.Second
+	minRedial   = 100 * time.Millisecond
+	maxRedial   = 2 * time.Second
+	patience    = time.Second // the host with the higher name leaves dialling to the other so long
+)
+
+// ErrDown says that there is no link to the peer now: nothing was sent.
+var ErrDown = errors.New("no link")
+
+// Receiver handles what peers send.
+type Receiver interface {
+	kq.Receiver
+	// Answer handles one request of the authenticated peer host.
+	Answer(ctx context.Context, peer, kind string, body json.RawMessage) (any, error)
+	// Linked says that a link to the peer came up or broke.
+	Linked(peer string, up bool)
+}
+
+// Config constructs a Mesh.
+type Config struct {
+	Host     string
+	Listen   string // IP:port
+	Secret   string
+	Clock    *kqevent.Clock
+	Log      *kqlog.Log
+	Metrics  metrics.Registry
+	Receiver Receiver
+}
+
+// Mesh holds one link to each peer host.
+type Mesh struct {
+	cfg       Config
+	clock     *kqevent.Clock
+	log       *kqlog.Log
+	receiver  Receiver
+	sent      metrics.Counter
+	received  metrics.Counter
+	malformed metrics.Counter
+	rejected  metrics.Counter
+	dropped   metrics.Counter
+	listener  net.Listener
+	self      chan outgoing // messages of this host to itself
+
+	mu      sync.Mutex
+	conns   map[string]*conn
+	dialers map[string]*dialer
+	wait    sync.WaitGroup
+	closed  bool
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+type dialer struct {
+	addr string
+	stop context.CancelFunc
+}
+
+// Listen opens the peers address and starts to accept.
+func Listen(cfg Config) (*Mesh, error) {
+	l, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "link: listen")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, cfg.Metrics) }
+	m := &Mesh{
+		cfg: cfg, clock: cfg.Clock, log: cfg.Log, receiver: cfg.Receiver, listener: l, self: make(chan outgoing, queueLength),
+		conns: map[string]*conn{}, dialers: map[string]*dialer{}, ctx: ctx, cancel: cancel,
+		sent: counter("link.sent.bytes"), received: counter("link.received.bytes"),
+		malformed: counter("link.malformed"), rejected: counter("link.rejected"), dropped: counter("link.dropped"),
+	}
+	m.wait.Add(2)
+	go m.accept()
+	go m.loopback()
+	return m, nil
+}
+
+// Close breaks all links and waits for them.
+func (m *Mesh) Close() {
+	m.mu.Lock()
+	m.closed = true
+	m.cancel()
+	for _, c := range m.conns {
+		c.raw.Close()
+	}
+	m.mu.Unlock()
+	m.listener.Close()
+	m.wait.Wait()
+}
+
+// loopback delivers what parts of this host send to this host.
+func (m *Mesh) loopback() {
+	defer m.wait.Done()
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case o := <-m.self:
+			p, err := json.Marshal(o.body)
+			if err == nil {
+				m.receiver.Receive(m.cfg.Host, o.kind, p)
+			}
+		}
+	}
+}
+
+func (m *Mesh) callSelf(ctx context.Context, kind string, body, out any) error {
+	p, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	res, err := m.receiver.Answer(ctx, m.cfg.Host, kind, p)
+	if err != nil || out == nil {
+		return err
+	}
+	p, err = json.Marshal(res)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(p, out)
+}
+
+func (m *Mesh) accept() {
+	defer m.wait.Done()
+	for {
+		raw, err := m.listener.Accept()
+		if err != nil {
+			return
+		}
+		m.wait.Add(1)
+		go m.serve(raw)
+	}
+}
+
+func (m *Mesh) serve(raw net.Conn) {
+	defer m.wait.Done()
+	defer raw.Close()
+	stop := context.AfterFunc(m.ctx, func() { raw.Close() })
+	defer stop()
+	tune(raw)
+	r := bufio.NewReader(raw)
+	peer, err := listenSide(raw, r, m.cfg.Host, m.cfg.Secret)
+	if err != nil {
+		m.rejected.Inc(1)
+		m.log.Warnf("rejected %s: %v", raw.RemoteAddr(), err)
+		return
+	}
+	m.carry(peer, raw, r)
+}
+
+// carry makes the connection the link to the peer until it breaks.
+func (m *Mesh) carry(peer string, raw net.Conn, r *bufio.Reader) {
+	c := m.newConn(peer, raw, r)
+	if !m.enter(c) {
+		c.rpc.Close()
+		return
+	}
+	m.receiver.Linked(peer, true)
+	c.run()
+	m.leave(c)
+}
+
+func (m *Mesh) enter(c *conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
+	}
+	if old := m.conns[c.peer]; old != nil {
+		old.raw.Close() // the newer one is the one that the peer uses
+	}
+	m.conns[c.peer] = c
+	return true
+}
+
+func (m *Mesh) leave(c *conn) {
+	m.mu.Lock()
+	last := m.conns[c.peer] == c
+	if last {
+		delete(m.conns, c.peer)
+	}
+	m.mu.Unlock()
+	if last {
+		m.receiver.Linked(c.peer, false)
+	}
+}
+
+// Dial keeps a link to the peer at the address, dialled from here.
+func (m *Mesh) Dial(peer, addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if d := m.dialers[peer]; d != nil {
+		if d.addr == addr {
+			return
+		}
+		d.stop()
+	}
+	if m.closed {
+		return
+	}
+	ctx, stop := context.WithCancel(m.ctx)
+	m.dialers[peer] = &dialer{addr: addr, stop: stop}
+	m.wait.Add(1)
+	go m.keep(ctx, peer, addr)
+}
+
+// Hangup stops dialling the peer and breaks its link.
+func (m *Mesh) Hangup(peer string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if d := m.dialers[peer]; d != nil {
+		d.stop()
+		delete(m.dialers, peer)
+	}
+	if c := m.conns[peer]; c != nil {
+		c.raw.Close()
+	}
+}
+
+func (m *Mesh) keep(ctx context.Context, peer, addr string) {
+	defer m.wait.Done()
+	pause := minRedial
+	if m.cfg.Host > peer {
+		rest(ctx, patience)
+	}
+	for ctx.Err() == nil {
+		began := time.Now()
+		if m.conn(peer) == nil {
+			if err := m.dial(ctx, peer, addr); err != nil {
+				m.log.Debugf("dial %s at %s: %v", peer, addr, err)
+			}
+		}
+		if m.conn(peer) != nil || time.Since(began) > maxRedial {
+			pause = minRedial
+		}
+		rest(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, maxRedial)
+	}
+}
+
+func rest(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (m *Mesh) dial(ctx context.Context, peer, addr string) error {
+	d := net.Dialer{Timeout: dialTimeout}
+	raw, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer raw.Close()
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
+	defer stop()
+	tune(raw)
+	r := bufio.NewReader(raw)
+	if err := dialSide(raw, r, m.cfg.Host, peer, m.cfg.Secret); err != nil {
+		return err
+	}
+	m.carry(peer, raw, r)
+	return nil
+}
+
+func (m *Mesh) conn(peer string) *conn {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.conns[peer]
+}
+
+// Up reports whether there is a link to the peer now; a host reaches itself.
+func (m *Mesh) Up(peer string) bool {
+	return peer == m.cfg.Host || m.conn(peer) != nil
+}
+
+// Host returns the name of this host.
+func (m *Mesh) Host() string {
+	return m.cfg.Host
+}
+
+// Send queues a one-way message; without a link, or with a full queue, it is dropped.
+func (m *Mesh) Send(peer, kind string, body any) {
+	out := m.self
+	if peer != m.cfg.Host {
+		c := m.conn(peer)
+		if c == nil {
+			return
+		}
+		out = c.out
+	}
+	select {
+	case out <- outgoing{kind, body}:
+	default:
+		m.dropped.Inc(1)
+	}
+}
+
+// Call sends a request and waits for its answer; ErrDown says it was not sent.
+func (m *Mesh) Call(ctx context.Context, peer, kind string, body, out any) error {
+	if peer == m.cfg.Host {
+		return m.callSelf(ctx, kind, body, out)
+	}
+	c := m.conn(peer)
+	if c == nil {
+		return errors.Wrapf(ErrDown, "%s to %s", kind, peer)
+	}
+	return c.call(ctx, kind, body, out)
+}
--- /dev/null
+++ b/internal/peer/kqlink/peer.go
@@ -0,0 +1,180 @@
+package kqlink
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"kumquatglade/internal/host/kqevent"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	heartbeatEvery = 2 * time.Second
+	silentAfter    = 5 * time.Second
+	queueLength    = 4096 // one-way messages waiting for one peer
+	methodBeat     = "beat"
+)
+
+// envelope carries a message with the sender's hybrid time.
+type envelope struct {
+	Time kqevent.Stamp   `json:"h"`
+	Body json.RawMessage `json:"b,omitempty"`
+}
+
+// conn is one proven connection to a peer.
+type conn struct {
+	mesh  *Mesh
+	peer  string
+	raw   net.Conn
+	rpc   *jsonrpc2.Conn
+	out   chan outgoing
+	heard atomic.Int64 // unix nanoseconds of the last message in
+	wrote atomic.Int64 // unix nanoseconds of the last message out
+	once  sync.Once
+}
+
+type outgoing struct {
+	kind string
+	body any
+}
+
+// plain gives jsonrpc2 the buffered reader that the handshake already used.
+type plain struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (p plain) Read(b []byte) (int, error) {
+	return p.r.Read(b)
+}
+
+func (m *Mesh) newConn(peer string, raw net.Conn, r *bufio.Reader) *conn {
+	c := &conn{mesh: m, peer: peer, raw: raw, out: make(chan outgoing, queueLength)}
+	now := time.Now().UnixNano()
+	c.heard.Store(now)
+	c.wrote.Store(now)
+	stream := jsonrpc2.NewBufferedStream(plain{raw, r}, codec{m.sent, m.received})
+	c.rpc = jsonrpc2.NewConn(context.Background(), stream, c)
+	return c
+}
+
+// run serves the connection until it breaks.
+func (c *conn) run() {
+	beat := time.NewTicker(heartbeatEvery)
+	defer beat.Stop()
+	defer c.rpc.Close()
+	for {
+		select {
+		case <-c.rpc.DisconnectNotify():
+			return
+		case o := <-c.out:
+			if err := c.notify(o.kind, o.body); err != nil {
+				return
+			}
+		case now := <-beat.C:
+			if now.UnixNano()-c.heard.Load() > int64(silentAfter) {
+				c.mesh.log.Warnf("peer %s is silent", c.peer)
+				return
+			}
+			if now.UnixNano()-c.wrote.Load() < int64(heartbeatEvery)/2 {
+				continue
+			}
+			if err := c.notify(methodBeat, nil); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (c *conn) wrap(body any) (envelope, error) {
+	e := envelope{Time: c.mesh.clock.Next()}
+	if body == nil {
+		return e, nil
+	}
+	p, err := json.Marshal(body)
+	e.Body = p
+	return e, err
+}
+
+func (c *conn) notify(kind string, body any) error {
+	e, err := c.wrap(body)
+	if err != nil {
+		return err
+	}
+	c.wrote.Store(time.Now().UnixNano())
+	return c.rpc.Notify(context.Background(), kind, e)
+}
+
+// call sends a request and decodes its answer into out, which may be nil.
+func (c *conn) call(ctx context.Context, kind string, body, out any) error {
+	e, err := c.wrap(body)
+	if err != nil {
+		return err
+	}
+	var answer envelope
+	if err := c.rpc.Call(ctx, kind, e, &answer); err != nil {
+		return errors.Wrapf(err, "%s to %s", kind, c.peer)
+	}
+	c.mesh.clock.Observe(answer.Time)
+	if out == nil || len(answer.Body) == 0 {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(answer.Body, out), "%s to %s: answer", kind, c.peer)
+}
+
+// Handle implements jsonrpc2.Handler: messages of a peer come in order,
+// requests run beside them.
+func (c *conn) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	c.heard.Store(time.Now().UnixNano())
+	var e envelope
+	if req.Params != nil {
+		if err := json.Unmarshal(*req.Params, &e); err != nil {
+			c.mesh.malformed.Inc(1)
+			return
+		}
+	}
+	c.mesh.clock.Observe(e.Time)
+	if req.Notif {
+		if req.Method != methodBeat {
+			c.mesh.receiver.Receive(c.peer, req.Method, e.Body)
+		}
+		return
+	}
+	go c.answer(ctx, rpc, req, e.Body)
+}
+
+func (c *conn) answer(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, body json.RawMessage) {
+	res, err := c.mesh.receiver.Answer(ctx, c.peer, req.Method, body)
+	if err != nil {
+		rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}) //nolint:errcheck // the link tells
+		return
+	}
+	e, err := c.wrap(res)
+	if err != nil {
+		return
+	}
+	rpc.Reply(ctx, req.ID, e) //nolint:errcheck // the link tells
+}
+
+// tune bounds how long unacknowledged data may wait on a connection.
+func tune(raw net.Conn) {
+	t, ok := raw.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	sys, err := t.SyscallConn()
+	if err != nil {
+		return
+	}
+	sys.Control(func(fd uintptr) { //nolint:errcheck // the heartbeat covers it
+		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentAfter.Milliseconds())) //nolint:errcheck // as above
+	})
+}
--- /dev/null
+++ b/internal/route/kqannounce/handlers.go
@@ -0,0 +1,170 @@
+package kqannounce
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"kumquatglade/internal/call/kqcall"
+	"kumquatglade/internal/route/kqdirectory"
+	"kumquatglade/internal/route/kqresolve"
+	"kumquatglade/internal/state/kqcontract"
+	"kumquatglade/internal/state/kqfeed"
+
+	"github.com/labstack/echo/v4"
+)
+
+const maxAnnouncement = 4 << 10 // bytes
+
+// announcement is what a target posts.
+type announcement struct {
+	Service     string            `json:"service"`
+	ID          string            `json:"id"`
+	Addr        string            `json:"addr"`
+	Domain      string            `json:"domain"`
+	Slots       int               `json:"slots"`
+	Connections int               `json:"connections"`
+	State       kqdirectory.State `json:"state"`
+	Load        int               `json:"load"`
+	Epoch       uint64            `json:"epoch"`
+	Seq         uint64            `json:"seq"`
+}
+
+// entryItem is one entry host in an answer.
+type entryItem struct {
+	Addr   string `json:"addr"`
+	Domain string `json:"domain"`
+}
+
+// renewal answers an announcement.
+type renewal struct {
+	Renew   string      `json:"renew"`
+	Entries []entryItem `json:"entries"`
+}
+
+// resolution answers a caller that asks for entry hosts.
+type resolution struct {
+	Entries []entryItem `json:"entries"`
+	Hold    string      `json:"hold"`
+}
+
+// refusal is an answer that the system itself makes.
+type refusal struct {
+	Error  string `json:"error"`
+	Run    string `json:"run"`
+	Detail string `json:"detail,omitempty"`
+}
+
+func refuse(c echo.Context, status int, word, detail string) error {
+	c.Response().Header().Set(kqcall.HeaderRun, kqcall.RunNo)
+	return c.JSON(status, refusal{Error: word, Run: kqcall.RunNo, Detail: detail})
+}
+
+// Register adds the routes of targets and of callers that ask for entry hosts.
+func (r *Roster) Register(e *echo.Echo) {
+	e.POST("/v1/targets", r.postTarget)
+	e.GET("/v1/entries", r.getEntries)
+}
+
+func (r *Roster) postTarget(c echo.Context) error {
+	p, err := io.ReadAll(io.LimitReader(c.Request().Body, maxAnnouncement+1))
+	if err != nil || len(p) > maxAnnouncement {
+		r.refused.Inc(1)
+		return refuse(c, http.StatusBadRequest, "malformed", "body too long or cut off")
+	}
+	var a announcement
+	dec := json.NewDecoder(bytes.NewReader(p))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&a); err != nil {
+		r.refused.Inc(1)
+		return refuse(c, http.StatusBadRequest, "malformed", err.Error())
+	}
+	rec := kqdirectory.Record{
+		Service: a.Service, ID: a.ID, Addr: a.Addr, Domain: a.Domain, Slots: a.Slots, Connections: a.Connections,
+		State: a.State, Load: a.Load, Epoch: a.Epoch, Seq: a.Seq,
+	}
+	if err := rec.Validate(); err != nil {
+		r.refused.Inc(1)
+		return refuse(c, http.StatusBadRequest, "malformed", err.Error())
+	}
+	if err := r.Announce(c.Request().Context(), rec); err != nil {
+		return refuse(c, http.StatusConflict, "old", err.Error())
+	}
+	return c.JSON(http.StatusOK, renewal{Renew: kqdirectory.Renew.String(), Entries: r.holders()})
+}
+
+// holders lists where a target may announce itself: here first, so that its
+// lease stays with one host, then the others.
+func (r *Roster) holders() []entryItem {
+	v := r.cfg.Known()
+	if v == nil {
+		return []entryItem{}
+	}
+	list := []entryItem{}
+	for _, h := range r.usable(v) {
+		item := entryItem{Addr: h.Calls, Domain: h.Domain}
+		if h.Name == r.cfg.Host {
+			list = append([]entryItem{item}, list...)
+		} else {
+			list = append(list, item)
+		}
+	}
+	return list
+}
+
+// usable returns the entry hosts that are reachable from here and not leaving.
+func (r *Roster) usable(v *kqfeed.View) []kqcontract.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := []kqcontract.Host{}
+	for _, h := range v.Hosts.Entry {
+		self := h.Name == r.cfg.Host
+		if self && !r.self || !self && !r.leaving[h.Name] && r.cfg.Link.Up(h.Name) {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+func (r *Roster) getEntries(c echo.Context) error {
+	v := r.cfg.View()
+	if v == nil {
+		return refuse(c, http.StatusServiceUnavailable, "cut", "")
+	}
+	service, owner := c.QueryParam("service"), c.Request().Header.Get(kqcall.HeaderOwner)
+	if !kqcontract.IsWord(service) || !kqcontract.IsWord(owner) {
+		return refuse(c, http.StatusBadRequest, "malformed", "service and "+kqcall.HeaderOwner+" are required")
+	}
+	contract := v.Contracts[owner]
+	if contract == nil {
+		return refuse(c, http.StatusNotFound, "owner", "")
+	}
+	if _, ok := contract.Service(service); !ok {
+		return refuse(c, http.StatusNotFound, "service", "")
+	}
+	hosts := kqresolve.Entries(kqresolve.Question{Service: service, Rate: rateOf(v, service), Hosts: r.usable(v)})
+	out := resolution{Entries: []entryItem{}, Hold: hold().String()}
+	for _, h := range hosts {
+		out.Entries = append(out.Entries, entryItem{Addr: h.Calls, Domain: h.Domain})
+	}
+	return c.JSON(http.StatusOK, out)
+}
+
+// hold spreads the times at which callers ask again.
+func hold() time.Duration {
+	return (kqresolve.Hold*9/10 + rand.N(kqresolve.Hold/5)).Round(time.Millisecond)
+}
+
+// rateOf sums what all contracts grant on the service.
+func rateOf(v *kqfeed.View, service string) float64 {
+	sum := 0.0
+	for _, c := range v.Contracts {
+		if s, ok := c.Service(service); ok {
+			sum += s.Rate
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/route/kqdirectory/record.go
@@ -0,0 +1,97 @@
+package kqdirectory
+
+import (
+	"kumquatglade/internal/state/kqcontract"
+
+	"github.com/cockroachdb/errors"
+)
+
+// State of a target.
+type State string
+
+// States of a target.
+const (
+	Ready    State = "ready"
+	Warming  State = "warming"
+	Draining State = "draining"
+	Gone     State = "gone"
+)
+
+const (
+	maxSlots       = 1 << 16
+	maxConnections = 1 << 20
+)
+
+// Record is what a target announced.
+type Record struct {
+	Service     string `json:"service"`
+	ID          string `json:"id"`
+	Addr        string `json:"addr"`
+	Domain      string `json:"domain"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	State       State  `json:"state"`
+	Load        int    `json:"load"`
+	Epoch       uint64 `json:"epoch"`
+	Seq         uint64 `json:"seq"`
+	Holder      string `json:"holder,omitempty"`  // entry host that took the announcement
+	Expired     bool   `json:"expired,omitempty"` // its lease ran out at the holder
+}
+
+// Key names a target.
+type Key struct {
+	Service string
+	ID      string
+}
+
+// Key returns the record's key.
+func (r Record) Key() Key {
+	return Key{r.Service, r.ID}
+}
+
+// Validate says what is wrong with an announcement.
+func (r Record) Validate() error {
+	switch {
+	case !kqcontract.IsWord(r.Service):
+		return errors.Newf("service %q: want a word", r.Service)
+	case !kqcontract.IsWord(r.ID):
+		return errors.Newf("id %q: want a word", r.ID)
+	case !kqcontract.IsWord(r.Domain):
+		return errors.Newf("domain %q: want a word", r.Domain)
+	case !kqcontract.IsIPPort(r.Addr):
+		return errors.Newf("addr %q: want IP:port", r.Addr)
+	case r.Slots < 1 || r.Slots > maxSlots:
+		return errors.Newf("slots %d: want 1 to %d", r.Slots, maxSlots)
+	case r.Connections < 1 || r.Connections > maxConnections:
+		return errors.Newf("connections %d: want 1 to %d", r.Connections, maxConnections)
+	case r.Load < 0 || r.Load > maxSlots:
+		return errors.Newf("load %d: want 0 to %d", r.Load, maxSlots)
+	}
+	switch r.State {
+	case Ready, Warming, Draining, Gone:
+		return nil
+	}
+	return errors.Newf("state %q: want ready, warming, draining or gone", r.State)
+}
+
+// newer reports whether r replaces o.
+func (r Record) newer(o Record) bool {
+	if r.Epoch != o.Epoch {
+		return r.Epoch > o.Epoch
+	}
+	if r.Seq != o.Seq {
+		return r.Seq > o.Seq
+	}
+	return r.Expired && !o.Expired
+}
+
+// sameFacts reports whether nothing that other hosts act on differs.
+func (r Record) sameFacts(o Record) bool {
+	return r.Addr == o.Addr && r.Domain == o.Domain && r.Slots == o.Slots && r.Connections == o.Connections &&
+		r.State == o.State && r.Epoch == o.Epoch && r.Holder == o.Holder && r.Expired == o.Expired
+}
+
+// Live reports whether the target is known to be there at all.
+func (r Record) Live() bool {
+	return !r.Expired && r.State != Gone
+}
--- /dev/null
+++ b/internal/route/kqdispatch/dispatch.go
@@ -0,0 +1,284 @@
+package kqdispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	kq "kumquatglade"
+	"kumquatglade/internal/route/kqdirectory"
+)
+
+// TickInterval is the time between two Tick events while calls are in progress.
+const TickInterval = 5 * time.Millisecond
+
+// Config constructs a Dispatch.
+type Config struct {
+	Domain string // failure domain of this host
+	Policy kq.Policy
+	Rand   *rand.Rand
+}
+
+// Dispatch is the reducer of all calls on one entry host.
+type Dispatch struct {
+	cfg      Config
+	services map[string]*service
+	grants   map[grantKey]*grant
+	calls    map[uint64]*call
+	attempts map[uint64]*attempt
+	nextID   uint64
+	list     []kq.Candidate
+	effects  []Effect
+}
+
+// call is one call in progress.
+type call struct {
+	Call
+	grant   *grant
+	service *service
+	open    []*attempt
+	tried   []*target
+	sends   int
+	queued  bool
+	active  bool
+	settled bool // an answer was passed on or made
+	tag     float64
+	hedgeAt time.Time
+	failed  Outcome // the worst outcome so far: Broken beats the others
+}
+
+// attempt is one send of a call.
+type attempt struct {
+	id      uint64
+	call    *call
+	target  *target
+	began   time.Time
+	replied bool
+}
+
+// New returns an empty Dispatch.
+func New(cfg Config) *Dispatch {
+	return &Dispatch{
+		cfg: cfg, services: map[string]*service{}, grants: map[grantKey]*grant{},
+		calls: map[uint64]*call{}, attempts: map[uint64]*attempt{},
+	}
+}
+
+// Reduce handles one event.
+func (d *Dispatch) Reduce(now time.Time, ev Event) []Effect {
+	d.effects = nil
+	switch ev := ev.(type) {
+	case Arrive:
+		d.arrive(now, ev.Call)
+	case Replied:
+		d.replied(now, ev)
+	case Ended:
+		d.ended(now, ev.Attempt)
+	case Leave:
+		d.leave(now, ev.ID)
+	case Tick:
+		d.tick(now)
+	case Updated:
+		d.updated(now, ev.Record)
+	case Reported:
+		if t := d.target(ev.Record.Key()); t != nil {
+			t.announced(ev.Record.Load, now)
+		}
+	case Granted:
+		d.granted(now, ev)
+	case Revoked:
+		d.revoked(ev)
+	}
+	return d.effects
+}
+
+func (d *Dispatch) emit(e Effect) {
+	d.effects = append(d.effects, e)
+}
+
+func (d *Dispatch) serviceOf(name string) *service {
+	s := d.services[name]
+	if s == nil {
+		s = &service{name: name}
+		d.services[name] = s
+	}
+	return s
+}
+
+func (d *Dispatch) target(k kqdirectory.Key) *target {
+	s := d.services[k.Service]
+	if s == nil {
+		return nil
+	}
+	i := slices.IndexFunc(s.targets, func(t *target) bool { return t.rec.ID == k.ID })
+	if i < 0 {
+		return nil
+	}
+	return s.targets[i]
+}
+
+func (d *Dispatch) updated(now time.Time, rec kqdirectory.Record) {
+	s := d.serviceOf(rec.Service)
+	t := d.target(rec.Key())
+	switch {
+	case t == nil && rec.Live():
+		s.targets = append(s.targets, newTarget(rec))
+	case t != nil && rec.Live():
+		t.update(rec)
+	case t != nil:
+		s.targets = slices.DeleteFunc(s.targets, func(o *target) bool { return o == t })
+	}
+	d.drain(now, s)
+}
+
+func (d *Dispatch) granted(now time.Time, ev Granted) {
+	k := grantKey{ev.Owner, ev.Service.Name}
+	g := d.grants[k]
+	if g == nil {
+		g = newGrant(ev.Owner, now)
+		d.grants[k] = g
+		s := d.serviceOf(ev.Service.Name)
+		s.grants = append(s.grants, g)
+	}
+	g.set(ev, now)
+	d.drain(now, d.serviceOf(ev.Service.Name))
+}
+
+func (d *Dispatch) revoked(ev Revoked) {
+	k := grantKey{ev.Owner, ev.Service}
+	g := d.grants[k]
+	if g == nil {
+		return
+	}
+	delete(d.grants, k)
+	s := d.serviceOf(ev.Service)
+	s.grants = slices.DeleteFunc(s.grants, func(o *grant) bool { return o == g })
+	for _, c := range slices.Clone(g.waiting) {
+		d.refuse(c, ReasonUnknown, 0)
+	}
+}
+
+// arrive admits a call, queues it or refuses it.
+func (d *Dispatch) arrive(now time.Time, in Call) {
+	c := &call{Call: in}
+	d.calls[in.ID] = c
+	c.grant = d.grants[grantKey{in.Owner, in.Service}]
+	if c.grant == nil {
+		d.refuse(c, ReasonUnknown, 0)
+		return
+	}
+	c.service = d.serviceOf(in.Service)
+	if wait, ok := c.grant.bucket.Take(now); !ok {
+		d.refuse(c, ReasonRate, wait)
+		return
+	}
+	c.service.mark(c)
+	if len(c.grant.waiting) == 0 && c.grant.active < c.grant.share.Active && d.first(now, c) {
+		return
+	}
+	d.enqueue(now, c)
+}
+
+// enqueue lets the call wait for a place, unless it would wait in vain.
+func (d *Dispatch) enqueue(now time.Time, c *call) {
+	g := c.grant
+	if len(c.service.targets) == 0 {
+		d.refuse(c, ReasonTarget, kqdirectory.Renew)
+		return
+	}
+	wait := c.service.wait(len(g.waiting) + 1)
+	if len(g.waiting) >= g.share.Queue {
+		reason := ReasonQueue
+		if g.active >= g.share.Active {
+			reason = ReasonActive
+		}
+		d.refuse(c, reason, max(wait, TickInterval))
+		return
+	}
+	if now.Add(wait).After(c.Deadline) {
+		d.refuse(c, ReasonDeadline, wait)
+		return
+	}
+	c.queued = true
+	g.waiting = append(g.waiting, c)
+}
+
+// first makes the first send if some target has a free slot.
+func (d *Dispatch) first(now time.Time, c *call) bool {
+	t := d.choose(now, c, true)
+	if t == nil {
+		return false
+	}
+	c.queued, c.active = false, true
+	c.grant.active++
+	c.grant.retries.Earn(c.grant.terms.Retries)
+	c.grant.hedges.Earn(c.grant.terms.Hedges)
+	c.service.virtual = max(c.service.virtual, c.tag)
+	d.start(now, c, t, false)
+	if c.Idempotent && c.Retries > 0 && c.grant.terms.Hedges > 0 && c.service.tail > 0 {
+		c.hedgeAt = now.Add(time.Duration(c.service.tail * float64(time.Second)))
+	}
+	return true
+}
+
+// drain sends waiting calls in their fair order while slots are free.
+func (d *Dispatch) drain(now time.Time, s *service) {
+	for c := s.next(); c != nil; c = s.next() {
+		if now.After(c.Deadline) {
+			c.grant.drop(c)
+			d.refuse(c, ReasonDeadline, 0)
+			continue
+		}
+		if !d.first(now, c) {
+			return
+		}
+		c.grant.drop(c)
+	}
+}
+
+// refuse ends a call that certainly did not run.
+func (d *Dispatch) refuse(c *call, reason Reason, wait time.Duration) {
+	if c.settled {
+		return
+	}
+	c.settled = true
+	if c.queued {
+		c.queued = false
+		c.grant.drop(c)
+	}
+	d.emit(Refuse{ID: c.ID, Reason: reason, Wait: wait})
+}
+
+// leave forgets the call and gives up what is still under way for it.
+func (d *Dispatch) leave(now time.Time, id uint64) {
+	c := d.calls[id]
+	if c == nil {
+		return
+	}
+	delete(d.calls, id)
+	c.settled = true
+	if c.queued {
+		c.grant.drop(c)
+	}
+	for _, a := range c.open {
+		d.emit(Cancel{ID: id, Attempt: a.id})
+	}
+	if c.active {
+		c.grant.active--
+		d.drain(now, c.service)
+	}
+}
+
+func (d *Dispatch) tick(now time.Time) {
+	for _, s := range d.services {
+		d.drain(now, s)
+	}
+	for _, c := range d.calls {
+		switch {
+		case c.queued && now.After(c.Deadline):
+			d.refuse(c, ReasonDeadline, 0)
+		case !c.hedgeAt.IsZero() && !now.Before(c.hedgeAt):
+			d.hedge(now, c)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/kqpolicy/expected.go
@@ -0,0 +1,48 @@
+package kqpolicy
+
+import (
+	"math/rand/v2"
+
+	kq "kumquatglade"
+)
+
+// Expected takes the target where one more call is expected to end first: its
+// own service time, and the time that its calls wait for a free slot.
+type Expected struct{}
+
+const (
+	unknownLatency = 0.005 // seconds, for a target that has not answered yet
+	busyCost       = 0.25  // part of a service time that each busy share costs
+)
+
+// Choose implements kq.Policy.
+func (Expected) Choose(list []kq.Candidate, rng *rand.Rand) int {
+	typical := typicalLatency(list)
+	return least(list, rng, func(c kq.Candidate) float64 { return score(c, typical) })
+}
+
+func score(c kq.Candidate, typical float64) float64 {
+	latency := c.Latency
+	if latency <= 0 {
+		latency = typical
+	}
+	slots := float64(c.Slots) * max(c.Weight, 0.01)
+	busy := float64(max(c.Inflight, c.Reported))
+	waiting := max(0, busy+1-slots) / slots
+	return latency * (1 + waiting + busyCost*busy/slots)
+}
+
+// typicalLatency is the mean of the known latencies.
+func typicalLatency(list []kq.Candidate) float64 {
+	sum, n := 0.0, 0
+	for _, c := range list {
+		if c.Latency > 0 {
+			sum += c.Latency
+			n++
+		}
+	}
+	if n == 0 {
+		return unknownLatency
+	}
+	return sum / float64(n)
+}
--- /dev/null
+++ b/internal/route/kqresolve/resolve.go
@@ -0,0 +1,51 @@
+package kqresolve
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"kumquatglade/internal/state/kqcontract"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Hold is how long callers keep an answer, before jitter.
+	Hold = 10 * time.Second
+
+	callsPerHost = 2000 // calls a second of one service that one entry host is given
+	leastHosts   = 2
+)
+
+// Question asks for the entry hosts of a service.
+type Question struct {
+	Service string
+	Rate    float64           // calls a second of all owners' contracts together
+	Hosts   []kqcontract.Host // entry hosts in force that are reachable and not leaving
+}
+
+// Entries returns the hosts for the service in the order of preference. Every
+// host answers alike as long as it knows the same hosts.
+func Entries(q Question) []kqcontract.Host {
+	hosts := slices.Clone(q.Hosts)
+	weight := func(h kqcontract.Host) uint64 { return xxhash.Sum64String(q.Service + "|" + h.Name) }
+	slices.SortFunc(hosts, func(a, b kqcontract.Host) int { return cmp.Compare(weight(a), weight(b)) })
+	n := max(leastHosts, int(math.Ceil(q.Rate/callsPerHost)))
+	if n >= len(hosts) {
+		return hosts
+	}
+	return spread(hosts, n)
+}
+
+// spread takes n hosts by their order, but the second from another failure
+// domain than the first if there is one.
+func spread(hosts []kqcontract.Host, n int) []kqcontract.Host {
+	other := slices.IndexFunc(hosts, func(h kqcontract.Host) bool { return h.Domain != hosts[0].Domain })
+	if other > 1 {
+		h := hosts[other]
+		hosts = slices.Insert(slices.Delete(hosts, other, other+1), 1, h)
+	}
+	return hosts[:n]
+}
--- /dev/null
+++ b/internal/state/kqcontract/state.go
@@ -0,0 +1,285 @@
+package kqcontract
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// HostsOwner stands for the host lists where an owner's name is shown.
+const HostsOwner = "(hosts)"
+
+// KeptVersions is how many accepted versions of one owner are remembered, so
+// that a resend of any of them gets its original answer.
+const KeptVersions = 1024
+
+// Kinds of Command.
+const (
+	OpApply  = "apply"
+	OpRemove = "remove"
+	OpHosts  = "hosts" // operators set the host lists
+	OpJoin   = "join"  // an entry host announced itself
+)
+
+// Command is one change asked of the state machine.
+type Command struct {
+	Op       string    `json:"op"`
+	Contract *Contract `json:"contract,omitempty"`
+	Owner    string    `json:"owner,omitempty"`
+	Version  uint64    `json:"version,omitempty"`
+	Hosts    *Hosts    `json:"hosts,omitempty"`
+	Join     *Host     `json:"join,omitempty"`
+	Time     time.Time `json:"time"` // when the leader took it
+}
+
+// Hosts is the document of all hosts that the system counts on.
+type Hosts struct {
+	Version uint64    `json:"version" validate:"required,min=1"`
+	Control []Control `json:"control" validate:"required,min=1,max=21,unique=Host,dive"`
+	Entry   []Host    `json:"entry" validate:"unique=Name,dive"`
+}
+
+// Control is one control host that operators want.
+type Control struct {
+	Host   string `json:"host" validate:"required,word"`
+	Domain string `json:"domain" validate:"required,word"`
+	Peers  string `json:"peers" validate:"required,ipport"`
+	Voter  bool   `json:"voter"` // false for a replica that only follows
+}
+
+// Host is one entry host that the system counts on.
+type Host struct {
+	Name   string `json:"name" validate:"required,word"`
+	Domain string `json:"domain" validate:"required,word"`
+	Region string `json:"region" validate:"required,word"`
+	Calls  string `json:"calls" validate:"required,ipport"` // for callers and targets
+	Peers  string `json:"peers" validate:"required,ipport"` // for the system's own processes
+}
+
+// Accepted is one version of an owner's contract that was accepted.
+type Accepted struct {
+	Owner    string    `json:"owner"`
+	Version  uint64    `json:"version"`
+	Hash     string    `json:"hash"` // empty for a removal
+	Time     time.Time `json:"time"`
+	Revision uint64    `json:"revision"`
+}
+
+// Record is everything kept of one owner.
+type Record struct {
+	Current  *Contract  `json:"current,omitempty"` // nil after a removal
+	Accepted []Accepted `json:"accepted"`          // ascending, the last KeptVersions
+}
+
+func (r *Record) last() uint64 {
+	if len(r.Accepted) == 0 {
+		return 0
+	}
+	return r.Accepted[len(r.Accepted)-1].Version
+}
+
+func (r *Record) add(a Accepted) {
+	r.Accepted = append(r.Accepted, a)
+	if extra := len(r.Accepted) - KeptVersions; extra > 0 {
+		r.Accepted = slices.Delete(r.Accepted, 0, extra)
+	}
+}
+
+// Reasons for which a command is refused.
+const (
+	ReasonTaken   = "taken"   // another content has this version
+	ReasonGap     = "gap"     // the version is not one more than the last
+	ReasonOld     = "old"     // older than the kept versions
+	ReasonUnknown = "unknown" // there is no such contract
+)
+
+// Result answers a Command.
+type Result struct {
+	Accepted Accepted `json:"accepted"`          // what stands for the version, also on ReasonTaken
+	Refused  string   `json:"refused,omitempty"` // a Reason, empty if accepted
+	Want     uint64   `json:"want,omitempty"`    // the version that would be accepted next
+	Repeat   bool     `json:"repeat,omitempty"`  // the same change was accepted before
+}
+
+// Change is what one accepted command altered, as entry hosts receive it.
+type Change struct {
+	Revision uint64    `json:"revision"`
+	Owner    string    `json:"owner,omitempty"`
+	Contract *Contract `json:"contract,omitempty"` // nil with an Owner: removed
+	Hosts    *Hosts    `json:"hosts,omitempty"`
+}
+
+// State is the deterministic state machine of contracts and hosts.
+type State struct {
+	Revision uint64             `json:"revision"` // accepted changes so far
+	Owners   map[string]*Record `json:"owners"`
+	Hosts    Hosts              `json:"hosts"`
+	HostLog  Record             `json:"hostLog"` // accepted versions of Hosts
+}
+
+// NewState returns the empty state at revision 0.
+func NewState() *State {
+	return &State{Owners: map[string]*Record{}}
+}
+
+// Apply runs one command; the change is nil if nothing altered.
+func (s *State) Apply(c Command) (Result, *Change) {
+	switch c.Op {
+	case OpApply:
+		if c.Contract == nil {
+			return Result{Refused: ReasonUnknown}, nil
+		}
+		return s.accept(c.Contract.Owner, c.Contract.Version, c.Contract, c.Time)
+	case OpRemove:
+		if s.Owners[c.Owner] == nil {
+			return Result{Refused: ReasonUnknown}, nil
+		}
+		return s.accept(c.Owner, c.Version, nil, c.Time)
+	case OpHosts:
+		return s.setHosts(c)
+	case OpJoin:
+		return s.join(c)
+	default:
+		return Result{Refused: ReasonUnknown}, nil
+	}
+}
+
+func (s *State) accept(owner string, version uint64, c *Contract, at time.Time) (Result, *Change) {
+	rec := s.Owners[owner]
+	if rec == nil {
+		rec = &Record{}
+	}
+	hash := ""
+	if c != nil {
+		hash = c.Hash()
+	}
+	want := rec.last() + 1
+	if version < want {
+		return rec.earlier(version, hash, want), nil
+	}
+	if version > want {
+		return Result{Refused: ReasonGap, Want: want}, nil
+	}
+	if c == nil && rec.Current == nil {
+		return Result{Refused: ReasonUnknown, Want: want}, nil
+	}
+	s.Revision++
+	a := Accepted{Owner: owner, Version: version, Hash: hash, Time: at, Revision: s.Revision}
+	rec.Current = c
+	rec.add(a)
+	s.Owners[owner] = rec
+	return Result{Accepted: a, Want: version + 1}, &Change{Revision: s.Revision, Owner: owner, Contract: c}
+}
+
+// earlier answers a version that was accepted before: the same content gets
+// its original answer, other content learns what took the version.
+func (r *Record) earlier(version uint64, hash string, want uint64) Result {
+	i, ok := slices.BinarySearchFunc(r.Accepted, version, func(a Accepted, v uint64) int {
+		return cmp.Compare(a.Version, v)
+	})
+	if !ok {
+		return Result{Refused: ReasonOld, Want: want}
+	}
+	a := r.Accepted[i]
+	if a.Hash != hash {
+		return Result{Accepted: a, Refused: ReasonTaken, Want: want}
+	}
+	return Result{Accepted: a, Repeat: true, Want: want}
+}
+
+func (s *State) setHosts(c Command) (Result, *Change) {
+	if c.Hosts == nil {
+		return Result{Refused: ReasonUnknown}, nil
+	}
+	hash := c.Hosts.Hash()
+	want := s.HostLog.last() + 1
+	if c.Hosts.Version < want {
+		return s.HostLog.earlier(c.Hosts.Version, hash, want), nil
+	}
+	if c.Hosts.Version > want {
+		return Result{Refused: ReasonGap, Want: want}, nil
+	}
+	s.Revision++
+	s.Hosts = *c.Hosts
+	a := Accepted{Owner: HostsOwner, Version: want, Hash: hash, Time: c.Time, Revision: s.Revision}
+	s.HostLog.add(a)
+	return Result{Accepted: a, Want: want + 1}, s.hostsChange()
+}
+
+// join adds an entry host that announced itself, or takes its new addresses.
+func (s *State) join(c Command) (Result, *Change) {
+	if c.Join == nil {
+		return Result{Refused: ReasonUnknown}, nil
+	}
+	i := slices.IndexFunc(s.Hosts.Entry, func(h Host) bool { return h.Name == c.Join.Name })
+	if i >= 0 && s.Hosts.Entry[i] == *c.Join {
+		return Result{Accepted: Accepted{Revision: s.Revision}, Repeat: true}, nil
+	}
+	list := slices.Clone(s.Hosts.Entry)
+	if i >= 0 {
+		list[i] = *c.Join
+	} else {
+		list = append(list, *c.Join)
+	}
+	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	s.Hosts.Entry = list
+	s.Revision++
+	return Result{Accepted: Accepted{Revision: s.Revision, Time: c.Time}}, s.hostsChange()
+}
+
+func (s *State) hostsChange() *Change {
+	h := s.Hosts
+	return &Change{Revision: s.Revision, Hosts: &h}
+}
+
+// History returns the kept accepted versions by revision, of one owner or, for
+// an empty name, of all.
+func (s *State) History(owner string) []Accepted {
+	list := []Accepted{}
+	if owner == "" || owner == HostsOwner {
+		list = append(list, s.HostLog.Accepted...)
+	}
+	for name, rec := range s.Owners {
+		if owner == "" || owner == name {
+			list = append(list, rec.Accepted...)
+		}
+	}
+	slices.SortFunc(list, func(a, b Accepted) int { return cmp.Compare(a.Revision, b.Revision) })
+	return list
+}
+
+// encoding is deterministic, so that equal states have equal digests.
+var encoding = func() cbor.EncMode {
+	opts := cbor.CoreDetEncOptions()
+	opts.Time = cbor.TimeRFC3339Nano
+	mode, err := opts.EncMode()
+	if err != nil {
+		panic(err) // options are fixed at compile time
+	}
+	return mode
+}()
+
+// Encode returns the state as deterministic CBOR.
+func (s *State) Encode() ([]byte, error) {
+	return encoding.Marshal(s)
+}
+
+// Decode returns the state that Encode wrote.
+func Decode(p []byte) (*State, error) {
+	s := NewState()
+	err := cbor.Unmarshal(p, s)
+	return s, err
+}
+
+// Digest is equal on hosts that hold equal state.
+func (s *State) Digest() string {
+	p, err := s.Encode()
+	if err != nil {
+		panic(err) // plain fields always encode
+	}
+	return fmt.Sprintf("%016x", xxhash.Sum64(p))
+}
--- /dev/null
+++ b/internal/state/kqcontrol/control.go
@@ -0,0 +1,323 @@
+package kqcontrol
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	kq "kumquatglade"
+	"kumquatglade/internal/host/kqevent"
+	"kumquatglade/internal/host/kqlog"
+	"kumquatglade/internal/state/kqcontract"
+	"kumquatglade/internal/state/kqjournal"
+	"kumquatglade/internal/state/kqreplica"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Methods of requests and messages between control hosts.
+const (
+	MethodReplica = "replica" // one message of the replicas
+	MethodSubmit  = "submit"  // a command for the leader
+)
+
+const retryPause = 50 * time.Millisecond
+
+// Config constructs a Control.
+type Config struct {
+	Hosts   []kqreplica.Want // control hosts of the settings
+	Disk    kq.Disk
+	Link    kq.Link
+	Clock   kq.Clock
+	Log     *kqlog.Log
+	Events  *kqevent.Recorder
+	Metrics metrics.Registry
+	Rand    *rand.Rand
+	// Changed is called in order for every change in force on this host.
+	Changed func(kqcontract.Change)
+	// Restored is called when the whole state was replaced.
+	Restored func()
+	// Members is called when the member list changed.
+	Members func([]kqreplica.Member)
+	// Fatal is called when the host must stop.
+	Fatal func(error)
+}
+
+// Control is the running replica of one control host.
+type Control struct {
+	cfg     Config
+	journal *kqjournal.Journal
+	replica *kqreplica.Replica
+	machine *machine
+	inbox   chan func()
+	done    chan struct{}
+	stop    context.CancelFunc
+	ctx     context.Context
+	syncs   metrics.Timer
+
+	// The fields below belong to the loop.
+	nextID    uint64
+	proposals map[string]chan answer
+	reads     map[string]chan kqreplica.Readable
+	waiting   []waiter
+
+	mu     sync.Mutex
+	leader string
+}
+
+// answer ends a proposal made on this host.
+type answer struct {
+	result kqcontract.Result
+	err    error
+}
+
+// waiter waits until index is applied on this host.
+type waiter struct {
+	index uint64
+	ready chan struct{}
+}
+
+// errRetry says that the command may be sent again: it is idempotent.
+var errRetry = errors.New("no leader answered")
+
+// Start reads the data folder and runs the replica.
+func Start(cfg Config) (*Control, error) {
+	journal, loaded, err := kqjournal.Open(cfg.Disk)
+	if err != nil {
+		return nil, err
+	}
+	if loaded.Cut > 0 {
+		cfg.Log.Warnf("cut a torn tail of %d bytes", loaded.Cut)
+	}
+	m := &machine{state: kqcontract.NewState()}
+	replica, effects, err := kqreplica.New(kqreplica.Config{
+		Host: cfg.Link.Host(), Hosts: cfg.Hosts, Loaded: loaded, Machine: m, Rand: cfg.Rand,
+		Token: word(cfg.Rand), Cluster: word(cfg.Rand),
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	c := &Control{
+		cfg: cfg, journal: journal, replica: replica, machine: m, ctx: ctx, stop: stop,
+		inbox: make(chan func(), 1024), done: make(chan struct{}),
+		proposals: map[string]chan answer{}, reads: map[string]chan kqreplica.Readable{},
+		syncs: metrics.GetOrRegisterTimer("control.sync", cfg.Metrics),
+	}
+	if err := c.perform(effects); err != nil {
+		return nil, err
+	}
+	go c.loop()
+	return c, nil
+}
+
+// word returns a random word of 8 hex digits.
+func word(rng *rand.Rand) string {
+	const digits = "0123456789abcdef"
+	p := make([]byte, 8)
+	for i := range p {
+		p[i] = digits[rng.IntN(len(digits))]
+	}
+	return string(p)
+}
+
+// Close stops the replica and waits for its last effect.
+func (c *Control) Close() {
+	c.stop()
+	<-c.done
+}
+
+func (c *Control) loop() {
+	defer close(c.done)
+	defer c.journal.Close()
+	tick := time.NewTicker(kqreplica.TickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case f := <-c.inbox:
+			f()
+		case <-tick.C:
+			c.feed(kqreplica.Tick{})
+		}
+	}
+}
+
+// post runs f in the loop; false says that the loop has ended.
+func (c *Control) post(f func()) bool {
+	select {
+	case c.inbox <- f:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+// feed gives the replica one event, in the loop.
+func (c *Control) feed(ev kqreplica.Event) {
+	effects := c.replica.Reduce(c.cfg.Clock.Now(), ev)
+	if err := c.perform(effects); err != nil {
+		c.cfg.Log.Errorf("stopped: %v", err)
+		c.stop()
+		c.cfg.Fatal(err)
+	}
+}
+
+// Receive feeds one message of another control host.
+func (c *Control) Receive(from string, m kqreplica.Message) {
+	c.post(func() { c.feed(kqreplica.Received{From: from, Message: m}) })
+}
+
+// Linked tells the replica of a link that came up or broke.
+func (c *Control) Linked(peer string, up bool) {
+	c.post(func() {
+		if up {
+			c.feed(kqreplica.LinkUp{Peer: peer})
+			return
+		}
+		c.feed(kqreplica.LinkDown{Peer: peer})
+	})
+}
+
+// View calls f with the state in the loop: f must neither keep nor change it.
+func (c *Control) View(f func(*kqcontract.State)) error {
+	ran := make(chan struct{})
+	if !c.post(func() { f(c.machine.state); close(ran) }) {
+		return errors.New("control: stopped")
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-c.done:
+		return errors.New("control: stopped")
+	}
+}
+
+// Status returns what operators see of the replica.
+func (c *Control) Status() (kqreplica.Status, error) {
+	var s kqreplica.Status
+	err := c.View(func(*kqcontract.State) { s = c.replica.Status() })
+	return s, err
+}
+
+// Leader returns the leader that this host follows, empty if none.
+func (c *Control) Leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
+// Submit has the command accepted or refused by the leader. It repeats the
+// command until ctx ends, which is safe because every command is idempotent;
+// an error means that the outcome is unknown.
+func (c *Control) Submit(ctx context.Context, cmd kqcontract.Command) (kqcontract.Result, error) {
+	for {
+		res, err := c.submitOnce(ctx, cmd)
+		if err == nil {
+			return res, nil
+		}
+		select {
+		case <-ctx.Done():
+			return kqcontract.Result{}, errors.Wrapf(err, "control: submit to %q", c.Leader())
+		case <-c.cfg.after(retryPause):
+		}
+	}
+}
+
+func (cfg *Config) after(d time.Duration) <-chan struct{} {
+	ch := make(chan struct{})
+	cfg.Clock.AfterFunc(d, func() { close(ch) })
+	return ch
+}
+
+func (c *Control) submitOnce(ctx context.Context, cmd kqcontract.Command) (kqcontract.Result, error) {
+	leader := c.Leader()
+	switch leader {
+	case "":
+		return kqcontract.Result{}, errRetry
+	case c.cfg.Link.Host():
+		return c.Propose(ctx, cmd)
+	default:
+		var res kqcontract.Result
+		err := c.cfg.Link.Call(ctx, leader, MethodSubmit, cmd, &res)
+		return res, err
+	}
+}
+
+// Propose appends the command if this host leads.
+func (c *Control) Propose(ctx context.Context, cmd kqcontract.Command) (kqcontract.Result, error) {
+	cmd.Time = c.cfg.Clock.Now().UTC()
+	data, err := encodeCommand(cmd)
+	if err != nil {
+		return kqcontract.Result{}, err
+	}
+	ready := make(chan answer, 1)
+	c.post(func() {
+		id := c.newID()
+		c.proposals[id] = ready
+		c.feed(kqreplica.Propose{ID: id, Data: data})
+	})
+	select {
+	case a := <-ready:
+		return a.result, a.err
+	case <-ctx.Done():
+		return kqcontract.Result{}, ctx.Err()
+	case <-c.done:
+		return kqcontract.Result{}, errRetry
+	}
+}
+
+// Confirm returns once this host's state holds every change that was accepted
+// before the call; a quorum confirms it.
+func (c *Control) Confirm(ctx context.Context) error {
+	for {
+		err := c.confirmOnce(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(err, "control: confirm")
+		case <-c.cfg.after(retryPause):
+		}
+	}
+}
+
+func (c *Control) confirmOnce(ctx context.Context) error {
+	ready := make(chan kqreplica.Readable, 1)
+	c.post(func() {
+		id := c.newID()
+		c.reads[id] = ready
+		c.feed(kqreplica.Read{ID: id})
+	})
+	select {
+	case res := <-ready:
+		if !res.OK {
+			return errors.New("no quorum")
+		}
+		return c.waitApplied(ctx, res.Index)
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.done:
+		return errors.New("stopped")
+	}
+}
+
+func (c *Control) waitApplied(ctx context.Context, index uint64) error {
+	ready := make(chan struct{})
+	c.post(func() {
+		c.waiting = append(c.waiting, waiter{index, ready})
+		c.wake()
+	})
+	select {
+	case <-ready:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.done:
+		return errors.New("stopped")
+	}
+}
--- /dev/null
+++ b/internal/state/kqcontrol/serve.go
@@ -0,0 +1,51 @@
+package kqcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"kumquatglade/internal/state/kqcontract"
+	"kumquatglade/internal/state/kqreplica"
+
+	"github.com/cockroachdb/errors"
+)
+
+// answerLimit bounds the work for a request of another host, whose own limit
+// is not known here.
+const answerLimit = 5 * time.Second
+
+// ReceiveRaw handles a one-way message of another control host.
+func (c *Control) ReceiveRaw(peer string, body json.RawMessage) error {
+	var m kqreplica.Message
+	if err := json.Unmarshal(body, &m); err != nil {
+		return errors.Wrapf(err, "control: message from %s", peer)
+	}
+	c.Receive(peer, m)
+	return nil
+}
+
+// Answer handles a request of another host.
+func (l Local) Answer(ctx context.Context, kind string, body json.RawMessage) (any, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	switch kind {
+	case MethodSubmit:
+		return decoded(body, func(cmd kqcontract.Command) (any, error) { return l.Propose(ctx, cmd) })
+	case MethodCommand:
+		return decoded(body, func(cmd kqcontract.Command) (any, error) { return l.Submit(ctx, cmd) })
+	case MethodRead:
+		return decoded(body, func(q Query) (any, error) { return l.Read(ctx, q) })
+	case MethodReached:
+		return decoded(body, func(w waitRequest) (any, error) { return l.Reached(ctx, w.Revision, w.Wait) })
+	}
+	return nil, errors.Newf("control: no method %q", kind)
+}
+
+func decoded[T any](body json.RawMessage, f func(T) (any, error)) (any, error) {
+	var v T
+	if err := json.Unmarshal(body, &v); err != nil {
+		return nil, errors.Wrap(err, "control: request")
+	}
+	return f(v)
+}
--- /dev/null
+++ b/internal/state/kqcontrol/store.go
@@ -0,0 +1,164 @@
+package kqcontrol
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	kq "kumquatglade"
+	"kumquatglade/internal/state/kqcontract"
+	"kumquatglade/internal/state/kqfeed"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Methods by which hosts without a replica use one.
+const (
+	MethodCommand = "command"
+	MethodRead    = "read"
+	MethodReached = "reached"
+)
+
+// Query asks for documents of the state.
+type Query struct {
+	Owner   string `json:"owner,omitempty"` // empty: all owners
+	History bool   `json:"history,omitempty"`
+}
+
+// Document is what a Query found, confirmed by a quorum.
+type Document struct {
+	Revision  uint64                          `json:"revision"`
+	Contracts map[string]*kqcontract.Contract `json:"contracts"`
+	History   []kqcontract.Accepted           `json:"history,omitempty"`
+	Hosts     kqcontract.Hosts                `json:"hosts"`
+	Digest    string                          `json:"digest"`
+}
+
+// Reach says where a revision is in force.
+type Reach struct {
+	Hosts   int      `json:"hosts"`             // entry hosts on which it is in force
+	Of      int      `json:"of"`                // entry hosts that the system counts on
+	Missing []string `json:"missing,omitempty"` // entry hosts not reached yet
+}
+
+// waitRequest asks where a revision is in force after at most Wait.
+type waitRequest struct {
+	Revision uint64        `json:"revision"`
+	Wait     time.Duration `json:"wait"`
+}
+
+// Store is what operators' requests need of the replicated state.
+type Store interface {
+	// Submit has a command accepted or refused; an error means unknown.
+	Submit(ctx context.Context, c kqcontract.Command) (kqcontract.Result, error)
+	// Read returns documents that a quorum confirmed.
+	Read(ctx context.Context, q Query) (Document, error)
+	// Reached waits until the revision is in force on all entry hosts, at most wait.
+	Reached(ctx context.Context, revision uint64, wait time.Duration) (Reach, error)
+}
+
+// Local is the Store of a host with a replica.
+type Local struct {
+	*Control
+	Hub *kqfeed.Hub
+}
+
+// Read implements Store.
+func (l Local) Read(ctx context.Context, q Query) (Document, error) {
+	if err := l.Confirm(ctx); err != nil {
+		return Document{}, err
+	}
+	doc := Document{Contracts: map[string]*kqcontract.Contract{}}
+	err := l.View(func(s *kqcontract.State) {
+		doc.Revision, doc.Hosts, doc.Digest = s.Revision, s.Hosts, s.Digest()
+		for owner, rec := range s.Owners {
+			if rec.Current != nil && (q.Owner == "" || q.Owner == owner) {
+				doc.Contracts[owner] = rec.Current
+			}
+		}
+		if q.History {
+			doc.History = s.History(q.Owner)
+		}
+	})
+	return doc, err
+}
+
+// Reached implements Store.
+func (l Local) Reached(ctx context.Context, revision uint64, wait time.Duration) (Reach, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		acked, more := l.Hub.Acked()
+		r, err := l.reach(revision, acked)
+		if err != nil || len(r.Missing) == 0 {
+			return r, err
+		}
+		select {
+		case <-ctx.Done():
+			return r, nil
+		case <-more:
+		}
+	}
+}
+
+func (l Local) reach(revision uint64, acked map[string]uint64) (Reach, error) {
+	var r Reach
+	err := l.View(func(s *kqcontract.State) {
+		r.Of = len(s.Hosts.Entry)
+		for _, h := range s.Hosts.Entry {
+			if acked[h.Name] < revision {
+				r.Missing = append(r.Missing, h.Name)
+				continue
+			}
+			r.Hosts++
+		}
+	})
+	return r, err
+}
+
+// Remote is the Store of a host without a replica: it asks a control host.
+type Remote struct {
+	Link     kq.Link
+	Controls []string
+	// Hub returns the control host to ask first, empty if none.
+	Hub func() string
+}
+
+// call asks one control host after the other until one answers.
+func (r Remote) call(ctx context.Context, method string, body, out any) error {
+	list := slices.Clone(r.Controls)
+	if hub := r.Hub(); hub != "" {
+		list = append([]string{hub}, list...)
+	}
+	err := errors.New("no control host")
+	for _, c := range list {
+		if !r.Link.Up(c) {
+			continue
+		}
+		if err = r.Link.Call(ctx, c, method, body, out); err == nil {
+			return nil
+		}
+	}
+	return errors.Wrap(err, "control")
+}
+
+// Submit implements Store.
+func (r Remote) Submit(ctx context.Context, c kqcontract.Command) (kqcontract.Result, error) {
+	var res kqcontract.Result
+	err := r.call(ctx, MethodCommand, c, &res)
+	return res, err
+}
+
+// Read implements Store.
+func (r Remote) Read(ctx context.Context, q Query) (Document, error) {
+	var doc Document
+	err := r.call(ctx, MethodRead, q, &doc)
+	return doc, err
+}
+
+// Reached implements Store.
+func (r Remote) Reached(ctx context.Context, revision uint64, wait time.Duration) (Reach, error) {
+	var reach Reach
+	err := r.call(ctx, MethodReached, waitRequest{revision, wait}, &reach)
+	return reach, err
+}
--- /dev/null
+++ b/internal/state/kqfeed/follower.go
@@ -0,0 +1,242 @@
+package kqfeed
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	kq "kumquatglade"
+	"kumquatglade/internal/host/kqevent"
+	"kumquatglade/internal/host/kqlog"
+	"kumquatglade/internal/state/kqcontract"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	subscribeLimit = 3 * time.Second
+	followPause    = 250 * time.Millisecond
+	askLimit       = time.Second
+)
+
+// FollowerConfig constructs a Follower.
+type FollowerConfig struct {
+	Host     kqcontract.Host
+	Controls []string // control hosts of the settings
+	Link     kq.Link
+	Clock    kq.Clock
+	Log      *kqlog.Log
+	Events   *kqevent.Recorder
+	// InForce is called, in order, when a newer view acts on this host.
+	InForce func(*View)
+}
+
+// Follower keeps the view in force on one entry host.
+type Follower struct {
+	cfg  FollowerConfig
+	ctx  context.Context
+	stop context.CancelFunc
+	wait sync.WaitGroup
+	view atomic.Pointer[View]
+	poke chan struct{}
+
+	mu      sync.Mutex
+	hub     string // control host that this host subscribes to
+	joined  bool   // the subscription to hub is answered
+	held    []kqcontract.Change
+	lease   lease
+	refused bool // the lease has run out
+}
+
+// NewFollower returns a Follower; Run starts it.
+func NewFollower(cfg FollowerConfig) *Follower {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Follower{cfg: cfg, ctx: ctx, stop: stop, poke: make(chan struct{}, 1)}
+}
+
+// Run subscribes and keeps the lease until Close.
+func (f *Follower) Run() {
+	f.wait.Add(1)
+	go f.follow()
+}
+
+// Close stops the follower.
+func (f *Follower) Close() {
+	f.stop()
+	f.wait.Wait()
+}
+
+// View returns the view to act on, nil if this host must not serve now.
+func (f *Follower) View() *View {
+	f.mu.Lock()
+	serves := f.lease.serves(f.cfg.Clock.Now())
+	f.mu.Unlock()
+	if !serves {
+		return nil
+	}
+	return f.view.Load()
+}
+
+// Known returns the newest view also when it must not be acted on.
+func (f *Follower) Known() *View {
+	return f.view.Load()
+}
+
+// Hub returns the control host that this host subscribes to, empty if none.
+func (f *Follower) Hub() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.joined {
+		return ""
+	}
+	return f.hub
+}
+
+func (f *Follower) revision() uint64 {
+	if v := f.view.Load(); v != nil {
+		return v.Revision
+	}
+	return 0
+}
+
+func (f *Follower) follow() {
+	defer f.wait.Done()
+	tick := time.NewTicker(followPause)
+	defer tick.Stop()
+	for {
+		f.keepHub()
+		f.keepLease()
+		select {
+		case <-f.ctx.Done():
+			return
+		case <-tick.C:
+		case <-f.poke:
+		}
+	}
+}
+
+// keepHub subscribes to the first control host that answers, in an order that
+// differs from host to host so that the load spreads.
+func (f *Follower) keepHub() {
+	f.mu.Lock()
+	hub, joined := f.hub, f.joined
+	f.mu.Unlock()
+	if joined && f.cfg.Link.Up(hub) {
+		return
+	}
+	for _, c := range f.order() {
+		if f.cfg.Link.Up(c) && f.subscribe(c) {
+			return
+		}
+	}
+}
+
+func (f *Follower) order() []string {
+	list := append([]string(nil), f.cfg.Controls...)
+	rank := func(c string) uint64 { return xxhash.Sum64String(f.cfg.Host.Name + "|" + c) }
+	for i := range list {
+		for j := i; j > 0 && f.before(list[j], list[j-1], rank); j-- {
+			list[j], list[j-1] = list[j-1], list[j]
+		}
+	}
+	return list
+}
+
+// before puts this very host first: its own replica costs no message.
+func (f *Follower) before(a, b string, rank func(string) uint64) bool {
+	if a == f.cfg.Host.Name || b == f.cfg.Host.Name {
+		return a == f.cfg.Host.Name
+	}
+	return rank(a) < rank(b)
+}
+
+func (f *Follower) subscribe(control string) bool {
+	f.mu.Lock()
+	f.hub, f.joined, f.held = control, false, nil
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(f.ctx, subscribeLimit)
+	defer cancel()
+	asked := f.cfg.Clock.Now()
+	var s start
+	err := f.cfg.Link.Call(ctx, control, MethodSubscribe, subscription{Revision: f.revision(), Host: f.cfg.Host}, &s)
+	if err != nil {
+		f.cfg.Log.Debugf("subscribe at %s: %v", control, err)
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lease.confirm(asked)
+	f.joined = true
+	f.take(s)
+	return true
+}
+
+// take moves to the state of the answer and to the changes that came meanwhile.
+func (f *Follower) take(s start) {
+	if s.View != nil && (f.view.Load() == nil || s.View.Revision > f.revision()) {
+		f.enforce(s.View)
+	}
+	held := f.held
+	f.held = nil
+	for _, c := range append(s.Changes, held...) {
+		f.step(c)
+	}
+}
+
+// step takes the next change; a gap makes this host subscribe again.
+func (f *Follower) step(c kqcontract.Change) {
+	v := f.view.Load()
+	switch {
+	case v == nil || c.Revision > v.Revision+1:
+		f.joined = false
+		f.wake()
+	case c.Revision == v.Revision+1:
+		next := v.with(c)
+		f.enforce(&next)
+	}
+}
+
+func (f *Follower) wake() {
+	select {
+	case f.poke <- struct{}{}:
+	default:
+	}
+}
+
+// enforce makes the view act on this host and tells the control host.
+func (f *Follower) enforce(v *View) {
+	f.view.Store(v)
+	f.cfg.InForce(v)
+	f.cfg.Events.Add(kqevent.Event{Part: "feed", Kind: "inforce", Change: v.Revision, Peer: f.hub})
+	f.cfg.Link.Send(f.hub, MethodInForce, inForce{Hosts: map[string]uint64{f.cfg.Host.Name: v.Revision}})
+}
+
+// Change takes a change that the control host pushed.
+func (f *Follower) Change(peer string, c kqcontract.Change) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if peer != f.hub {
+		return
+	}
+	if !f.joined {
+		f.held = append(f.held, c)
+		return
+	}
+	f.step(c)
+}
+
+// Fresh takes a confirmation that the control host pushed.
+func (f *Follower) Fresh(peer string, m fresh) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if peer != f.hub || !f.joined {
+		return
+	}
+	if m.Revision > f.revision() {
+		f.joined = false
+		f.wake()
+		return
+	}
+	f.lease.confirm(f.cfg.Clock.Now())
+}
--- /dev/null
+++ b/internal/state/kqfeed/hub.go
@@ -0,0 +1,237 @@
+package kqfeed
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	kq "kumquatglade"
+	"kumquatglade/internal/host/kqlog"
+	"kumquatglade/internal/state/kqcontract"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	freshEvery   = 2 * time.Second
+	confirmLimit = 1500 * time.Millisecond
+	keptChanges  = 1024                  // changes that a subscriber may lag without a whole view
+	ackDelay     = 20 * time.Millisecond // acknowledgements are passed on together
+)
+
+// Source is the replica that a Hub serves from.
+type Source interface {
+	// Confirm returns once the state holds all changes accepted before.
+	Confirm(ctx context.Context) error
+	// View calls f with the state, between two changes.
+	View(f func(*kqcontract.State)) error
+	// Submit has a command accepted or refused.
+	Submit(ctx context.Context, c kqcontract.Command) (kqcontract.Result, error)
+}
+
+// HubConfig constructs a Hub.
+type HubConfig struct {
+	Link  kq.Link
+	Clock kq.Clock
+	Log   *kqlog.Log
+	// Controls returns the other control hosts.
+	Controls func() []string
+}
+
+// Hub pushes changes from one control host to its subscribers.
+type Hub struct {
+	cfg    HubConfig
+	source Source
+	ctx    context.Context
+	stop   context.CancelFunc
+	wait   sync.WaitGroup
+
+	mu       sync.Mutex
+	subs     map[string]bool
+	changes  []kqcontract.Change // the newest, ascending without gaps
+	acked    map[string]uint64   // revision in force on each entry host
+	unsent   map[string]uint64   // acknowledgements not yet passed on
+	notified chan struct{}       // closed and renewed at each acknowledgement
+}
+
+// NewHub returns a Hub without a source; Run starts it.
+func NewHub(cfg HubConfig) *Hub {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Hub{
+		cfg: cfg, ctx: ctx, stop: stop, subs: map[string]bool{}, acked: map[string]uint64{},
+		unsent: map[string]uint64{}, notified: make(chan struct{}),
+	}
+}
+
+// Run serves from the source until Close.
+func (h *Hub) Run(source Source) {
+	h.source = source
+	h.wait.Add(1)
+	go h.refresh()
+}
+
+// Close stops the hub.
+func (h *Hub) Close() {
+	h.stop()
+	h.wait.Wait()
+}
+
+// Push sends one change in force here to all subscribers.
+func (h *Hub) Push(c kqcontract.Change) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changes = append(h.changes, c)
+	if extra := len(h.changes) - keptChanges; extra > 0 {
+		h.changes = append([]kqcontract.Change(nil), h.changes[extra:]...)
+	}
+	for peer := range h.subs {
+		h.cfg.Link.Send(peer, MethodChange, c)
+	}
+}
+
+// Reset forgets the kept changes after the state was replaced; subscribers
+// notice the gap and subscribe again.
+func (h *Hub) Reset() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changes = nil
+}
+
+// Unlink forgets a subscriber whose link broke.
+func (h *Hub) Unlink(peer string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.subs, peer)
+}
+
+// Subscribe answers an entry host from a state that a quorum confirmed, and
+// makes the host known to the system if it is new.
+func (h *Hub) Subscribe(ctx context.Context, peer string, s subscription) (start, error) {
+	if s.Host.Name != peer {
+		return start{}, errors.Newf("feed: %s subscribes as %q", peer, s.Host.Name)
+	}
+	if err := h.source.Confirm(ctx); err != nil {
+		return start{}, err
+	}
+	if err := h.admit(ctx, s.Host); err != nil {
+		return start{}, err
+	}
+	var out start
+	err := h.source.View(func(state *kqcontract.State) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.subs[peer] = true
+		out = h.startFor(s.Revision, state)
+	})
+	return out, err
+}
+
+func (h *Hub) startFor(rev uint64, state *kqcontract.State) start {
+	if rev == state.Revision && rev > 0 {
+		return start{}
+	}
+	if rev > 0 && len(h.changes) > 0 && h.changes[0].Revision <= rev+1 {
+		for i, c := range h.changes {
+			if c.Revision == rev+1 {
+				return start{Changes: append([]kqcontract.Change(nil), h.changes[i:]...)}
+			}
+		}
+	}
+	v := viewOf(state)
+	return start{View: &v}
+}
+
+// admit adds the host to the list in force unless it is there as it is.
+func (h *Hub) admit(ctx context.Context, host kqcontract.Host) error {
+	known := false
+	err := h.source.View(func(s *kqcontract.State) {
+		for _, e := range s.Hosts.Entry {
+			known = known || e == host
+		}
+	})
+	if err != nil || known {
+		return err
+	}
+	_, err = h.source.Submit(ctx, kqcontract.Command{Op: kqcontract.OpJoin, Join: &host})
+	return err
+}
+
+// refresh confirms the state for the subscribers again and again.
+func (h *Hub) refresh() {
+	defer h.wait.Done()
+	tick := time.NewTicker(freshEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-tick.C:
+		}
+		h.mu.Lock()
+		n := len(h.subs)
+		h.mu.Unlock()
+		if n > 0 {
+			h.confirm()
+		}
+	}
+}
+
+func (h *Hub) confirm() {
+	ctx, cancel := context.WithTimeout(h.ctx, confirmLimit)
+	defer cancel()
+	if err := h.source.Confirm(ctx); err != nil {
+		h.cfg.Log.Debugf("not confirmed: %v", err)
+		return
+	}
+	h.source.View(func(s *kqcontract.State) { //nolint:errcheck // stopping
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for peer := range h.subs {
+			h.cfg.Link.Send(peer, MethodFresh, fresh{Revision: s.Revision})
+		}
+	})
+}
+
+// Acknowledge takes what a peer says of revisions in force. What an entry
+// host says of itself is passed on to the other control hosts.
+func (h *Hub) Acknowledge(peer string, a inForce) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for host, rev := range a.Hosts {
+		if rev <= h.acked[host] {
+			continue
+		}
+		h.acked[host] = rev
+		if host == peer {
+			h.passOn(host, rev)
+		}
+	}
+	close(h.notified)
+	h.notified = make(chan struct{})
+}
+
+func (h *Hub) passOn(host string, rev uint64) {
+	if len(h.unsent) == 0 {
+		h.cfg.Clock.AfterFunc(ackDelay, h.flush)
+	}
+	h.unsent[host] = rev
+}
+
+func (h *Hub) flush() {
+	h.mu.Lock()
+	list := h.unsent
+	h.unsent = map[string]uint64{}
+	h.mu.Unlock()
+	for _, peer := range h.cfg.Controls() {
+		h.cfg.Link.Send(peer, MethodInForce, inForce{Hosts: list})
+	}
+}
+
+// Acked returns the revision in force on each entry host, as far as known, and
+// a channel that is closed when more is known.
+func (h *Hub) Acked() (map[string]uint64, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return maps.Clone(h.acked), h.notified
+}
--- /dev/null
+++ b/internal/state/kqfeed/message.go
@@ -0,0 +1,46 @@
+package kqfeed
+
+import (
+	"time"
+
+	"kumquatglade/internal/state/kqcontract"
+)
+
+// Methods of the feed's messages and requests.
+const (
+	MethodSubscribe = "subscribe" // entry to control, request
+	MethodChange    = "change"    // control to entry
+	MethodFresh     = "fresh"     // control to entry
+	MethodInForce   = "inforce"   // entry to control, and between control hosts
+	MethodStanding  = "standing"  // entry to entry, request
+	MethodView      = "view"      // entry to entry, request
+)
+
+// subscription asks for all changes after a revision.
+type subscription struct {
+	Revision uint64          `json:"rev"`
+	Host     kqcontract.Host `json:"host"`
+}
+
+// start answers a subscription: a whole view, or the missing changes.
+type start struct {
+	View    *View               `json:"view,omitempty"`
+	Changes []kqcontract.Change `json:"changes,omitempty"`
+}
+
+// fresh says that the revision was confirmed by a quorum just now.
+type fresh struct {
+	Revision uint64 `json:"rev"`
+}
+
+// inForce says up to which revision hosts act.
+type inForce struct {
+	Hosts map[string]uint64 `json:"hosts"`
+}
+
+// standing is how recently a host's view was confirmed.
+type standing struct {
+	Revision uint64        `json:"rev"`
+	Age      time.Duration `json:"age"` // since the last confirmation
+	Ready    bool          `json:"ready"`
+}
--- /dev/null
+++ b/internal/state/kqjournal/journal.go
@@ -0,0 +1,316 @@
+package kqjournal
+
+import (
+	"fmt"
+	"io/fs"
+	"slices"
+	"strings"
+
+	kq "kumquatglade"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	segmentPrefix = "log-"
+	snapshotName  = "snapshot"
+	metaName      = "meta"
+	newSuffix     = ".new"
+	segmentSize   = 4 << 20 // bytes after which a new segment starts
+)
+
+// Entry is one place of the replicated log.
+type Entry struct {
+	Index uint64 `json:"i"`
+	Term  uint64 `json:"t"`
+	Kind  string `json:"k"`
+	ID    string `json:"c,omitempty"` // the proposal, for its answer
+	Data  []byte `json:"d,omitempty"`
+}
+
+// Meta is what a replica must remember besides its log.
+type Meta struct {
+	Cluster     string         `json:"cluster"`     // empty before the cluster is formed
+	Incarnation string         `json:"incarnation"` // identity of this data folder
+	Boot        uint64         `json:"boot"`        // starts of this folder
+	Term        uint64         `json:"term"`
+	Vote        string         `json:"vote"`
+	Seen        map[string]Run `json:"seen"` // newest run heard of each peer
+}
+
+// Run identifies one start of one data folder.
+type Run struct {
+	Incarnation string `json:"incarnation"`
+	Boot        uint64 `json:"boot"`
+	Token       string `json:"token"` // random at each start
+}
+
+// Snapshot replaces the log up to and including Index.
+type Snapshot struct {
+	Index   uint64 `json:"index"`
+	Term    uint64 `json:"term"`
+	Members []byte `json:"members"`
+	State   []byte `json:"state"`
+	Segment string `json:"segment"` // first segment that belongs to it
+}
+
+// Loaded is what the files held at start.
+type Loaded struct {
+	Meta     Meta
+	Snapshot Snapshot
+	Entries  []Entry // ascending, right after Snapshot.Index
+	Cut      int     // bytes of a torn tail that were cut
+}
+
+// Journal writes the files; any error from it is final for the process,
+// because a failed sync leaves unknown what lasts.
+type Journal struct {
+	disk    kq.Disk
+	file    kq.File
+	size    int
+	segment string   // name of the open segment
+	closed  []string // names of the earlier segments
+}
+
+// Open reads all files, cuts a torn tail and opens the last segment.
+func Open(disk kq.Disk) (*Journal, Loaded, error) {
+	j := &Journal{disk: disk}
+	var l Loaded
+	if err := j.load(metaName, &l.Meta); err != nil {
+		return nil, l, err
+	}
+	if err := j.load(snapshotName, &l.Snapshot); err != nil {
+		return nil, l, err
+	}
+	if err := j.loadSegments(&l); err != nil {
+		return nil, l, err
+	}
+	return j, l, nil
+}
+
+// load decodes a file that is replaced as a whole; a missing one stays empty.
+func (j *Journal) load(name string, v any) error {
+	p, err := j.disk.ReadFile(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrapf(err, "journal: read %s", name)
+	}
+	payload, _, err := unframe(p)
+	if err != nil {
+		return errors.Wrapf(ErrCorrupt, "journal: %s", name)
+	}
+	return errors.Wrapf(cbor.Unmarshal(payload, v), "journal: decode %s", name)
+}
+
+func (j *Journal) loadSegments(l *Loaded) error {
+	names, err := j.disk.List()
+	if err != nil {
+		return errors.Wrap(err, "journal: list")
+	}
+	var segments, covered []string
+	for _, n := range names {
+		switch {
+		case !strings.HasPrefix(n, segmentPrefix):
+		case n < l.Snapshot.Segment:
+			covered = append(covered, n)
+		default:
+			segments = append(segments, n)
+		}
+	}
+	for i, n := range segments {
+		if err := j.loadSegment(n, i == len(segments)-1, l); err != nil {
+			return err
+		}
+	}
+	if len(l.Entries) > 0 && l.Entries[0].Index != l.Snapshot.Index+1 {
+		return errors.Wrapf(ErrCorrupt, "journal: log starts at %d after snapshot %d", l.Entries[0].Index, l.Snapshot.Index)
+	}
+	if len(segments) == 0 {
+		if err := j.roll(); err != nil {
+			return err
+		}
+	}
+	return j.remove(covered)
+}
+
+func (j *Journal) loadSegment(name string, newest bool, l *Loaded) error {
+	p, err := j.disk.ReadFile(name)
+	if err != nil {
+		return errors.Wrapf(err, "journal: read %s", name)
+	}
+	at := 0
+	for at < len(p) {
+		payload, size, err := unframe(p[at:])
+		if err != nil {
+			if !newest || hasFrame(p[at+1:]) {
+				return errors.Wrapf(ErrCorrupt, "journal: %s at byte %d", name, at)
+			}
+			l.Cut = len(p) - at
+			break
+		}
+		var batch []Entry
+		if err := cbor.Unmarshal(payload, &batch); err != nil {
+			return errors.Wrapf(err, "journal: decode %s at byte %d", name, at)
+		}
+		if err := j.take(batch, l); err != nil {
+			return errors.Wrapf(err, "journal: %s at byte %d", name, at)
+		}
+		at += size
+	}
+	if !newest {
+		j.closed = append(j.closed, name)
+		return nil
+	}
+	return j.reopen(name, at, l.Cut)
+}
+
+// take puts a batch behind the entries read so far; it overwrites from its
+// first index on, as the leader's log does.
+func (j *Journal) take(batch []Entry, l *Loaded) error {
+	for _, e := range batch {
+		if e.Index <= l.Snapshot.Index {
+			continue
+		}
+		first := l.Snapshot.Index + 1
+		n := e.Index - first
+		if n > uint64(len(l.Entries)) {
+			return errors.Wrapf(ErrCorrupt, "entry %d is missing", first+uint64(len(l.Entries)))
+		}
+		l.Entries = append(l.Entries[:n], e)
+	}
+	return nil
+}
+
+func (j *Journal) reopen(name string, size, cut int) error {
+	f, err := j.disk.OpenAppend(name)
+	if err != nil {
+		return errors.Wrapf(err, "journal: open %s", name)
+	}
+	j.file, j.size, j.segment = f, size, name
+	if cut == 0 {
+		return nil
+	}
+	if err := f.Truncate(int64(size)); err != nil {
+		return errors.Wrapf(err, "journal: cut %s", name)
+	}
+	return errors.Wrapf(f.Sync(), "journal: sync %s", name)
+}
+
+// Append writes one batch and syncs it.
+func (j *Journal) Append(batch []Entry) error {
+	payload, err := cbor.Marshal(batch)
+	if err != nil {
+		return errors.Wrap(err, "journal: encode")
+	}
+	if j.size >= segmentSize {
+		if err := j.roll(); err != nil {
+			return err
+		}
+	}
+	p := frame(payload)
+	if _, err := j.file.Write(p); err != nil {
+		return errors.Wrap(err, "journal: write")
+	}
+	if err := j.file.Sync(); err != nil {
+		return errors.Wrap(err, "journal: sync")
+	}
+	j.size += len(p)
+	return nil
+}
+
+// roll starts a new segment; its name sorts behind all earlier ones.
+func (j *Journal) roll() error {
+	if j.file != nil {
+		j.closed = append(j.closed, j.segment)
+		if err := j.file.Close(); err != nil {
+			return errors.Wrap(err, "journal: close")
+		}
+	}
+	name := fmt.Sprintf("%s%016x", segmentPrefix, j.next())
+	f, err := j.disk.OpenAppend(name)
+	if err != nil {
+		return errors.Wrapf(err, "journal: open %s", name)
+	}
+	j.file, j.size, j.segment = f, 0, name
+	return errors.Wrap(j.disk.SyncFolder(), "journal: sync folder")
+}
+
+// next returns the number of the next segment.
+func (j *Journal) next() uint64 {
+	var n uint64
+	if j.segment != "" {
+		fmt.Sscanf(strings.TrimPrefix(j.segment, segmentPrefix), "%x", &n)
+	}
+	return n + 1
+}
+
+// SaveMeta replaces the meta file.
+func (j *Journal) SaveMeta(m Meta) error {
+	return j.replace(metaName, m)
+}
+
+// SaveSnapshot replaces the snapshot; keep holds the entries behind it that
+// stay. The new segment is written first, so that a crash at any step leaves
+// either the old snapshot with the old log or the new with the new.
+func (j *Journal) SaveSnapshot(s Snapshot, keep []Entry) error {
+	old := j.names()
+	if err := j.roll(); err != nil {
+		return err
+	}
+	if len(keep) > 0 {
+		if err := j.Append(keep); err != nil {
+			return err
+		}
+	}
+	s.Segment = j.segment
+	if err := j.replace(snapshotName, s); err != nil {
+		return err
+	}
+	j.closed = nil
+	return j.remove(old)
+}
+
+func (j *Journal) remove(names []string) error {
+	for _, n := range names {
+		if err := j.disk.Remove(n); err != nil {
+			return errors.Wrapf(err, "journal: remove %s", n)
+		}
+	}
+	return errors.Wrap(j.disk.SyncFolder(), "journal: sync folder")
+}
+
+func (j *Journal) names() []string {
+	return append(slices.Clone(j.closed), j.segment)
+}
+
+func (j *Journal) replace(name string, v any) error {
+	payload, err := cbor.Marshal(v)
+	if err != nil {
+		return errors.Wrapf(err, "journal: encode %s", name)
+	}
+	f, err := j.disk.Create(name + newSuffix)
+	if err != nil {
+		return errors.Wrapf(err, "journal: create %s", name)
+	}
+	if _, err := f.Write(frame(payload)); err != nil {
+		return errors.Wrapf(err, "journal: write %s", name)
+	}
+	if err := f.Sync(); err != nil {
+		return errors.Wrapf(err, "journal: sync %s", name)
+	}
+	if err := f.Close(); err != nil {
+		return errors.Wrapf(err, "journal: close %s", name)
+	}
+	if err := j.disk.Rename(name+newSuffix, name); err != nil {
+		return errors.Wrapf(err, "journal: rename %s", name)
+	}
+	return errors.Wrap(j.disk.SyncFolder(), "journal: sync folder")
+}
+
+// Close closes the open segment.
+func (j *Journal) Close() error {
+	return j.file.Close()
+}
--- /dev/null
+++ b/internal/state/kqreplica/elect.go
@@ -0,0 +1,231 @@
+package kqreplica
+
+import "kumquatglade/internal/state/kqjournal"
+
+func (r *Replica) resetTimeout() {
+	r.elapsed = 0
+	r.timeout = electionTicks + r.rng.IntN(electionSpread+1)
+}
+
+func (r *Replica) tick() {
+	r.elapsed++
+	r.expireReads()
+	switch r.role {
+	case Blank:
+		r.tickBlank()
+	case Leader:
+		r.tickLeader()
+	default:
+		if r.elapsed >= r.timeout {
+			r.campaign()
+		}
+		if r.elapsed%helloTicks == 0 && !r.counts(r.cfg.Host, r.run.Incarnation) {
+			r.sayHello()
+		}
+	}
+}
+
+// counts reports whether the data folder of host is a member's.
+func (r *Replica) counts(host, incarnation string) bool {
+	m, ok := find(r.members, host)
+	return ok && m.Incarnation == incarnation
+}
+
+// votes reports whether the data folder of host may vote.
+func (r *Replica) isVoter(host, incarnation string) bool {
+	m, ok := find(r.members, host)
+	return ok && m.Voter && m.Incarnation == incarnation
+}
+
+// campaign begins a pre-vote, if this host is a voter.
+func (r *Replica) campaign() {
+	r.resetTimeout()
+	if !r.isVoter(r.cfg.Host, r.run.Incarnation) {
+		return
+	}
+	r.role, r.leader, r.preVote = Candidate, "", true
+	r.votes = map[string]bool{r.cfg.Host: true}
+	r.askVotes(kindPreVote, r.meta.Term+1)
+	r.countVotes()
+}
+
+func (r *Replica) askVotes(kind string, term uint64) {
+	for _, m := range r.members {
+		if m.Voter && m.Host != r.cfg.Host {
+			r.send(m.Host, Message{Kind: kind, Cluster: r.meta.Cluster, Term: term, Index: r.log.last(), LogTerm: r.log.lastTerm()})
+		}
+	}
+}
+
+// countVotes moves on once a quorum of the voters has granted.
+func (r *Replica) countVotes() {
+	if !r.quorum(func(host string) bool { return r.votes[host] }) {
+		return
+	}
+	if !r.preVote {
+		r.lead()
+		return
+	}
+	r.preVote = false
+	r.meta.Term++
+	r.meta.Vote = r.cfg.Host
+	r.saveMeta()
+	r.votes = map[string]bool{r.cfg.Host: true}
+	r.askVotes(kindVote, r.meta.Term)
+	r.countVotes()
+}
+
+// quorum reports whether a majority of the voters satisfies ok.
+func (r *Replica) quorum(ok func(host string) bool) bool {
+	voters, yes := 0, 0
+	for _, m := range r.members {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		if ok(m.Host) {
+			yes++
+		}
+	}
+	return yes > voters/2
+}
+
+// upToDate reports whether a log that ends so may lead this one.
+func (r *Replica) upToDate(m Message) bool {
+	if m.LogTerm != r.log.lastTerm() {
+		return m.LogTerm > r.log.lastTerm()
+	}
+	return m.Index >= r.log.last()
+}
+
+// heardLeader reports whether a leader was heard within the least timeout, so
+// that a host that was cut off cannot disturb it.
+func (r *Replica) heardLeader() bool {
+	if r.role == Leader {
+		return true
+	}
+	return r.leader != "" && r.elapsed < electionTicks
+}
+
+func (r *Replica) onPreVote(from string, m Message) {
+	ok := m.Term > r.meta.Term && r.upToDate(m) && !r.heardLeader()
+	r.send(from, Message{Kind: kindPreVoted, Cluster: r.meta.Cluster, Term: m.Term, OK: ok})
+}
+
+func (r *Replica) onVote(from string, m Message) {
+	if m.Term < r.meta.Term || r.heardLeader() {
+		r.send(from, Message{Kind: kindVoted, Cluster: r.meta.Cluster, Term: r.meta.Term})
+		return
+	}
+	if m.Term > r.meta.Term {
+		r.follow(m.Term, "")
+	}
+	free := r.meta.Vote == "" || r.meta.Vote == from
+	ok := free && r.upToDate(m)
+	if ok && r.meta.Vote == "" {
+		r.meta.Vote = from
+		r.saveMeta()
+		r.resetTimeout()
+	}
+	r.send(from, Message{Kind: kindVoted, Cluster: r.meta.Cluster, Term: r.meta.Term, OK: ok})
+}
+
+func (r *Replica) onVoted(from string, m Message, pre bool) {
+	if r.role != Candidate || r.preVote != pre {
+		return
+	}
+	want := r.meta.Term
+	if pre {
+		want++
+	}
+	if m.Term > want {
+		r.follow(m.Term, "")
+		return
+	}
+	if m.Term == want && m.OK {
+		r.votes[from] = true
+		r.countVotes()
+	}
+}
+
+// follow takes a term and its leader, if known.
+func (r *Replica) follow(term uint64, leader string) {
+	if term > r.meta.Term {
+		r.meta.Term, r.meta.Vote = term, ""
+		r.saveMeta()
+	}
+	if r.role == Leader {
+		r.stopLeading()
+	}
+	r.role, r.leader = Follower, leader
+	r.resetTimeout()
+}
+
+func (r *Replica) stopLeading() {
+	for index, id := range r.mine {
+		delete(r.mine, index)
+		r.emit(Unknown{ID: id})
+	}
+	for _, q := range r.reads {
+		r.answerRead(q, false)
+	}
+	r.reads, r.peers = nil, nil
+}
+
+// lead begins a term as leader with an entry of its own: only that one may be
+// committed by counting, and with it all before it.
+func (r *Replica) lead() {
+	r.role, r.leader = Leader, r.cfg.Host
+	r.peers = map[string]*progress{}
+	r.joiners = map[string]string{}
+	r.beat, r.elapsed = 0, 0
+	r.trackPeers()
+	r.appendOwn(kindNoop, "", nil)
+}
+
+// trackPeers keeps one progress for each other member.
+func (r *Replica) trackPeers() {
+	for _, m := range r.members {
+		if m.Host != r.cfg.Host && r.peers[m.Host] == nil {
+			r.peers[m.Host] = &progress{next: r.log.last() + 1}
+		}
+	}
+	for host := range r.peers {
+		if _, ok := find(r.members, host); !ok {
+			delete(r.peers, host)
+		}
+	}
+}
+
+// appendOwn appends one entry as leader and sends it.
+func (r *Replica) appendOwn(kind, id string, data []byte) uint64 {
+	e := kqjournal.Entry{Index: r.log.last() + 1, Term: r.meta.Term, Kind: kind, ID: id, Data: data}
+	r.log.put([]kqjournal.Entry{e})
+	r.emit(SaveEntries{Entries: []kqjournal.Entry{e}})
+	if kind == kindMembers {
+		r.members, r.memberI = decodeMembers(data), e.Index
+		r.trackPeers()
+	}
+	r.broadcast()
+	r.advance()
+	return e.Index
+}
+
+func (r *Replica) linkUp(peer string) {
+	p := r.peers[peer]
+	if r.role != Leader || p == nil {
+		return
+	}
+	p.next, p.paused = p.match+1, false
+	r.sendAppend(peer, p)
+}
+
+// linkDown begins an election soon when the leader's link broke: a broken
+// connection says more than a heartbeat that is late.
+func (r *Replica) linkDown(peer string) {
+	if r.role != Follower || peer != r.leader {
+		return
+	}
+	r.leader = ""
+	r.timeout = r.elapsed + 1 + r.rng.IntN(electionSpread)
+}
--- /dev/null
+++ b/internal/state/kqreplica/follow.go
@@ -0,0 +1,222 @@
+package kqreplica
+
+import (
+	"fmt"
+
+	"kumquatglade/internal/state/kqjournal"
+)
+
+// receive checks who sent the message before anything else may act on it.
+func (r *Replica) receive(from string, m Message) {
+	run, err := DecodeRun(m.Run)
+	if err != nil || from == r.cfg.Host {
+		return
+	}
+	if m.Kind == kindExpired {
+		r.onExpired(m)
+		return
+	}
+	if !r.see(from, run) {
+		r.send(from, Message{Kind: kindExpired, Cluster: r.meta.Cluster, ID: m.Run})
+		return
+	}
+	switch m.Kind {
+	case kindHello:
+		r.onHello(from, run)
+		return
+	case kindPresent:
+		r.onPresent(from, m)
+		return
+	case kindFound:
+		r.onFound(m)
+		return
+	}
+	if r.role == Blank || m.Cluster != r.meta.Cluster {
+		return
+	}
+	r.receiveMember(from, run, m)
+}
+
+// receiveMember handles what only members of the same cluster send.
+func (r *Replica) receiveMember(from string, run kqjournal.Run, m Message) {
+	switch m.Kind {
+	case kindAppend:
+		r.onAppend(from, m)
+	case kindSnapshot:
+		r.onSnapshot(from, m)
+	case kindRead:
+		r.onRead(from, m)
+	case kindReadable:
+		r.onReadable(m)
+	case kindAppended:
+		if r.counts(from, run.Incarnation) {
+			r.stepDownFor(m)
+			r.onAppended(from, m)
+		}
+	case kindPreVote, kindVote:
+		r.onCandidate(from, run, m)
+	case kindPreVoted, kindVoted:
+		if r.isVoter(from, run.Incarnation) {
+			r.onVoted(from, m, m.Kind == kindPreVoted)
+		}
+	}
+}
+
+// onCandidate lets any data folder that may vote by the newest list it knows
+// ask for votes; an unknown folder gets no answer.
+func (r *Replica) onCandidate(from string, run kqjournal.Run, m Message) {
+	if member, ok := find(r.members, from); ok && member.Incarnation != run.Incarnation {
+		return
+	}
+	if !r.isVoter(r.cfg.Host, r.run.Incarnation) {
+		return
+	}
+	if m.Kind == kindPreVote {
+		r.onPreVote(from, m)
+		return
+	}
+	r.onVote(from, m)
+}
+
+// stepDownFor follows a higher term that a member answered with.
+func (r *Replica) stepDownFor(m Message) {
+	if m.Term > r.meta.Term {
+		r.follow(m.Term, "")
+	}
+}
+
+// see notes the newest run of a peer; false says the message comes from an
+// older start or from an old copy of the data folder.
+func (r *Replica) see(from string, run kqjournal.Run) bool {
+	known := r.meta.Seen[from]
+	if run == known {
+		return true
+	}
+	if run.Incarnation == known.Incarnation && run.Boot <= known.Boot {
+		return false
+	}
+	r.meta.Seen[from] = run
+	r.saveMeta()
+	return true
+}
+
+func (r *Replica) onExpired(m Message) {
+	if m.ID == EncodeRun(r.run) {
+		r.emit(Halt{Reason: "the data folder is an older copy than peers have seen; move it away and start empty"})
+	}
+}
+
+func (r *Replica) onAppend(from string, m Message) {
+	if !contiguous(m) || !r.acceptLeader(from, m) {
+		return
+	}
+	ok, hint := r.store(m)
+	if !ok {
+		r.send(from, Message{Kind: kindAppended, Cluster: r.meta.Cluster, Term: r.meta.Term, Index: hint, Round: m.Round})
+		return
+	}
+	match := m.Index + uint64(len(m.Entries))
+	r.send(from, Message{Kind: kindAppended, Cluster: r.meta.Cluster, Term: r.meta.Term, Index: match, Round: m.Round, OK: true})
+	r.commitTo(min(m.Commit, match))
+}
+
+func contiguous(m Message) bool {
+	for i, e := range m.Entries {
+		if e.Index != m.Index+1+uint64(i) {
+			return false
+		}
+	}
+	return true
+}
+
+// acceptLeader follows the sender unless its term has been overtaken.
+func (r *Replica) acceptLeader(from string, m Message) bool {
+	if m.Term < r.meta.Term {
+		r.send(from, Message{Kind: kindAppended, Cluster: r.meta.Cluster, Term: r.meta.Term, Index: r.log.last()})
+		return false
+	}
+	if m.Term > r.meta.Term || r.role != Follower || r.leader != from {
+		r.follow(m.Term, from)
+	}
+	r.elapsed = 0
+	return true
+}
+
+// store puts the entries behind the place they follow; false with a hint
+// where the leader should go on says that the logs do not meet there.
+func (r *Replica) store(m Message) (ok bool, hint uint64) {
+	if m.Index < r.log.base {
+		skip := r.log.base - m.Index
+		if uint64(len(m.Entries)) <= skip {
+			return true, 0 // all of it is in the snapshot
+		}
+		m.Entries, m.Index, m.LogTerm = m.Entries[skip:], r.log.base, r.log.baseTerm
+	}
+	term, have := r.log.term(m.Index)
+	if !have {
+		return false, r.log.last()
+	}
+	if term != m.LogTerm {
+		return false, r.before(m.Index, term)
+	}
+	r.write(m.Entries)
+	return true, 0
+}
+
+// before returns the last index of an earlier term than the one at index.
+func (r *Replica) before(index, term uint64) uint64 {
+	for index > r.commit {
+		t, ok := r.log.term(index)
+		if !ok || t != term {
+			break
+		}
+		index--
+	}
+	return index
+}
+
+// write keeps the entries already held and overwrites from the first that differs.
+func (r *Replica) write(list []kqjournal.Entry) {
+	for i, e := range list {
+		term, have := r.log.term(e.Index)
+		if have && term == e.Term {
+			continue
+		}
+		if e.Index <= r.commit {
+			r.emit(Halt{Reason: fmt.Sprintf("entry %d of term %d contradicts a committed one", e.Index, e.Term)})
+			return
+		}
+		r.log.put(list[i:])
+		r.emit(SaveEntries{Entries: list[i:]})
+		r.findMembers()
+		return
+	}
+}
+
+func (r *Replica) onSnapshot(from string, m Message) {
+	if m.Snapshot == nil || !r.acceptLeader(from, m) {
+		return
+	}
+	s := *m.Snapshot
+	if s.Index > r.commit {
+		r.install(s)
+	}
+	r.send(from, Message{Kind: kindAppended, Cluster: r.meta.Cluster, Term: r.meta.Term, Index: s.Index, Round: m.Round, OK: true})
+}
+
+func (r *Replica) install(s kqjournal.Snapshot) {
+	if err := r.machine.Restore(s.State); err != nil {
+		r.emit(Halt{Reason: "the leader's snapshot cannot be read: " + err.Error()})
+		return
+	}
+	members := decodeMembers(s.Members)
+	if term, have := r.log.term(s.Index); have && term == s.Term {
+		r.log.compact(s.Index, s.Term, members)
+	} else {
+		r.log = entries{base: s.Index, baseTerm: s.Term, members: members}
+	}
+	r.commit, r.applied, r.pending = s.Index, s.Index, 0
+	r.findMembers()
+	r.emit(SaveSnapshot{Snapshot: s, Keep: r.log.from(s.Index+1, len(r.log.list))})
+	r.emit(Restored{Index: s.Index})
+}
--- /dev/null
+++ b/internal/state/kqreplica/lead.go
@@ -0,0 +1,306 @@
+package kqreplica
+
+import (
+	"slices"
+
+	"kumquatglade/internal/state/kqjournal"
+)
+
+func (r *Replica) tickLeader() {
+	for _, p := range r.peers {
+		p.heard++
+		p.waited++
+		p.paused = p.paused && p.waited < snapshotTicks
+	}
+	alive := func(h string) bool { return h == r.cfg.Host || r.peers[h] != nil && r.peers[h].heard < electionTicks }
+	if !r.quorum(alive) {
+		r.follow(r.meta.Term, "")
+		return
+	}
+	r.beat++
+	if r.beat >= heartbeatTicks {
+		r.beat = 0
+		r.heartbeat()
+	}
+	r.stepMembers()
+}
+
+// heartbeat starts a new round and sends again what was not acknowledged.
+func (r *Replica) heartbeat() {
+	r.round++
+	for host, p := range r.sortedPeers() {
+		p.next = min(p.next, p.match+1)
+		if p.paused {
+			r.send(host, Message{Kind: kindAppend, Cluster: r.meta.Cluster, Term: r.meta.Term, Round: r.round})
+			continue
+		}
+		r.sendAppend(host, p)
+	}
+}
+
+// sortedPeers yields the peers in a fixed order, so that a run can be replayed.
+func (r *Replica) sortedPeers() func(yield func(string, *progress) bool) {
+	hosts := make([]string, 0, len(r.peers))
+	for h := range r.peers {
+		hosts = append(hosts, h)
+	}
+	slices.Sort(hosts)
+	return func(yield func(string, *progress) bool) {
+		for _, h := range hosts {
+			if !yield(h, r.peers[h]) {
+				return
+			}
+		}
+	}
+}
+
+func (r *Replica) broadcast() {
+	for host, p := range r.sortedPeers() {
+		if !p.paused {
+			r.sendAppend(host, p)
+		}
+	}
+}
+
+func (r *Replica) sendAppend(host string, p *progress) {
+	prev := p.next - 1
+	term, ok := r.log.term(prev)
+	if !ok {
+		r.sendSnapshot(host, p)
+		return
+	}
+	list := r.log.from(p.next, maxBatch)
+	r.send(host, Message{
+		Kind: kindAppend, Cluster: r.meta.Cluster, Term: r.meta.Term, Index: prev,
+		LogTerm: term, Commit: r.commit, Round: r.round, Entries: list,
+	})
+	p.next += uint64(len(list))
+}
+
+func (r *Replica) sendSnapshot(host string, p *progress) {
+	if p.paused {
+		return
+	}
+	s := r.snapshot()
+	p.paused, p.waited, p.wants = true, 0, s.Index
+	r.send(host, Message{Kind: kindSnapshot, Cluster: r.meta.Cluster, Term: r.meta.Term, Round: r.round, Snapshot: &s})
+	p.next = s.Index + 1
+}
+
+// snapshot encodes the state as applied now.
+func (r *Replica) snapshot() kqjournal.Snapshot {
+	term, _ := r.log.term(r.applied)
+	return kqjournal.Snapshot{
+		Index: r.applied, Term: term,
+		Members: encodeMembers(r.log.membersAt(r.applied)),
+		State:   r.machine.Snapshot(),
+	}
+}
+
+func (r *Replica) onAppended(from string, m Message) {
+	p := r.peers[from]
+	if r.role != Leader || p == nil || m.Term != r.meta.Term {
+		return
+	}
+	p.heard = 0
+	p.round = max(p.round, m.Round)
+	p.paused = p.paused && m.Index < p.wants
+	if p.run != m.Run {
+		p.run, p.fresh = m.Run, true
+	}
+	if m.OK {
+		p.fresh = false
+		r.acknowledged(from, p, m.Index)
+	} else {
+		r.refused(from, p, m.Index)
+	}
+	r.confirmReads()
+}
+
+// refused steps back to where the logs may meet. A host that held more before
+// its restart than it holds now has lost synced data: it must not vote.
+func (r *Replica) refused(from string, p *progress, hint uint64) {
+	if p.fresh && hint < p.match {
+		p.lost, p.match = true, 0
+	}
+	p.next = max(1, min(p.next-1, hint+1))
+	p.next = max(p.next, p.match+1)
+	if !p.paused {
+		r.sendAppend(from, p)
+	}
+}
+
+func (r *Replica) acknowledged(from string, p *progress, index uint64) {
+	if index > p.match {
+		p.match = index
+		p.next = max(p.next, index+1)
+		r.advance()
+	}
+	if r.role == Leader && !p.paused && p.next <= r.log.last() {
+		r.sendAppend(from, p)
+	}
+}
+
+// advance commits what a quorum holds, counting only entries of this term.
+func (r *Replica) advance() {
+	if r.role != Leader {
+		return
+	}
+	for index := r.log.last(); index > r.commit; index-- {
+		if term, _ := r.log.term(index); term != r.meta.Term {
+			return
+		}
+		if r.quorum(func(h string) bool { return h == r.cfg.Host || r.peers[h] != nil && r.peers[h].match >= index }) {
+			r.commitTo(index)
+			r.broadcast() // followers serve entry hosts: tell them at once
+			return
+		}
+	}
+}
+
+// commitTo applies everything up to index.
+func (r *Replica) commitTo(index uint64) {
+	index = min(index, r.log.last())
+	if index <= r.commit {
+		return
+	}
+	r.commit = index
+	for r.applied < r.commit {
+		e := r.log.from(r.applied+1, 1)[0]
+		r.applied = e.Index
+		r.apply(e)
+	}
+	r.compact()
+	r.leaveIfRemoved()
+}
+
+func (r *Replica) apply(e kqjournal.Entry) {
+	r.pending += len(e.Data)
+	if e.Kind != kindCommand {
+		return
+	}
+	res := r.machine.Apply(e.Data)
+	id := r.mine[e.Index]
+	delete(r.mine, e.Index)
+	r.emit(Applied{Index: e.Index, ID: id, Result: res})
+}
+
+// compact writes a snapshot when enough was applied since the last one.
+func (r *Replica) compact() {
+	if r.applied-r.log.base < snapshotEvery && r.pending < snapshotBytes {
+		return
+	}
+	r.pending = 0
+	s := r.snapshot()
+	r.log.compact(s.Index, s.Term, decodeMembers(s.Members))
+	r.emit(SaveSnapshot{Snapshot: s, Keep: r.log.from(s.Index+1, len(r.log.list))})
+}
+
+// leaveIfRemoved makes a leader step down once its removal is committed.
+func (r *Replica) leaveIfRemoved() {
+	if r.role == Leader && r.memberI <= r.commit && !r.isVoter(r.cfg.Host, r.run.Incarnation) {
+		r.heartbeat() // the others learn of the commit from this last round
+		r.follow(r.meta.Term, "")
+	}
+}
+
+func (r *Replica) propose(ev Propose) {
+	if r.role != Leader {
+		r.emit(Unknown{ID: ev.ID, Leader: r.leader, Never: true})
+		return
+	}
+	index := r.log.last() + 1
+	r.mine[index] = ev.ID
+	r.appendOwn(kindCommand, ev.ID, ev.Data)
+}
+
+// stepMembers takes the next single step towards the wanted member list.
+func (r *Replica) stepMembers() {
+	term, _ := r.log.term(r.commit)
+	if r.memberI > r.commit || term != r.meta.Term {
+		return
+	}
+	next := r.nextMembers()
+	if next == nil {
+		return
+	}
+	r.appendOwn(kindMembers, "", encodeMembers(next))
+}
+
+// nextMembers returns the member list one step nearer to the wanted one, nil
+// if there is nothing to do now. A host whose data folder changed is made a
+// non-voter first; a non-voter is promoted once it holds all committed entries.
+func (r *Replica) nextMembers() []Member {
+	want := r.machine.Wanted()
+	if want == nil {
+		want = r.asWanted()
+	}
+	if next := r.demoteLost(); next != nil {
+		return next
+	}
+	for _, w := range want {
+		if next := r.stepHost(w); next != nil {
+			return next
+		}
+	}
+	for _, m := range r.members {
+		if !slices.ContainsFunc(want, func(w Want) bool { return w.Host == m.Host }) {
+			return without(r.members, m.Host)
+		}
+	}
+	return nil
+}
+
+// demoteLost makes a non-voter of a host that lost its data folder or a part.
+func (r *Replica) demoteLost() []Member {
+	for _, m := range r.members {
+		p := r.peers[m.Host]
+		if p == nil {
+			continue
+		}
+		inc, asked := r.joiners[m.Host]
+		replaced := asked && inc != m.Incarnation
+		if !replaced && !(p.lost && m.Voter) {
+			continue
+		}
+		if replaced {
+			m.Incarnation = inc
+		}
+		delete(r.joiners, m.Host)
+		delete(r.peers, m.Host)
+		m.Voter = false
+		return with(r.members, m)
+	}
+	return nil
+}
+
+func (r *Replica) stepHost(w Want) []Member {
+	m, ok := find(r.members, w.Host)
+	if !ok {
+		inc, asked := r.joiners[w.Host]
+		if !asked {
+			return nil
+		}
+		return with(r.members, Member{Host: w.Host, Domain: w.Domain, Peers: w.Peers, Incarnation: inc})
+	}
+	p := r.peers[w.Host]
+	if w.Voter && !m.Voter && p != nil && p.heard < electionTicks && p.match >= r.commit {
+		m.Voter = true
+		return with(r.members, m)
+	}
+	if !w.Voter && m.Voter {
+		m.Voter = false
+		return with(r.members, m)
+	}
+	return nil
+}
+
+// asWanted takes the members as they are: a demoted host is a voter again
+// after its repair.
+func (r *Replica) asWanted() []Want {
+	list := make([]Want, 0, len(r.members))
+	for _, m := range r.members {
+		list = append(list, Want{Host: m.Host, Domain: m.Domain, Peers: m.Peers, Voter: true})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/state/kqreplica/replica.go
@@ -0,0 +1,251 @@
+package kqreplica
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"kumquatglade/internal/state/kqjournal"
+)
+
+// Role of a replica.
+type Role string
+
+// Roles of a replica.
+const (
+	Blank     Role = "blank" // has no cluster yet
+	Follower  Role = "follower"
+	Candidate Role = "candidate"
+	Leader    Role = "leader"
+)
+
+const (
+	// TickInterval is the time between two Tick events.
+	TickInterval = 50 * time.Millisecond
+
+	heartbeatTicks = 10  // 500 ms
+	electionTicks  = 24  // 1.2 s at the least
+	electionSpread = 12  // up to 600 ms more, at random
+	helloTicks     = 6   // 300 ms
+	snapshotTicks  = 100 // 5 s until a snapshot is sent again
+	readTicks      = 20  // 1 s until a read is given up
+
+	maxBatch      = 512     // entries in one append message
+	snapshotEvery = 4096    // applied entries between two snapshots
+	snapshotBytes = 8 << 20 // entry bytes between two snapshots
+)
+
+// Machine is the deterministic state that the log drives.
+type Machine interface {
+	// Apply runs one command and returns its result.
+	Apply(data []byte) any
+	// Snapshot encodes the whole state.
+	Snapshot() []byte
+	// Restore replaces the whole state.
+	Restore(p []byte) error
+	// Wanted returns the control hosts that operators asked for, nil if none.
+	Wanted() []Want
+}
+
+// Config constructs a Replica.
+type Config struct {
+	Host    string
+	Hosts   []Want // control hosts of the settings, this one included
+	Token   string // random word of this start
+	Cluster string // random word, the identity of a cluster founded here
+	Loaded  kqjournal.Loaded
+	Machine Machine
+	Rand    *rand.Rand
+}
+
+// progress is what the leader knows of one other member.
+type progress struct {
+	next   uint64 // next index to send
+	match  uint64 // highest index known to last there
+	round  uint64 // newest heartbeat round acknowledged
+	heard  int    // ticks since the last message
+	paused bool   // a snapshot up to wants is under way
+	wants  uint64
+	waited int    // ticks since the snapshot was sent
+	run    string // newest run that answered
+	fresh  bool   // that run has not accepted anything yet
+	lost   bool   // it holds less than it acknowledged
+}
+
+// Replica is the reducer of one control host.
+type Replica struct {
+	cfg     Config
+	meta    kqjournal.Meta
+	run     kqjournal.Run
+	log     entries
+	machine Machine
+	rng     *rand.Rand
+
+	role    Role
+	leader  string
+	members []Member // newest in the log, committed or not
+	memberI uint64   // index of the entry that holds members
+	commit  uint64
+	applied uint64
+	pending int // entry bytes applied since the last snapshot
+
+	elapsed  int // ticks since the leader was heard or the election began
+	timeout  int // ticks until an election begins
+	beat     int // ticks since the last heartbeat round
+	votes    map[string]bool
+	preVote  bool // votes are answers to a pre-vote
+	peers    map[string]*progress
+	round    uint64
+	reads    []read
+	asked    map[string]int // reads asked of the leader, ticks waited
+	mine     map[uint64]string
+	present  map[string]Message // answers to hello
+	joiners  map[string]string  // host to incarnation that asked to join
+	effects  []Effect
+	reported Changed
+}
+
+// read waits for a heartbeat round to be acknowledged by a quorum.
+type read struct {
+	id    string
+	from  string // empty: asked on this host
+	index uint64
+	round uint64
+	ticks int
+}
+
+// New returns the replica and the effects of its start; the first effect makes
+// the new boot number last.
+func New(cfg Config) (*Replica, []Effect, error) {
+	r := &Replica{
+		cfg: cfg, meta: cfg.Loaded.Meta, machine: cfg.Machine, rng: cfg.Rand,
+		role: Follower, asked: map[string]int{}, mine: map[uint64]string{},
+		present: map[string]Message{}, joiners: map[string]string{},
+	}
+	if r.meta.Seen == nil {
+		r.meta.Seen = map[string]kqjournal.Run{}
+	}
+	if r.meta.Incarnation == "" {
+		r.meta.Incarnation = cfg.Token
+	}
+	r.meta.Boot++
+	r.run = kqjournal.Run{Incarnation: r.meta.Incarnation, Boot: r.meta.Boot, Token: cfg.Token}
+	if err := r.restore(cfg.Loaded); err != nil {
+		return nil, nil, err
+	}
+	if r.meta.Cluster == "" {
+		r.role = Blank
+	}
+	r.resetTimeout()
+	r.saveMeta()
+	return r, r.take(), nil
+}
+
+func (r *Replica) restore(l kqjournal.Loaded) error {
+	r.log = entries{base: l.Snapshot.Index, baseTerm: l.Snapshot.Term, list: l.Entries}
+	r.commit, r.applied = l.Snapshot.Index, l.Snapshot.Index
+	if l.Snapshot.Index > 0 {
+		if err := r.machine.Restore(l.Snapshot.State); err != nil {
+			return err
+		}
+	}
+	r.log.members = decodeMembers(l.Snapshot.Members)
+	r.findMembers()
+	return nil
+}
+
+// findMembers takes the newest member list of the log.
+func (r *Replica) findMembers() {
+	r.members, r.memberI = r.log.members, r.log.base
+	for _, e := range r.log.list {
+		if e.Kind == kindMembers {
+			r.members, r.memberI = decodeMembers(e.Data), e.Index
+		}
+	}
+}
+
+// Reduce handles one event.
+func (r *Replica) Reduce(_ time.Time, ev Event) []Effect {
+	switch ev := ev.(type) {
+	case Tick:
+		r.tick()
+	case Received:
+		r.receive(ev.From, ev.Message)
+	case Propose:
+		r.propose(ev)
+	case Read:
+		r.read(ev.ID)
+	case LinkUp:
+		r.linkUp(ev.Peer)
+	case LinkDown:
+		r.linkDown(ev.Peer)
+	}
+	r.report()
+	return r.take()
+}
+
+func (r *Replica) take() []Effect {
+	out := r.effects
+	r.effects = nil
+	return out
+}
+
+func (r *Replica) emit(e Effect) {
+	r.effects = append(r.effects, e)
+}
+
+func (r *Replica) send(to string, m Message) {
+	m.Run = EncodeRun(r.run)
+	r.emit(Send{To: to, Message: m})
+}
+
+func (r *Replica) saveMeta() {
+	seen := make(map[string]kqjournal.Run, len(r.meta.Seen))
+	for k, v := range r.meta.Seen {
+		seen[k] = v
+	}
+	m := r.meta
+	m.Seen = seen
+	r.emit(SaveMeta{Meta: m})
+}
+
+// report emits Changed when what operators see of this replica has changed.
+func (r *Replica) report() {
+	c := Changed{Role: r.role, Term: r.meta.Term, Leader: r.leader, Members: r.members}
+	p := r.reported
+	if c.Role == p.Role && c.Term == p.Term && c.Leader == p.Leader && sameMembers(c.Members, p.Members) {
+		return
+	}
+	r.reported = c
+	r.emit(c)
+}
+
+func sameMembers(a, b []Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Status is what operators see of a replica.
+type Status struct {
+	Role    Role     `json:"role"`
+	Term    uint64   `json:"term"`
+	Leader  string   `json:"leader"`
+	Commit  uint64   `json:"commit"`
+	Applied uint64   `json:"applied"`
+	First   uint64   `json:"first"` // first index still in the log
+	Members []Member `json:"members"`
+}
+
+// Status returns a copy of what operators may see.
+func (r *Replica) Status() Status {
+	return Status{
+		Role: r.role, Term: r.meta.Term, Leader: r.leader, Commit: r.commit,
+		Applied: r.applied, First: r.log.base + 1, Members: r.members,
+	}
+}
