Measure what an entry host adds; reuse connections to targets

The profile showed a connect for each call: finishing a call cancelled its attempts before it closed their answers, which made every connection unfit for reuse.

--- /dev/null
+++ b/internal/bench/kqrelay/doc.go
@@ -0,0 +1,3 @@
+// Package kqrelay is the baseline of what relaying a call costs: a bare relay
+// by the standard HTTP client and server, without any decision.
+package kqrelay
--- a/internal/call/kqcall/attempt.go
+++ b/internal/call/kqcall/attempt.go
@@ -94,6 +94,8 @@
 		switch {
 		case errors.Is(res.err, context.Canceled):
 			return kqdispatch.Cancelled, kqdispatch.Load{}
+		case errors.As(res.err, &e) && e.Full:
+			return kqdispatch.Crowded, kqdispatch.Load{}
 		case errors.As(res.err, &e) && e.Unsent:
 			return kqdispatch.Unsent, kqdispatch.Load{}
 		}
--- a/internal/call/kqcall/engine.go
+++ b/internal/call/kqcall/engine.go
@@ -24,6 +24,7 @@
 	Host    string
 	Domain  string
 	Policy  kq.Policy
+	Plain   bool // see kqdispatch.Config
 	Clock   kq.Clock
 	Rand    *rand.Rand
 	Events  *kqevent.Recorder
@@ -60,7 +61,7 @@
 		served:   metrics.GetOrRegisterTimer("calls.served", cfg.Metrics),
 		refused:  metrics.GetOrRegisterCounter("calls.refused", cfg.Metrics),
 		waiting:  map[uint64]chan kqdispatch.Effect{},
-		dispatch: kqdispatch.New(kqdispatch.Config{Domain: cfg.Domain, Policy: cfg.Policy, Rand: cfg.Rand}),
+		dispatch: kqdispatch.New(kqdispatch.Config{Domain: cfg.Domain, Policy: cfg.Policy, Plain: cfg.Plain, Rand: cfg.Rand}),
 	}
 	e.entries.Store(1)
 	e.wait.Add(2)
--- a/internal/call/kqcall/request.go
+++ b/internal/call/kqcall/request.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"kumquatglade/internal/state/kqcheck"
 	"kumquatglade/internal/state/kqcontract"
 
 	"github.com/cockroachdb/errors"
@@ -49,7 +50,7 @@
 		p := problem{Error: "cut", Owner: q.owner, Service: name, Run: RunNo, status: http.StatusServiceUnavailable, wait: time.Second}
 		return q, &p
 	}
-	if !kqcontract.IsWord(q.owner) || !kqcontract.IsWord(name) {
+	if !kqcheck.IsWord(q.owner) || !kqcheck.IsWord(name) {
 		return refuse(http.StatusBadRequest, "malformed", HeaderOwner+" and "+HeaderService+" are required")
 	}
 	c := v.Contracts[q.owner]
--- a/internal/call/kqcall/serve.go
+++ b/internal/call/kqcall/serve.go
@@ -101,12 +101,14 @@
 func (c *call) finish() {
 	close(c.gone)
 	c.engine.Feed(kqdispatch.Leave{ID: c.id})
-	for _, s := range c.sent {
-		s.cancel()
-	}
+	// Answers come first: cancelling an attempt closes its connection, which a
+	// whole answer leaves fit for reuse.
 	for attempt, reply := range c.replies {
 		c.end(attempt, reply)
 	}
+	for _, s := range c.sent {
+		s.cancel()
+	}
 	c.engine.exit(c.id)
 }
 
--- a/internal/host/kqdaemon/daemon.go
+++ b/internal/host/kqdaemon/daemon.go
@@ -37,6 +37,7 @@
 // Daemon is one running host.
 type Daemon struct {
 	settings kqsettings.Settings
+	opts     Options
 	log      *kqlog.Log
 	events   *kqevent.Recorder
 	metrics  metrics.Registry
@@ -65,9 +66,25 @@
 	leaving bool
 }
 
+// Options change a host for experiments; the zero value is what users run.
+type Options struct {
+	Policy string // routing policy, kqpolicy.NameExpected if empty
+	Plain  bool   // the policy alone decides: no free slots, ramps, ejections or hedges
+	Wide   bool   // resolve answers name all entry hosts
+}
+
 // Start wires and starts the host.
 func Start(s kqsettings.Settings, log *kqlog.Log) (*Daemon, error) {
+	return StartWith(s, log, Options{})
+}
+
+// StartWith starts the host with options for experiments.
+func StartWith(s kqsettings.Settings, log *kqlog.Log, opts Options) (*Daemon, error) {
+	if opts.Policy == "" {
+		opts.Policy = kqpolicy.NameExpected
+	}
 	d := &Daemon{
+		opts:     opts,
 		settings: s, log: log, events: kqevent.NewRecorder(s.Host, time.Now),
 		metrics: metrics.NewRegistry(), fatal: make(chan error, 1), ready: make(chan struct{}),
 	}
@@ -94,7 +111,9 @@
 		}
 	}
 	if d.settings.Has(kqsettings.RoleEntry) {
-		d.startEntry()
+		if err := d.startEntry(); err != nil {
+			return err
+		}
 	}
 	d.startAdmin()
 	d.open()
@@ -152,20 +171,24 @@
 	return d.fatal
 }
 
-func (d *Daemon) startEntry() {
-	policy, _ := kqpolicy.New(kqpolicy.NameExpected)
+func (d *Daemon) startEntry() error {
+	policy, ok := kqpolicy.New(d.opts.Policy)
+	if !ok {
+		return errors.Newf("policy %q is unknown", d.opts.Policy)
+	}
 	self := kqcontract.Host{
 		Name: d.settings.Host, Domain: d.settings.Domain, Region: d.settings.Region,
 		Calls: d.settings.Listen.Calls, Peers: d.settings.Listen.Peers,
 	}
 	d.engine = kqcall.NewEngine(kqcall.Config{
-		Host: d.settings.Host, Domain: d.settings.Domain, Policy: policy, Clock: kqclock.System{}, Rand: seeded(),
+		Host: d.settings.Host, Domain: d.settings.Domain, Policy: policy, Plain: d.opts.Plain, Clock: kqclock.System{}, Rand: seeded(),
 		Events: d.events, Metrics: d.metrics, View: func() *kqfeed.View { return d.follower.View() },
 	})
 	d.roster = kqannounce.NewRoster(kqannounce.Config{
 		Host: d.settings.Host, Link: d.mesh, Clock: kqclock.System{}, Events: d.events, Metrics: d.metrics,
 		View:    func() *kqfeed.View { return d.follower.View() },
 		Known:   func() *kqfeed.View { return d.follower.Known() },
+		Wide:    d.opts.Wide,
 		Updated: d.engine.TargetUpdated, Reported: d.engine.TargetReported,
 	})
 	var old *kqfeed.View
@@ -178,6 +201,7 @@
 			d.dialPeers()
 		},
 	})
+	return nil
 }
 
 func (d *Daemon) startAdmin() {
--- a/internal/host/kqdaemon/peers.go
+++ b/internal/host/kqdaemon/peers.go
@@ -112,6 +112,22 @@
 	return s
 }
 
+// Serving reports whether callers and targets may use this host.
+func (d *Daemon) Serving() bool {
+	return d.healthy()
+}
+
+// CountTargets returns how many live targets of the service this host knows.
+func (d *Daemon) CountTargets(service string) int {
+	n := 0
+	for _, r := range d.roster.All() {
+		if r.Service == service && r.Live() {
+			n++
+		}
+	}
+	return n
+}
+
 func (d *Daemon) healthy() bool {
 	d.mu.Lock()
 	leaving := d.leaving
--- a/internal/host/kqsettings/settings.go
+++ b/internal/host/kqsettings/settings.go
@@ -1,11 +1,11 @@
 package kqsettings
 
 import (
-	"bytes"
-	"encoding/json"
 	"os"
 	"slices"
 
+	"kumquatglade/internal/state/kqcheck"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -68,13 +68,8 @@
 // Parse decodes and validates a settings document.
 func Parse(p []byte) (Settings, error) {
 	var s Settings
-	dec := json.NewDecoder(bytes.NewReader(p))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
+	if err := kqcheck.Decode(p, &s); err != nil {
 		return s, err
 	}
-	if dec.More() {
-		return s, errors.New("more than one document")
-	}
 	return s, s.Validate()
 }
--- a/internal/route/kqannounce/handlers.go
+++ b/internal/route/kqannounce/handlers.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -11,6 +12,7 @@
 	"kumquatglade/internal/call/kqcall"
 	"kumquatglade/internal/route/kqdirectory"
 	"kumquatglade/internal/route/kqresolve"
+	"kumquatglade/internal/state/kqcheck"
 	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqfeed"
 
@@ -135,7 +137,7 @@
 		return refuse(c, http.StatusServiceUnavailable, "cut", "")
 	}
 	service, owner := c.QueryParam("service"), c.Request().Header.Get(kqcall.HeaderOwner)
-	if !kqcontract.IsWord(service) || !kqcontract.IsWord(owner) {
+	if !kqcheck.IsWord(service) || !kqcheck.IsWord(owner) {
 		return refuse(c, http.StatusBadRequest, "malformed", "service and "+kqcall.HeaderOwner+" are required")
 	}
 	contract := v.Contracts[owner]
@@ -145,7 +147,11 @@
 	if _, ok := contract.Service(service); !ok {
 		return refuse(c, http.StatusNotFound, "service", "")
 	}
-	hosts := kqresolve.Entries(kqresolve.Question{Service: service, Rate: rateOf(v, service), Hosts: r.usable(v)})
+	rate := rateOf(v, service)
+	if r.cfg.Wide {
+		rate = math.Inf(1)
+	}
+	hosts := kqresolve.Entries(kqresolve.Question{Service: service, Rate: rate, Hosts: r.usable(v)})
 	out := resolution{Entries: []entryItem{}, Hold: hold().String()}
 	for _, h := range hosts {
 		out.Entries = append(out.Entries, entryItem{Addr: h.Calls, Domain: h.Domain})
--- a/internal/route/kqannounce/roster.go
+++ b/internal/route/kqannounce/roster.go
@@ -49,6 +49,8 @@
 	View func() *kqfeed.View
 	// Known returns the newest view also when it must not be acted on.
 	Known func() *kqfeed.View
+	// Wide makes resolve answers name all entry hosts, for experiments.
+	Wide bool
 	// Updated is called, in order, with new facts of a target.
 	Updated func(kqdirectory.Record)
 	// Reported is called with a load that a target announced.
--- a/internal/route/kqdirectory/record.go
+++ b/internal/route/kqdirectory/record.go
@@ -1,7 +1,7 @@
 package kqdirectory
 
 import (
-	"kumquatglade/internal/state/kqcontract"
+	"kumquatglade/internal/state/kqcheck"
 
 	"github.com/cockroachdb/errors"
 )
@@ -52,13 +52,13 @@
 // Validate says what is wrong with an announcement.
 func (r Record) Validate() error {
 	switch {
-	case !kqcontract.IsWord(r.Service):
+	case !kqcheck.IsWord(r.Service):
 		return errors.Newf("service %q: want a word", r.Service)
-	case !kqcontract.IsWord(r.ID):
+	case !kqcheck.IsWord(r.ID):
 		return errors.Newf("id %q: want a word", r.ID)
-	case !kqcontract.IsWord(r.Domain):
+	case !kqcheck.IsWord(r.Domain):
 		return errors.Newf("domain %q: want a word", r.Domain)
-	case !kqcontract.IsIPPort(r.Addr):
+	case !kqcheck.IsIPPort(r.Addr):
 		return errors.Newf("addr %q: want IP:port", r.Addr)
 	case r.Slots < 1 || r.Slots > maxSlots:
 		return errors.Newf("slots %d: want 1 to %d", r.Slots, maxSlots)
--- a/internal/route/kqdispatch/attempt.go
+++ b/internal/route/kqdispatch/attempt.go
@@ -17,7 +17,7 @@
 // targets with a free slot count.
 func (d *Dispatch) choose(now time.Time, c *call, free bool) *target {
 	usable := d.usable(now, c)
-	if free {
+	if free && !d.cfg.Plain {
 		usable = slices.DeleteFunc(usable, func(t *target) bool { return !t.free(now) })
 	}
 	if c.sends > 0 {
@@ -43,7 +43,7 @@
 			continue
 		}
 		live++
-		if !t.ejected(c.Owner, now) && !slices.Contains(c.tried, t) {
+		if (d.cfg.Plain || !t.ejected(c.Owner, now)) && !slices.Contains(c.tried, t) {
 			kept = append(kept, t)
 		}
 	}
@@ -134,7 +134,7 @@
 		t.sample(now.Sub(a.began), now)
 		t.succeeded(c.Owner)
 		c.service.sample(now.Sub(a.began).Seconds())
-	case Cancelled:
+	case Cancelled, Crowded:
 	case Unsent:
 		t.down = now.Add(downTime)
 	case Refused:
--- a/internal/route/kqdispatch/dispatch.go
+++ b/internal/route/kqdispatch/dispatch.go
@@ -16,6 +16,7 @@
 type Config struct {
 	Domain string // failure domain of this host
 	Policy kq.Policy
+	Plain  bool // the policy alone decides, for experiments with baselines
 	Rand   *rand.Rand
 }
 
@@ -215,7 +216,7 @@
 	c.grant.hedges.Earn(c.grant.terms.Hedges)
 	c.service.virtual = max(c.service.virtual, c.tag)
 	d.start(now, c, t, false)
-	if c.Idempotent && c.Retries > 0 && c.grant.terms.Hedges > 0 && c.service.tail > 0 {
+	if !d.cfg.Plain && c.Idempotent && c.Retries > 0 && c.grant.terms.Hedges > 0 && c.service.tail > 0 {
 		c.hedgeAt = now.Add(time.Duration(c.service.tail * float64(time.Second)))
 	}
 	return true
--- a/internal/route/kqdispatch/event.go
+++ b/internal/route/kqdispatch/event.go
@@ -27,6 +27,7 @@
 	Failed    Outcome = "failed"    // the target answered with a server error
 	Refused   Outcome = "refused"   // the target says that it did not run
 	Unsent    Outcome = "unsent"    // no byte can have reached the target
+	Crowded   Outcome = "crowded"   // all connections from here are in use: unsent, and no fault of the target
 	Broken    Outcome = "broken"    // no answer, and it may have run
 	Cancelled Outcome = "cancelled" // given up from here
 )
--- a/internal/route/kqresolve/resolve.go
+++ b/internal/route/kqresolve/resolve.go
@@ -32,11 +32,11 @@
 	hosts := slices.Clone(q.Hosts)
 	weight := func(h kqcontract.Host) uint64 { return xxhash.Sum64String(q.Service + "|" + h.Name) }
 	slices.SortFunc(hosts, func(a, b kqcontract.Host) int { return cmp.Compare(weight(a), weight(b)) })
-	n := max(leastHosts, int(math.Ceil(q.Rate/callsPerHost)))
-	if n >= len(hosts) {
+	wanted := math.Ceil(q.Rate / callsPerHost)
+	if wanted >= float64(len(hosts)) || len(hosts) <= leastHosts {
 		return hosts
 	}
-	return spread(hosts, n)
+	return spread(hosts, max(leastHosts, int(wanted)))
 }
 
 // spread takes n hosts by their order, but the second from another failure
--- /dev/null
+++ b/internal/state/kqcheck/doc.go
@@ -0,0 +1,3 @@
+// Package kqcheck decodes and validates JSON documents that people write; its
+// errors are one line that names the key, its value and what is allowed.
+package kqcheck
--- a/internal/state/kqcontract/contract.go
+++ b/internal/state/kqcontract/contract.go
@@ -1,13 +1,14 @@
 package kqcontract
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"strings"
 	"time"
 
+	"kumquatglade/internal/state/kqcheck"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -27,21 +28,26 @@
 type Service struct {
 	Name       string   `json:"name" validate:"required,word"`
 	Idempotent []string `json:"idempotent,omitempty" validate:"max=64,dive,pattern"`
-	Deadline   Duration `json:"deadline" validate:"min=1000000,max=600000000000"` // 1ms to 10m
-	Rate       float64  `json:"rate" validate:"gt=0,max=10000000"`                // calls a second
-	Burst      int      `json:"burst" validate:"min=1,max=1000000"`               // calls
-	Active     int      `json:"active" validate:"min=1,max=1000000"`              // calls in progress
-	Queue      int      `json:"queue" validate:"min=0,max=1000000"`               // calls waiting
-	Share      float64  `json:"share" validate:"gt=0,max=1000"`                   // weight on shared targets
-	Probes     float64  `json:"probes" validate:"min=0,max=100000"`               // probes a second
-	Retries    float64  `json:"retries" validate:"min=0,max=100"`                 // percent of first sends
-	Hedges     float64  `json:"hedges" validate:"min=0,max=100"`                  // percent of first sends
-	Body       int64    `json:"body" validate:"min=0,max=67108864"`               // bytes of a request body
+	Deadline   Duration `json:"deadline" validate:"between=1ms_to_10m"`
+	Rate       float64  `json:"rate" validate:"gt=0,max=10000000"`   // calls a second
+	Burst      int      `json:"burst" validate:"min=1,max=1000000"`  // calls
+	Active     int      `json:"active" validate:"min=1,max=1000000"` // calls in progress
+	Queue      int      `json:"queue" validate:"min=0,max=1000000"`  // calls waiting
+	Share      float64  `json:"share" validate:"gt=0,max=1000"`      // weight on shared targets
+	Probes     float64  `json:"probes" validate:"min=0,max=100000"`  // probes a second
+	Retries    float64  `json:"retries" validate:"min=0,max=100"`    // percent of first sends
+	Hedges     float64  `json:"hedges" validate:"min=0,max=100"`     // percent of first sends
+	Body       int64    `json:"body" validate:"min=0,max=67108864"`  // bytes of a request body
 }
 
 // Duration is a time.Duration written as a JSON string such as "2s".
 type Duration time.Duration
 
+// String writes the duration as in "2s".
+func (d Duration) String() string {
+	return time.Duration(d).String()
+}
+
 // MarshalJSON writes the duration as a string.
 func (d Duration) MarshalJSON() ([]byte, error) {
 	return json.Marshal(time.Duration(d).String())
@@ -83,20 +89,12 @@
 	if len(p) > MaxContract {
 		return errors.Newf("%s: %d bytes: at most %d", name, len(p), MaxContract)
 	}
-	dec := json.NewDecoder(bytes.NewReader(p))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
-		return errors.Wrap(err, name)
-	}
-	if dec.More() {
-		return errors.Newf("%s: more than one document", name)
-	}
-	return nil
+	return errors.Wrap(kqcheck.Decode(p, v), name)
 }
 
 // Validate checks every field and names the first that is out of its range.
 func (c *Contract) Validate() error {
-	return check("contract", c)
+	return errors.Wrap(kqcheck.Struct(c), "contract")
 }
 
 // Hash identifies the content: equal contracts have equal hashes.
@@ -111,7 +109,7 @@
 
 // Validate checks every field and names the first that is out of its range.
 func (h *Hosts) Validate() error {
-	return check("hosts", h)
+	return errors.Wrap(kqcheck.Struct(h), "hosts")
 }
 
 func hashOf(v any) string {
