Run a keyed call at most once; prove accepted changes on processes

Cause: a filing sent again through another entry host would have run twice, and what the control hosts promise was only shown on fakes.

Change: guards of an Idempotency-Key (kqguard, a reducer; kqkeyed, its runtime): three hosts by rendezvous hashing in different failure domains, a majority holds the claim before the send, a restarted guard answers only after it has copied from all others or the retention has passed.

A guard granted a claim, restarted, copied before the claim had its majority, and granted the key again. A restarted guard now waits four times the bound of a claim before it copies. Ruled out: longer claims at the guards, which forget them anyway.

--- a/internal/bench/kqbench/call.go
+++ b/internal/bench/kqbench/call.go
@@ -79,6 +79,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "broken with status %d and %d bytes", a.Status, len(a.Body))
 	}
-	fmt.Fprintf(out, "%d target=%s run=%s %s\n", a.Status, a.Header.Get(kqtarget.HeaderTarget), a.Run(), strings.TrimSpace(string(a.Body)))
+	fmt.Fprintf(out, "%d target=%s run=%s kept=%s %s\n", a.Status, a.Header.Get(kqtarget.HeaderTarget), a.Run(),
+		a.Header.Get(kqcall.HeaderKept), strings.TrimSpace(string(a.Body)))
 	return nil
 }
--- a/internal/call/kqaccount/account.go
+++ b/internal/call/kqaccount/account.go
@@ -28,6 +28,7 @@
 	Conflict  Cause = "conflict"  // the key is taken, or its answer is not kept
 	Malformed Cause = "malformed" // the request itself was wrong
 	Denied    Cause = "denied"    // no key of the owner
+	Unguided  Cause = "guards"    // too few guards of the key answer
 )
 
 // Key names one row of an account.
--- a/internal/call/kqcall/attempt.go
+++ b/internal/call/kqcall/attempt.go
@@ -142,10 +142,12 @@
 	for name := range reply.Trailer {
 		h.Add("Trailer", name)
 	}
+	kept := c.keep(reply, h)
 	w.WriteHeader(reply.Status)
 	if _, err := copyBody(w, reply); err != nil {
 		c.cut(target, err)
 	}
+	kept()
 	for name, values := range reply.Trailer {
 		h[name] = values
 	}
--- a/internal/call/kqcall/engine.go
+++ b/internal/call/kqcall/engine.go
@@ -9,6 +9,7 @@
 	kq "kumquatglade"
 	"kumquatglade/internal/call/kqaccount"
 	"kumquatglade/internal/call/kqforward"
+	"kumquatglade/internal/call/kqkeyed"
 	"kumquatglade/internal/host/kqevent"
 	"kumquatglade/internal/route/kqdispatch"
 	"kumquatglade/internal/state/kqfeed"
@@ -29,6 +30,7 @@
 	Rand    *rand.Rand
 	Events  *kqevent.Recorder
 	Metrics metrics.Registry
+	Keeper  *kqkeyed.Keeper // claims keys, nil without guards
 	// View returns the view to act on, nil if this host must not serve.
 	View func() *kqfeed.View
 }
@@ -36,6 +38,7 @@
 // Engine runs the dispatch reducer and the calls in progress.
 type Engine struct {
 	cfg      Config
+	started  int64 // Unix nanoseconds, tells the calls of two starts apart
 	pool     *kqforward.Pool
 	book     *kqaccount.Book
 	calls    atomic.Int64
@@ -56,7 +59,7 @@
 // NewEngine returns a running Engine.
 func NewEngine(cfg Config) *Engine {
 	e := &Engine{
-		cfg: cfg, pool: kqforward.NewPool(), book: kqaccount.NewBook(cfg.Clock.Now),
+		cfg: cfg, started: cfg.Clock.Now().UnixNano(), pool: kqforward.NewPool(), book: kqaccount.NewBook(cfg.Clock.Now),
 		busy: make(chan struct{}, 1), done: make(chan struct{}),
 		served:   metrics.GetOrRegisterTimer("calls.served", cfg.Metrics),
 		refused:  metrics.GetOrRegisterCounter("calls.refused", cfg.Metrics),
--- a/internal/call/kqcall/serve.go
+++ b/internal/call/kqcall/serve.go
@@ -7,6 +7,7 @@
 
 	"kumquatglade/internal/call/kqaccount"
 	"kumquatglade/internal/call/kqforward"
+	"kumquatglade/internal/call/kqkeyed"
 	"kumquatglade/internal/host/kqevent"
 	"kumquatglade/internal/route/kqdispatch"
 )
@@ -32,10 +33,20 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	if q.key != "" && !q.idempotent && e.cfg.Keeper != nil {
+		e.serveKeyed(ctx, w, r, q)
+	} else {
+		e.serveOnce(ctx, w, r, q, nil)
+	}
+	e.served.UpdateSince(now)
+}
+
+// serveOnce carries one call out; a non-nil claim hears how it ended.
+func (e *Engine) serveOnce(ctx context.Context, w http.ResponseWriter, r *http.Request, q *request, claim *kqkeyed.Claim) {
 	c := e.newCall(ctx, q, r)
+	c.claim = claim
 	defer c.finish()
 	c.run(w)
-	e.served.UpdateSince(now)
 }
 
 // deny answers a call that did not pass its checks.
@@ -64,7 +75,8 @@
 	results chan result
 	sent    map[uint64]*send
 	replies map[uint64]*kqforward.Reply
-	gone    chan struct{} // closed when nobody waits for results any more
+	gone    chan struct{}  // closed when nobody waits for results any more
+	claim   *kqkeyed.Claim // of the call's key, nil if it has none
 }
 
 // send is one attempt under way.
@@ -165,6 +177,9 @@
 
 // answer makes the system's own answer and writes it to account and time line.
 func (c *call) answer(w http.ResponseWriter, status int, word, run string, wait time.Duration) {
+	if c.claim != nil && run == RunNo {
+		c.claim.Release()
+	}
 	c.note(kqaccount.Cause(word), "")
 	c.engine.cfg.Events.Add(kqevent.Event{
 		Part: "calls", Kind: "refused", Call: c.name, Owner: c.req.owner, Service: c.req.service.Name, Text: word + ", run " + run,
--- /dev/null
+++ b/internal/call/kqkeyed/claim.go
@@ -0,0 +1,157 @@
+package kqkeyed
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"kumquatglade/internal/route/kqguard"
+)
+
+// Verdict says what may be done with a keyed call.
+type Verdict string
+
+// Verdicts.
+const (
+	Run      Verdict = "run"      // a majority holds the claim: send it, once
+	Kept     Verdict = "kept"     // it ran; the kept answer is given again
+	Other    Verdict = "other"    // the key belongs to another request
+	Claimed  Verdict = "claimed"  // another call with the key runs, or ran with no answer kept
+	Unguided Verdict = "unguided" // too few guards answer: not run
+)
+
+// Claim is the claim of one call.
+type Claim struct {
+	Verdict Verdict
+	Answer  *kqguard.Answer // for Kept
+
+	keeper *Keeper
+	key    string
+	call   string
+	guards []string
+}
+
+// Request names a keyed call.
+type Request struct {
+	Owner, Service, Key string
+	Method, Path        string
+	Body                []byte
+	Call                string // unique over all hosts and their starts
+}
+
+// ID returns the name of the key over all owners and services.
+func (r Request) id() string {
+	sum := sha256.Sum256([]byte(r.Owner + "\x00" + r.Service + "\x00" + r.Key))
+	return hex.EncodeToString(sum[:16])
+}
+
+// fingerprint tells requests apart that use the same key.
+func (r Request) fingerprint() string {
+	h := sha256.New()
+	fmt.Fprintf(h, "%s %s\n", r.Method, r.Path)
+	h.Write(r.Body)
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+// Claim asks the guards of the key.
+func (k *Keeper) Claim(ctx context.Context, r Request) *Claim {
+	k.mu.Lock()
+	epoch, hosts := k.epoch, k.hosts
+	k.mu.Unlock()
+	c := &Claim{keeper: k, key: r.id(), call: r.Call, guards: kqguard.Choose(r.id(), hosts)}
+	ask := kqguard.Claim{Key: c.key, Request: r.fingerprint(), Call: r.Call, Epoch: epoch}
+	c.Verdict, c.Answer = judge(c.ask(ctx, ask), ask.Request, len(hosts))
+	if c.Verdict != Run {
+		c.Release()
+	}
+	return c
+}
+
+// ask sends the claim to all guards and returns their replies.
+func (c *Claim) ask(ctx context.Context, ask kqguard.Claim) []kqguard.Reply {
+	ctx, cancel := context.WithTimeout(ctx, kqguard.ClaimTime)
+	defer cancel()
+	replies := make(chan kqguard.Reply, len(c.guards))
+	for _, g := range c.guards {
+		go func() {
+			var r kqguard.Reply
+			if err := c.keeper.cfg.Link.Call(ctx, g, MethodClaim, ask, &r); err != nil {
+				r = kqguard.Reply{Word: kqguard.Abstain}
+			}
+			replies <- r
+		}()
+	}
+	list := make([]kqguard.Reply, 0, len(c.guards))
+	granted := 0
+	for range c.guards {
+		r := <-replies
+		list = append(list, r)
+		if r.Word == kqguard.Granted {
+			granted++
+		}
+		if granted >= kqguard.Majority(len(c.guards)) {
+			break // the third guard may be slow
+		}
+	}
+	return list
+}
+
+// judge says what the replies of a key's guards allow.
+func judge(list []kqguard.Reply, request string, hosts int) (Verdict, *kqguard.Answer) {
+	granted := 0
+	for _, r := range list {
+		switch r.Word {
+		case kqguard.Granted:
+			granted++
+		case kqguard.Done, kqguard.Held:
+			if r.Request != request {
+				return Other, nil
+			}
+			if r.Word == kqguard.Done {
+				return Kept, r.Answer
+			}
+		}
+	}
+	if hosts > 0 && granted >= kqguard.Majority(hosts) {
+		return Run, nil
+	}
+	for _, r := range list {
+		if r.Word == kqguard.Held {
+			return Claimed, nil
+		}
+	}
+	return Unguided, nil
+}
+
+// Keep notes the answer at the guards, without waiting for them.
+func (c *Claim) Keep(a kqguard.Answer) {
+	c.tell(MethodKeep, outcome{Key: c.key, Call: c.call, Answer: &a})
+}
+
+// Release gives the claim up: the call certainly did not run.
+func (c *Claim) Release() {
+	c.tell(MethodRelease, outcome{Key: c.key, Call: c.call})
+}
+
+// tell sends the outcome to every guard, repeating it while one is silent.
+func (c *Claim) tell(method string, o outcome) {
+	for _, g := range c.guards {
+		c.keeper.wait.Go(func() {
+			for range releaseTries {
+				ctx, cancel := context.WithTimeout(c.keeper.ctx, kqguard.ClaimTime)
+				err := c.keeper.cfg.Link.Call(ctx, g, method, o, nil)
+				cancel()
+				if err == nil {
+					return
+				}
+				select {
+				case <-c.keeper.ctx.Done():
+					return
+				case <-time.After(kqguard.ClaimTime):
+				}
+			}
+		})
+	}
+}
--- a/internal/host/kqdaemon/daemon.go
+++ b/internal/host/kqdaemon/daemon.go
@@ -10,6 +10,7 @@
 
 	"kumquatglade/internal/admin/kqadmin"
 	"kumquatglade/internal/call/kqcall"
+	"kumquatglade/internal/call/kqkeyed"
 	"kumquatglade/internal/host/kqclock"
 	"kumquatglade/internal/host/kqdisk"
 	"kumquatglade/internal/host/kqevent"
@@ -54,6 +55,7 @@
 	follower *kqfeed.Follower
 	roster   *kqannounce.Roster
 	engine   *kqcall.Engine
+	keeper   *kqkeyed.Keeper
 
 	admin   *kqadmin.Server
 	servers []*http.Server
@@ -180,9 +182,10 @@
 		Name: d.settings.Host, Domain: d.settings.Domain, Region: d.settings.Region,
 		Calls: d.settings.Listen.Calls, Peers: d.settings.Listen.Peers,
 	}
+	d.keeper = kqkeyed.New(kqkeyed.Config{Link: d.mesh, Clock: kqclock.System{}, Events: d.events})
 	d.engine = kqcall.NewEngine(kqcall.Config{
 		Host: d.settings.Host, Domain: d.settings.Domain, Policy: policy, Plain: d.opts.Plain, Clock: kqclock.System{}, Rand: seeded(),
-		Events: d.events, Metrics: d.metrics, View: func() *kqfeed.View { return d.follower.View() },
+		Events: d.events, Metrics: d.metrics, Keeper: d.keeper, View: func() *kqfeed.View { return d.follower.View() },
 	})
 	d.roster = kqannounce.NewRoster(kqannounce.Config{
 		Host: d.settings.Host, Link: d.mesh, Clock: kqclock.System{}, Events: d.events, Metrics: d.metrics,
@@ -197,6 +200,7 @@
 		Log: d.log.Part("feed"), Events: d.events,
 		InForce: func(v *kqfeed.View) {
 			d.engine.Enforce(old, v)
+			d.keeper.Enforce(v.Listed, v.Hosts.Entry, d.follower.New())
 			old = v
 			d.dialPeers()
 		},
@@ -267,6 +271,7 @@
 		d.follower.Close()
 		d.roster.Close()
 		d.engine.Close()
+		d.keeper.Close()
 	}
 	if d.hub != nil {
 		d.hub.Close()
--- a/internal/host/kqdaemon/receiver.go
+++ b/internal/host/kqdaemon/receiver.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"kumquatglade/internal/admin/kqadmin"
+	"kumquatglade/internal/call/kqkeyed"
 	"kumquatglade/internal/route/kqannounce"
 	"kumquatglade/internal/state/kqcontrol"
 	"kumquatglade/internal/state/kqfeed"
@@ -71,6 +72,10 @@
 		if d.roster != nil {
 			return d.roster.Answer(peer, body)
 		}
+	case kqkeyed.MethodClaim, kqkeyed.MethodKeep, kqkeyed.MethodRelease, kqkeyed.MethodCopy:
+		if d.keeper != nil {
+			return d.keeper.Answer(kind, body)
+		}
 	case kqadmin.MethodStatus, kqadmin.MethodAccount, kqadmin.MethodEvents:
 		if d.admin != nil {
 			return d.admin.Answer(kind, body)
--- /dev/null
+++ b/internal/route/kqguard/choose.go
@@ -0,0 +1,41 @@
+package kqguard
+
+import (
+	"cmp"
+	"slices"
+
+	"kumquatglade/internal/state/kqcontract"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// guards of one key, if there are so many hosts.
+const guards = 3
+
+// Majority returns how many of a key's guards must hold a claim, for a list of
+// so many hosts.
+func Majority(hosts int) int {
+	return min(hosts, guards)/2 + 1
+}
+
+// Choose returns the guards of a key: by rendezvous hashing, in different
+// failure domains as far as there are enough.
+func Choose(key string, hosts []kqcontract.Host) []string {
+	order := slices.Clone(hosts)
+	weight := func(h kqcontract.Host) uint64 { return xxhash.Sum64String(key + "|" + h.Name) }
+	slices.SortFunc(order, func(a, b kqcontract.Host) int {
+		return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a.Name, b.Name))
+	})
+	var names, rest []string
+	domains := map[string]bool{}
+	for _, h := range order {
+		if domains[h.Domain] {
+			rest = append(rest, h.Name)
+			continue
+		}
+		domains[h.Domain] = true
+		names = append(names, h.Name)
+	}
+	names = append(names, rest...)
+	return names[:min(len(names), guards)]
+}
--- a/internal/scenario/kqscenario/scenario_test.go
+++ b/internal/scenario/kqscenario/scenario_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -91,17 +92,18 @@
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]+".json"), []byte(text), 0o600))
 }
 
-// retry repeats a command until it succeeds and its output holds a word:
+// retry repeats a command until it succeeds and its output matches an expression:
 //
-//	retry WORD COMMAND ARGS...
+//	retry EXPRESSION COMMAND ARGS...
 //
-// With ! it repeats until the output does not hold the word.
+// With ! it repeats until the output does not match.
 func retry(ts *testscript.TestScript, neg bool, args []string) {
 	until := time.Now().Add(retryLimit)
 	for {
 		err := ts.Exec(args[1], args[2:]...)
 		out := ts.ReadFile("stdout") + ts.ReadFile("stderr")
-		if neg && err == nil && !strings.Contains(out, args[0]) || !neg && strings.Contains(out, args[0]) {
+		found := regexp.MustCompile("(?m)" + args[0]).MatchString(out)
+		if neg && err == nil && !found || !neg && found {
 			return
 		}
 		if time.Now().After(until) {
--- a/internal/state/kqcontract/state.go
+++ b/internal/state/kqcontract/state.go
@@ -119,6 +119,7 @@
 	Owners   map[string]*Record `json:"owners"`
 	Hosts    Hosts              `json:"hosts"`
 	HostLog  Record             `json:"hostLog"` // accepted versions of Hosts
+	Listed   uint64             `json:"listed"`  // revision at which Hosts last changed
 }
 
 // NewState returns the empty state at revision 0.
@@ -232,6 +233,7 @@
 }
 
 func (s *State) hostsChange() *Change {
+	s.Listed = s.Revision
 	h := s.Hosts
 	return &Change{Revision: s.Revision, Hosts: &h}
 }
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -46,6 +46,7 @@
 	joined  bool   // the subscription to hub is answered
 	held    []kqcontract.Change
 	lease   lease
+	fresh   bool // this host was in no list before
 	refused bool // the lease has run out
 }
 
@@ -78,6 +79,11 @@
 	return f.view.Load()
 }
 
+// New reports whether this host was in no host list before it started.
+func (f *Follower) New() bool {
+	return f.fresh // only read inside InForce, under the lock
+}
+
 // Known returns the newest view also when it must not be acted on.
 func (f *Follower) Known() *View {
 	return f.view.Load()
@@ -168,6 +174,7 @@
 	defer f.mu.Unlock()
 	f.lease.confirm(asked)
 	f.joined = true
+	f.fresh = f.fresh || s.New
 	f.take(s)
 	return true
 }
--- a/internal/state/kqfeed/hub.go
+++ b/internal/state/kqfeed/hub.go
@@ -114,15 +114,17 @@
 	if err := h.source.Confirm(ctx); err != nil {
 		return start{}, err
 	}
-	if err := h.admit(ctx, s.Host); err != nil {
+	added, err := h.admit(ctx, s.Host)
+	if err != nil {
 		return start{}, err
 	}
 	var out start
-	err := h.source.View(func(state *kqcontract.State) {
+	err = h.source.View(func(state *kqcontract.State) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.subs[peer] = true
 		out = h.startFor(s.Revision, state)
+		out.New = added
 	})
 	return out, err
 }
@@ -142,19 +144,21 @@
 	return start{View: &v}
 }
 
-// admit adds the host to the list in force unless it is there as it is.
-func (h *Hub) admit(ctx context.Context, host kqcontract.Host) error {
-	known := false
-	err := h.source.View(func(s *kqcontract.State) {
+// admit adds the host to the list in force unless it is there as it is; added
+// says that its name was in no list before.
+func (h *Hub) admit(ctx context.Context, host kqcontract.Host) (added bool, err error) {
+	same, named := false, false
+	err = h.source.View(func(s *kqcontract.State) {
 		for _, e := range s.Hosts.Entry {
-			known = known || e == host
+			same = same || e == host
+			named = named || e.Name == host.Name
 		}
 	})
-	if err != nil || known {
-		return err
+	if err != nil || same {
+		return false, err
 	}
 	_, err = h.source.Submit(ctx, kqcontract.Command{Op: kqcontract.OpJoin, Join: &host})
-	return err
+	return !named, err
 }
 
 // refresh confirms the state for the subscribers again and again.
--- a/internal/state/kqfeed/message.go
+++ b/internal/state/kqfeed/message.go
@@ -26,6 +26,7 @@
 type start struct {
 	View    *View               `json:"view,omitempty"`
 	Changes []kqcontract.Change `json:"changes,omitempty"`
+	New     bool                `json:"new,omitempty"` // the host was never listed before
 }
 
 // fresh says that the revision was confirmed by a quorum just now.
--- a/internal/state/kqfeed/view.go
+++ b/internal/state/kqfeed/view.go
@@ -12,11 +12,12 @@
 	Revision  uint64                          `json:"revision"`
 	Contracts map[string]*kqcontract.Contract `json:"contracts"`
 	Hosts     kqcontract.Hosts                `json:"hosts"`
+	Listed    uint64                          `json:"listed"` // revision at which Hosts last changed
 }
 
 // viewOf copies what entry hosts need of the state.
 func viewOf(s *kqcontract.State) View {
-	v := View{Revision: s.Revision, Contracts: map[string]*kqcontract.Contract{}, Hosts: s.Hosts}
+	v := View{Revision: s.Revision, Contracts: map[string]*kqcontract.Contract{}, Hosts: s.Hosts, Listed: s.Listed}
 	for owner, rec := range s.Owners {
 		if rec.Current != nil {
 			v.Contracts[owner] = rec.Current
@@ -29,7 +30,7 @@
 func (v View) with(c kqcontract.Change) View {
 	v.Revision = c.Revision
 	if c.Hosts != nil {
-		v.Hosts = *c.Hosts
+		v.Hosts, v.Listed = *c.Hosts, c.Revision
 	}
 	if c.Owner == "" {
 		return v
