Lend limits over the entry hosts; replace control hosts in the histories

Cause: limits were divided evenly over all entry hosts, so an owner whose calls come in at two hosts had two thirteenths of its contract. The histories did not replace control hosts.

The histories now swap control hosts for a spare. They found that a host that does not know the leader could never join (a member now passes its hello on), that a removed host never asked again, and that a removal before the promotion of its successor left two voters, which bear no failure (removals now wait until all wanted voters vote).

--- a/internal/call/kqcall/engine.go
+++ b/internal/call/kqcall/engine.go
@@ -31,6 +31,9 @@
 	Events  *kqevent.Recorder
 	Metrics metrics.Registry
 	Keeper  *kqkeyed.Keeper // claims keys, nil without guards
+	// Part returns the part of an owner's limits on a service that this host
+	// may use now.
+	Part func(owner, service string) float64
 	// View returns the view to act on, nil if this host must not serve.
 	View func() *kqfeed.View
 }
@@ -44,6 +47,7 @@
 	calls    atomic.Int64
 	entries  atomic.Int64 // entry hosts that share the targets' connections
 	stopping atomic.Bool
+	view     atomic.Pointer[kqfeed.View] // whose limits act here
 	busy     chan struct{}
 	done     chan struct{}
 	wait     sync.WaitGroup
--- a/internal/call/kqcall/engine_test.go
+++ b/internal/call/kqcall/engine_test.go
@@ -61,6 +61,7 @@
 	w.engine = NewEngine(Config{
 		Host: "e1", Domain: "a", Policy: kqpolicy.Expected{}, Clock: kqclock.System{}, Rand: rand.New(rand.NewPCG(1, 1)),
 		Events: kqevent.NewRecorder("e1", time.Now), Metrics: metrics.NewRegistry(), View: func() *kqfeed.View { return view },
+		Part: func(string, string) float64 { return 1 },
 	})
 	t.Cleanup(w.engine.Close)
 	w.engine.Enforce(nil, view)
--- a/internal/call/kqcall/grants.go
+++ b/internal/call/kqcall/grants.go
@@ -9,13 +9,9 @@
 
 // Enforce makes the limits of a newer view act on this host.
 func (e *Engine) Enforce(old, v *kqfeed.View) {
-	n := max(1, len(v.Hosts.Entry))
-	e.entries.Store(int64(n))
-	for owner, c := range v.Contracts {
-		for _, s := range c.Services {
-			e.Feed(kqdispatch.Granted{Owner: owner, Service: s, Share: evenShare(s, n)})
-		}
-	}
+	e.entries.Store(int64(max(1, len(v.Hosts.Entry))))
+	e.view.Store(v)
+	e.Regrant()
 	if old != nil {
 		e.revoke(old, v)
 	}
@@ -36,17 +32,38 @@
 	}
 }
 
-// evenShare is one host's part when all n hosts get the same. Whole numbers
-// are rounded down, so that the sum over hosts never exceeds the limit.
-func evenShare(s kqcontract.Service, n int) kqdispatch.Share {
+// Regrant makes the parts of all limits act that this host may use now.
+func (e *Engine) Regrant() {
+	v := e.view.Load()
+	if v == nil {
+		return
+	}
+	for owner, c := range v.Contracts {
+		for _, s := range c.Services {
+			part := e.cfg.Part(owner, s.Name)
+			e.Feed(kqdispatch.Granted{Owner: owner, Service: s, Share: shareOf(s, part)})
+		}
+	}
+}
+
+// shareOf is a part of all limits of a service. Whole numbers are rounded
+// down, so that the sum over hosts never exceeds the limit.
+func shareOf(s kqcontract.Service, part float64) kqdispatch.Share {
 	return kqdispatch.Share{
-		Rate:   s.Rate / float64(n),
-		Burst:  max(1, s.Burst/n),
-		Active: max(1, s.Active/n),
-		Queue:  s.Queue / n,
+		Rate:   s.Rate * part,
+		Burst:  int(float64(s.Burst) * part),
+		Active: int(float64(s.Active) * part),
+		Queue:  int(float64(s.Queue) * part),
 	}
 }
 
+// Usages returns what each owner uses of its limits on this host.
+func (e *Engine) Usages() []kqdispatch.Usage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dispatch.Usages(e.cfg.Clock.Now())
+}
+
 // TargetUpdated takes new facts of a target.
 func (e *Engine) TargetUpdated(r kqdirectory.Record) {
 	e.Feed(kqdispatch.Updated{Record: r})
--- /dev/null
+++ b/internal/call/kqlend/lender.go
@@ -0,0 +1,181 @@
+package kqlend
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	kq "kumquatglade"
+	"kumquatglade/internal/route/kqallot"
+	"kumquatglade/internal/route/kqdispatch"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MethodReport is the request from a host to the allocator.
+const MethodReport = "report"
+
+const (
+	checkEvery  = 25 * time.Millisecond // how late the end of a loan may be noticed
+	reportLimit = 400 * time.Millisecond
+	leastUse    = 1e-6
+)
+
+// Config constructs a Lender.
+type Config struct {
+	Link  kq.Link
+	Clock kq.Clock
+	// Preferred returns the hosts that callers of a service are sent to.
+	Preferred func(service string) []string
+	// Usages returns what owners need here.
+	Usages func() []kqdispatch.Usage
+	// Changed is called when the parts may have changed.
+	Changed func()
+}
+
+// Lender runs the allot reducer of one host.
+type Lender struct {
+	cfg  Config
+	ctx  context.Context
+	stop context.CancelFunc
+	wait sync.WaitGroup
+	poke chan struct{}
+
+	mu    sync.Mutex
+	allot *kqallot.Allot
+	hosts []string
+}
+
+// New returns a Lender; Run starts it.
+func New(cfg Config) *Lender {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Lender{
+		cfg: cfg, ctx: ctx, stop: stop, poke: make(chan struct{}, 1),
+		allot: kqallot.New(kqallot.Config{Host: cfg.Link.Host(), Preferred: cfg.Preferred}, cfg.Clock.Now()),
+	}
+}
+
+// Run reports until Close.
+func (l *Lender) Run() {
+	l.wait.Go(l.loop)
+}
+
+// Close stops the lender.
+func (l *Lender) Close() {
+	l.stop()
+	l.wait.Wait()
+}
+
+// Enforce takes the host list in force.
+func (l *Lender) Enforce(epoch uint64, hosts []string) {
+	l.mu.Lock()
+	l.hosts = hosts
+	l.allot.Reduce(l.cfg.Clock.Now(), kqallot.Listed{Epoch: epoch, Hosts: hosts})
+	l.mu.Unlock()
+}
+
+// Part returns the part of an owner's limits on a service that may be used now.
+func (l *Lender) Part(owner, service string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.allot.Part(kqallot.Key{Owner: owner, Service: service}, l.cfg.Clock.Now())
+}
+
+// loop reports now and then, and notices the end of a loan at once.
+func (l *Lender) loop() {
+	check := time.NewTicker(checkEvery)
+	defer check.Stop()
+	var reported time.Time
+	ended := false
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-l.poke:
+			reported = time.Time{}
+		case <-check.C:
+		}
+		now := l.cfg.Clock.Now()
+		l.mu.Lock()
+		over := !now.Before(l.allot.Expiry())
+		l.mu.Unlock()
+		if over && !ended {
+			l.cfg.Changed()
+		}
+		ended = over
+		if now.Sub(reported) >= kqallot.ReportEvery {
+			reported = now
+			l.report(now)
+		}
+	}
+}
+
+func (l *Lender) report(now time.Time) {
+	usages := l.cfg.Usages()
+	l.mu.Lock()
+	up := map[string]bool{}
+	for _, h := range l.hosts {
+		up[h] = l.cfg.Link.Up(h)
+	}
+	effects := l.allot.Reduce(now, kqallot.Tick{Up: up, Demands: demands(usages)})
+	l.mu.Unlock()
+	l.perform(effects)
+}
+
+func demands(usages []kqdispatch.Usage) []kqallot.Demand {
+	var list []kqallot.Demand
+	for _, u := range usages {
+		d := kqallot.Demand{Key: kqallot.Key{Owner: u.Owner, Service: u.Service}, Want: max(u.Rate, u.Need), InUse: u.Active}
+		if d.Want > leastUse {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+func (l *Lender) perform(effects []kqallot.Effect) {
+	for _, eff := range effects {
+		switch eff := eff.(type) {
+		case kqallot.Send:
+			l.wait.Go(func() { l.send(eff) })
+		case kqallot.Changed:
+			l.cfg.Changed()
+		case kqallot.Again:
+			select {
+			case l.poke <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+func (l *Lender) send(eff kqallot.Send) {
+	ctx, cancel := context.WithTimeout(l.ctx, reportLimit)
+	defer cancel()
+	sent := l.cfg.Clock.Now()
+	var loan kqallot.Loan
+	if err := l.cfg.Link.Call(ctx, eff.To, MethodReport, eff.Report, &loan); err != nil {
+		return // the next report asks again
+	}
+	l.mu.Lock()
+	effects := l.allot.Reduce(l.cfg.Clock.Now(), kqallot.Lent{From: eff.To, Sent: sent, Loan: loan})
+	l.mu.Unlock()
+	l.perform(effects)
+}
+
+// Answer handles a report of another host.
+func (l *Lender) Answer(peer string, body json.RawMessage) (any, error) {
+	var r kqallot.Report
+	if err := json.Unmarshal(body, &r); err != nil || r.From != peer {
+		return nil, errors.Newf("lend: report of %s is malformed", peer)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, eff := range l.allot.Reduce(l.cfg.Clock.Now(), kqallot.Reported{Report: r}) {
+		if reply, ok := eff.(kqallot.Reply); ok {
+			return reply.Loan, nil
+		}
+	}
+	return nil, errors.New("lend: no reply")
+}
--- a/internal/host/kqdaemon/daemon.go
+++ b/internal/host/kqdaemon/daemon.go
@@ -11,6 +11,7 @@
 	"kumquatglade/internal/admin/kqadmin"
 	"kumquatglade/internal/call/kqcall"
 	"kumquatglade/internal/call/kqkeyed"
+	"kumquatglade/internal/call/kqlend"
 	"kumquatglade/internal/host/kqclock"
 	"kumquatglade/internal/host/kqdisk"
 	"kumquatglade/internal/host/kqevent"
@@ -18,6 +19,7 @@
 	"kumquatglade/internal/host/kqsettings"
 	"kumquatglade/internal/peer/kqlink"
 	"kumquatglade/internal/route/kqannounce"
+	"kumquatglade/internal/route/kqdispatch"
 	"kumquatglade/internal/route/kqpolicy"
 	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqcontrol"
@@ -56,6 +58,7 @@
 	roster   *kqannounce.Roster
 	engine   *kqcall.Engine
 	keeper   *kqkeyed.Keeper
+	lender   *kqlend.Lender
 
 	admin   *kqadmin.Server
 	servers []*http.Server
@@ -125,6 +128,7 @@
 	}
 	if d.follower != nil {
 		d.follower.Run()
+		d.lender.Run()
 	}
 	return d.listen()
 }
@@ -183,9 +187,13 @@
 		Calls: d.settings.Listen.Calls, Peers: d.settings.Listen.Peers,
 	}
 	d.keeper = kqkeyed.New(kqkeyed.Config{Link: d.mesh, Clock: kqclock.System{}, Events: d.events})
+	d.lender = kqlend.New(kqlend.Config{
+		Link: d.mesh, Clock: kqclock.System{}, Preferred: d.preferred,
+		Usages: func() []kqdispatch.Usage { return d.engine.Usages() }, Changed: func() { d.engine.Regrant() },
+	})
 	d.engine = kqcall.NewEngine(kqcall.Config{
 		Host: d.settings.Host, Domain: d.settings.Domain, Policy: policy, Plain: d.opts.Plain, Clock: kqclock.System{}, Rand: seeded(),
-		Events: d.events, Metrics: d.metrics, Keeper: d.keeper, View: func() *kqfeed.View { return d.follower.View() },
+		Events: d.events, Metrics: d.metrics, Keeper: d.keeper, Part: d.lender.Part, View: func() *kqfeed.View { return d.follower.View() },
 	})
 	d.roster = kqannounce.NewRoster(kqannounce.Config{
 		Host: d.settings.Host, Link: d.mesh, Clock: kqclock.System{}, Events: d.events, Metrics: d.metrics,
@@ -199,6 +207,7 @@
 		Host: self, Controls: d.controls(), Link: d.mesh, Clock: kqclock.System{},
 		Log: d.log.Part("feed"), Events: d.events,
 		InForce: func(v *kqfeed.View) {
+			d.lender.Enforce(v.Listed, entryNames(v))
 			d.engine.Enforce(old, v)
 			d.keeper.Enforce(v.Listed, v.Hosts.Entry, d.follower.New())
 			old = v
@@ -272,6 +281,7 @@
 		d.roster.Close()
 		d.engine.Close()
 		d.keeper.Close()
+		d.lender.Close()
 	}
 	if d.hub != nil {
 		d.hub.Close()
--- a/internal/host/kqdaemon/peers.go
+++ b/internal/host/kqdaemon/peers.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"kumquatglade/internal/admin/kqadmin"
+	"kumquatglade/internal/state/kqfeed"
 	"kumquatglade/internal/state/kqreplica"
 )
 
@@ -59,6 +60,27 @@
 	return addrs
 }
 
+func entryNames(v *kqfeed.View) []string {
+	names := make([]string, len(v.Hosts.Entry))
+	for i, h := range v.Hosts.Entry {
+		names[i] = h.Name
+	}
+	return names
+}
+
+// preferred returns the entry hosts that callers of a service are sent to.
+func (d *Daemon) preferred(service string) []string {
+	v := d.follower.Known()
+	if v == nil {
+		return nil
+	}
+	var names []string
+	for _, h := range d.roster.Preferred(v, service) {
+		names = append(names, h.Name)
+	}
+	return names
+}
+
 func (d *Daemon) dialPeers() {
 	select {
 	case <-d.ready:
--- a/internal/host/kqdaemon/receiver.go
+++ b/internal/host/kqdaemon/receiver.go
@@ -6,6 +6,7 @@
 
 	"kumquatglade/internal/admin/kqadmin"
 	"kumquatglade/internal/call/kqkeyed"
+	"kumquatglade/internal/call/kqlend"
 	"kumquatglade/internal/route/kqannounce"
 	"kumquatglade/internal/state/kqcontrol"
 	"kumquatglade/internal/state/kqfeed"
@@ -76,6 +77,10 @@
 		if d.keeper != nil {
 			return d.keeper.Answer(kind, body)
 		}
+	case kqlend.MethodReport:
+		if d.lender != nil {
+			return d.lender.Answer(peer, body)
+		}
 	case kqadmin.MethodStatus, kqadmin.MethodAccount, kqadmin.MethodEvents:
 		if d.admin != nil {
 			return d.admin.Answer(kind, body)
--- a/internal/route/kqannounce/handlers.go
+++ b/internal/route/kqannounce/handlers.go
@@ -147,11 +147,7 @@
 	if _, ok := contract.Service(service); !ok {
 		return refuse(c, http.StatusNotFound, "service", "")
 	}
-	rate := rateOf(v, service)
-	if r.cfg.Wide {
-		rate = math.Inf(1)
-	}
-	hosts := kqresolve.Entries(kqresolve.Question{Service: service, Rate: rate, Hosts: r.usable(v)})
+	hosts := r.Preferred(v, service)
 	out := resolution{Entries: []entryItem{}, Hold: hold().String()}
 	for _, h := range hosts {
 		out.Entries = append(out.Entries, entryItem{Addr: h.Calls, Domain: h.Domain})
@@ -159,6 +155,15 @@
 	return c.JSON(http.StatusOK, out)
 }
 
+// Preferred returns the entry hosts that callers of a service are sent to.
+func (r *Roster) Preferred(v *kqfeed.View, service string) []kqcontract.Host {
+	rate := rateOf(v, service)
+	if r.cfg.Wide {
+		rate = math.Inf(1)
+	}
+	return kqresolve.Entries(kqresolve.Question{Service: service, Rate: rate, Hosts: r.usable(v)})
+}
+
 // hold spreads the times at which callers ask again.
 func hold() time.Duration {
 	return (kqresolve.Hold*9/10 + rand.N(kqresolve.Hold/5)).Round(time.Millisecond)
--- a/internal/route/kqdispatch/dispatch.go
+++ b/internal/route/kqdispatch/dispatch.go
@@ -169,6 +169,7 @@
 		return
 	}
 	c.service = d.serviceOf(in.Service)
+	c.grant.arrived++
 	if wait, ok := c.grant.bucket.Take(now); !ok {
 		d.refuse(c, ReasonRate, wait)
 		return
--- a/internal/route/kqdispatch/grant.go
+++ b/internal/route/kqdispatch/grant.go
@@ -13,20 +13,23 @@
 
 // grant is what one owner may do on one service from this host.
 type grant struct {
-	owner   string
-	terms   kqcontract.Service
-	share   Share
-	bucket  *kqlimit.Bucket
-	retries *kqlimit.Budget
-	hedges  *kqlimit.Budget
-	active  int     // calls in progress
-	waiting []*call // oldest first
-	tag     float64 // virtual finish time of the owner's newest call
+	owner    string
+	terms    kqcontract.Service
+	share    Share
+	bucket   *kqlimit.Bucket
+	retries  *kqlimit.Budget
+	hedges   *kqlimit.Budget
+	active   int     // calls in progress
+	waiting  []*call // oldest first
+	arrived  int     // calls since the last measurement
+	arrivals float64 // calls a second, smoothed
+	measured time.Time
+	tag      float64 // virtual finish time of the owner's newest call
 }
 
 func newGrant(owner string, now time.Time) *grant {
 	return &grant{
-		owner: owner, bucket: kqlimit.NewBucket(now),
+		owner: owner, measured: now, bucket: kqlimit.NewBucket(now),
 		retries: kqlimit.NewBudget(savedSends), hedges: kqlimit.NewBudget(savedSends),
 	}
 }
@@ -36,8 +39,36 @@
 	g.bucket.Set(now, ev.Share.Rate, ev.Share.Burst)
 }
 
-// usage is what one grant uses now, for the owner's account and for lending.
-type usage struct {
-	Active  int
-	Waiting int
+// Usage is what one owner needs of its limits on one service from this host.
+type Usage struct {
+	Owner   string
+	Service string
+	Rate    float64 // part of the whole rate that arrives here
+	Active  float64 // part of all calls in progress that are here
+	Need    float64 // the same with the calls that wait or were refused
+}
+
+// usageGain is the weight of the newest interval in the smoothed arrivals.
+const usageGain = 0.5
+
+// usage measures the arrivals since the last measurement.
+func (g *grant) usage(now time.Time) Usage {
+	if took := now.Sub(g.measured).Seconds(); took > 0 {
+		g.arrivals += usageGain * (float64(g.arrived)/took - g.arrivals)
+	}
+	g.measured, g.arrived = now, 0
+	limit := float64(g.terms.Active)
+	return Usage{
+		Owner: g.owner, Service: g.terms.Name, Rate: g.arrivals / g.terms.Rate,
+		Active: float64(g.active) / limit, Need: float64(g.active+len(g.waiting)) / limit,
+	}
+}
+
+// Usages returns the usage of all owners since it was last asked.
+func (d *Dispatch) Usages(now time.Time) []Usage {
+	list := make([]Usage, 0, len(d.grants))
+	for _, g := range d.grants {
+		list = append(list, g.usage(now))
+	}
+	return list
 }
--- a/internal/route/kqdispatch/target.go
+++ b/internal/route/kqdispatch/target.go
@@ -13,6 +13,8 @@
 	othersGain   = 0.1                    // weight of a new sample in the mean load of others
 	othersDecay  = 30 * time.Millisecond  // age at which a load sample has lost most of its worth
 	latencyDecay = 5 * time.Second        // age at which a latency sample has lost most of its worth
+	meanDecay    = time.Second            // age at which the mean load of others has lost most of its worth
+	overcommit   = 0.5                    // calls beyond the slots that a target is given
 	reportHolds  = 500 * time.Millisecond // a load on an answer beats announced loads so long
 	downTime     = time.Second            // no sends so long after a failed connect
 
@@ -112,8 +114,9 @@
 
 // elsewhere estimates the slots that other hosts keep busy now.
 func (t *target) elsewhere(now time.Time) float64 {
-	worth := math.Exp(-float64(now.Sub(t.othersAt)) / float64(othersDecay))
-	return t.othersM + (t.others-t.othersM)*worth
+	age := float64(now.Sub(t.othersAt))
+	worth := math.Exp(-age / float64(othersDecay))
+	return (t.othersM + (t.others-t.othersM)*worth) * math.Exp(-age/float64(meanDecay))
 }
 
 // sample takes the latency of one answer.
@@ -168,7 +171,7 @@
 
 // free reports whether one more call would find a slot.
 func (t *target) free(now time.Time) bool {
-	return float64(len(t.open))+t.elsewhere(now)+0.5 < float64(t.slots())
+	return float64(len(t.open))+t.elsewhere(now) < float64(t.slots())+overcommit
 }
 
 func (t *target) candidate(typical float64, now time.Time) kq.Candidate {
--- a/internal/state/kqreplica/elect.go
+++ b/internal/state/kqreplica/elect.go
@@ -19,7 +19,8 @@
 		if r.elapsed >= r.timeout {
 			r.campaign()
 		}
-		if r.elapsed%helloTicks == 0 && !r.counts(r.cfg.Host, r.run.Incarnation) {
+		// A host that was removed may not know it: without a leader it asks too.
+		if r.elapsed%helloTicks == 0 && (r.leader == "" || !r.counts(r.cfg.Host, r.run.Incarnation)) {
 			r.sayHello()
 		}
 	}
--- a/internal/state/kqreplica/follow.go
+++ b/internal/state/kqreplica/follow.go
@@ -44,6 +44,8 @@
 		r.onAppend(from, m)
 	case kindSnapshot:
 		r.onSnapshot(from, m)
+	case kindJoin:
+		r.onJoin(m)
 	case kindRead:
 		r.onRead(from, m)
 	case kindReadable:
--- a/internal/state/kqreplica/form.go
+++ b/internal/state/kqreplica/form.go
@@ -31,12 +31,28 @@
 		r.sendFound(from)
 		return
 	}
-	if r.role == Leader {
+	switch {
+	case r.role == Leader:
 		r.joiners[from] = run.Incarnation
+	case r.leader != "":
+		// The host may not know the leader, whom the settings need not name.
+		asks := Member{Host: from, Incarnation: run.Incarnation}
+		r.send(r.leader, Message{Kind: kindJoin, Cluster: r.meta.Cluster, Members: []Member{asks}})
 	}
 	r.send(from, Message{Kind: kindPresent, Cluster: r.meta.Cluster})
 }
 
+// onJoin takes a host that said hello to another member.
+func (r *Replica) onJoin(m Message) {
+	if r.role != Leader || len(m.Members) != 1 {
+		return
+	}
+	asks := m.Members[0]
+	if !r.counts(asks.Host, asks.Incarnation) {
+		r.joiners[asks.Host] = asks.Incarnation
+	}
+}
+
 // sendFound tells a founding member, or one admitted later, its cluster. The
 // founding list goes along while the log still holds it: without it nobody
 // could vote for the first leader.
--- a/internal/state/kqreplica/history_test.go
+++ b/internal/state/kqreplica/history_test.go
@@ -113,6 +113,7 @@
 
 func newRun(seed uint64, mutant mutation) *run {
 	r := &run{world: newWorld(seed, mutant, "a", "b", "c"), known: map[string]uint64{}, hashes: map[string]string{}}
+	r.start(r.addHost("d")) // a spare
 	r.onOut = r.out
 	r.rate = 60 << r.rng.IntN(4)
 	for i := range 4 {
@@ -262,6 +263,8 @@
 		r.loseOne()
 	case 6:
 		r.overtake()
+	case 7:
+		r.replace()
 	}
 	r.repaired()
 }
@@ -314,15 +317,51 @@
 	if l := r.leader(); l == nil || !r.allCount(l) {
 		return
 	}
-	n := r.pick()
+	names := r.wanted(r.leader())
+	n := r.nodes[names[r.rng.IntN(len(names))]]
 	r.crash(n, 3+r.rng.IntN(20))
 	r.lose(n)
 	r.lostOne = n
 }
 
-// allCount reports whether all hosts are voters and hold what is committed.
+// replace asks for another set of three control hosts.
+func (r *run) replace() {
+	l := r.leader()
+	if r.lostOne != nil || l == nil || !r.allCount(l) {
+		return
+	}
+	names := slices.Clone(r.names)
+	r.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	h := kqcontract.Hosts{Version: uint64(len(l.machine.state.HostLog.Accepted)) + 1}
+	for _, n := range names[:3] {
+		h.Control = append(h.Control, kqcontract.Control(want(n)))
+	}
+	data, err := json.Marshal(kqcontract.Command{Op: kqcontract.OpHosts, Hosts: &h, Time: time.Unix(0, 0)})
+	if err != nil {
+		panic(err)
+	}
+	r.feed(l, Propose{ID: "replace", Data: data})
+}
+
+// wanted returns the names of the control hosts that the leader works towards.
+func (r *run) wanted(l *node) []string {
+	list := l.machine.Wanted()
+	if list == nil {
+		list = r.hosts
+	}
+	var names []string
+	for _, w := range list {
+		names = append(names, w.Host)
+	}
+	return names
+}
+
+// allCount reports whether exactly the wanted hosts are voters.
 func (r *run) allCount(l *node) bool {
-	for _, name := range r.names {
+	if len(l.replica.members) != 3 {
+		return false
+	}
+	for _, name := range r.wanted(l) {
 		m, ok := find(l.replica.members, name)
 		if !ok || !m.Voter || m.Incarnation != r.nodes[name].meta.Incarnation {
 			return false
@@ -383,7 +422,7 @@
 		if l == nil || !r.allCount(l) {
 			return false
 		}
-		return !slices.ContainsFunc(r.names, func(name string) bool {
+		return !slices.ContainsFunc(r.wanted(l), func(name string) bool {
 			n := r.nodes[name]
 			return !n.up || n.replica.applied != l.replica.log.last()
 		})
@@ -391,7 +430,7 @@
 	if !r.until(2000, equal) {
 		return notEqual
 	}
-	for _, name := range r.names {
+	for _, name := range r.wanted(r.leader()) {
 		if r.nodes[name].machine.state.Digest() != r.leader().machine.state.Digest() {
 			return "states differ at the same index"
 		}
--- a/internal/state/kqreplica/lead.go
+++ b/internal/state/kqreplica/lead.go
@@ -243,6 +243,9 @@
 			return next
 		}
 	}
+	if !r.allVote(want) {
+		return nil // a removal before would leave too few to bear a failure
+	}
 	for _, m := range r.members {
 		if !slices.ContainsFunc(want, func(w Want) bool { return w.Host == m.Host }) {
 			return without(r.members, m.Host)
@@ -251,6 +254,14 @@
 	return nil
 }
 
+// allVote reports whether every wanted voter is a voter.
+func (r *Replica) allVote(want []Want) bool {
+	return !slices.ContainsFunc(want, func(w Want) bool {
+		m, ok := find(r.members, w.Host)
+		return w.Voter && !(ok && m.Voter)
+	})
+}
+
 // demoteLost makes a non-voter of a host that lost its data folder or a part.
 func (r *Replica) demoteLost() []Member {
 	for _, m := range r.members {
--- a/internal/state/kqreplica/world_test.go
+++ b/internal/state/kqreplica/world_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"kumquatglade/internal/fake/kqfake"
@@ -84,7 +85,7 @@
 	rng    *rand.Rand
 	batch  int
 	mutant mutation
-	hosts  []Want
+	hosts  []Want // the founding control hosts
 	nodes  map[string]*node
 	names  []string
 	queue  []packet
@@ -100,6 +101,7 @@
 	w.batch = 1 + w.rng.IntN(4)
 	for _, n := range names {
 		w.addHost(n)
+		w.hosts = append(w.hosts, want(n))
 	}
 	for _, n := range names {
 		w.start(w.nodes[n])
@@ -109,12 +111,15 @@
 
 func (w *world) addHost(name string) *node {
 	n := &node{name: name, disk: kqfake.NewDisk(w.rng)}
-	w.hosts = append(w.hosts, Want{Host: name, Domain: name, Peers: "127.0.0.1:1", Voter: true})
 	w.nodes[name] = n
 	w.names = append(w.names, name)
 	return n
 }
 
+func want(name string) Want {
+	return Want{Host: name, Domain: name, Peers: "127.0.0.1:1", Voter: true}
+}
+
 func (w *world) word() string {
 	return fmt.Sprintf("%08x", w.rng.Uint32())
 }
@@ -128,9 +133,13 @@
 	if w.mutant == lostVotes && loaded.Meta.Cluster == "" && n.meta.Cluster != "" {
 		loaded.Meta = kqjournal.Meta{Cluster: n.meta.Cluster, Incarnation: n.meta.Incarnation, Boot: n.meta.Boot, Term: 1}
 	}
+	hosts := w.hosts
+	if !slices.ContainsFunc(hosts, func(h Want) bool { return h.Host == n.name }) {
+		hosts = append(slices.Clone(hosts), want(n.name))
+	}
 	n.journal, n.machine = journal, &testMachine{state: kqcontract.NewState()}
 	r, effects, err := New(Config{
-		Host: n.name, Hosts: w.hosts, Token: w.word(), Cluster: w.word(), Loaded: loaded, Machine: n.machine, Rand: w.rng, Batch: w.batch,
+		Host: n.name, Hosts: hosts, Token: w.word(), Cluster: w.word(), Loaded: loaded, Machine: n.machine, Rand: w.rng, Batch: w.batch,
 	})
 	if err != nil {
 		panic(err)
