--- a/internal/bench/kqtarget/serve.go
+++ b/internal/bench/kqtarget/serve.go
@@ -97,7 +97,9 @@
 		return
 	}
 	if !t.acquire(r.Context()) {
-		t.shed(w)
+		if r.Context().Err() == nil {
+			t.shed(w)
+		}
 		return
 	}
 	defer t.release()
--- a/internal/call/kqcall/engine.go
+++ b/internal/call/kqcall/engine.go
@@ -24,8 +24,8 @@
 type Config struct {
 	Host    string
 	Domain  string
-	Policy  kq.Policy
-	Plain   bool // see kqdispatch.Config
+	Policy  func() kq.Policy // a new policy for each service
+	Plain   bool             // see kqdispatch.Config
 	Clock   kq.Clock
 	Rand    *rand.Rand
 	Events  *kqevent.Recorder
--- a/internal/call/kqlend/lender.go
+++ b/internal/call/kqlend/lender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"sync"
 	"time"
 
@@ -17,6 +18,9 @@
 const MethodReport = "report"
 
 const (
+	calmEvery   = time.Second           // between two reports while demand stays as it is
+	calmChange  = 0.2                   // part by which demand may change meanwhile
+	calmLeast   = 0.005                 // part of a limit that is no change
 	checkEvery  = 25 * time.Millisecond // how late the end of a loan may be noticed
 	reportLimit = 400 * time.Millisecond
 	leastUse    = 1e-6
@@ -45,6 +49,10 @@
 	mu    sync.Mutex
 	allot *kqallot.Allot
 	hosts []string
+
+	// The fields below belong to the loop.
+	reported time.Time
+	last     map[kqallot.Key]float64 // demand of the last report
 }
 
 // New returns a Lender; Run starts it.
@@ -86,14 +94,13 @@
 func (l *Lender) loop() {
 	check := time.NewTicker(checkEvery)
 	defer check.Stop()
-	var reported time.Time
 	ended := false
 	for {
 		select {
 		case <-l.ctx.Done():
 			return
 		case <-l.poke:
-			reported = time.Time{}
+			l.reported = time.Time{}
 		case <-check.C:
 		}
 		now := l.cfg.Clock.Now()
@@ -104,25 +111,42 @@
 			l.cfg.Changed()
 		}
 		ended = over
-		if now.Sub(reported) >= kqallot.ReportEvery {
-			reported = now
+		if now.Sub(l.reported) >= kqallot.ReportEvery {
 			l.report(now)
 		}
 	}
 }
 
 func (l *Lender) report(now time.Time) {
-	usages := l.cfg.Usages()
+	list := demands(l.cfg.Usages())
+	if l.calm(list) && now.Sub(l.reported) < calmEvery {
+		return
+	}
+	l.reported = now
+	l.last = map[kqallot.Key]float64{}
+	for _, d := range list {
+		l.last[d.Key] = d.Want
+	}
 	l.mu.Lock()
 	up := map[string]bool{}
 	for _, h := range l.hosts {
 		up[h] = l.cfg.Link.Up(h)
 	}
-	effects := l.allot.Reduce(now, kqallot.Tick{Up: up, Demands: demands(usages)})
+	effects := l.allot.Reduce(now, kqallot.Tick{Up: up, Demands: list})
 	l.mu.Unlock()
 	l.perform(effects)
 }
 
+// calm reports whether demand is about as in the last report.
+func (l *Lender) calm(list []kqallot.Demand) bool {
+	for _, d := range list {
+		if change := math.Abs(d.Want - l.last[d.Key]); change > calmLeast && change > calmChange*l.last[d.Key] {
+			return false
+		}
+	}
+	return true
+}
+
 func demands(usages []kqdispatch.Usage) []kqallot.Demand {
 	var list []kqallot.Demand
 	for _, u := range usages {
--- a/internal/host/kqdaemon/daemon.go
+++ b/internal/host/kqdaemon/daemon.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	kq "kumquatglade"
 	"kumquatglade/internal/admin/kqadmin"
 	"kumquatglade/internal/call/kqcall"
 	"kumquatglade/internal/call/kqkeyed"
@@ -178,8 +179,7 @@
 }
 
 func (d *Daemon) startEntry() error {
-	policy, ok := kqpolicy.New(d.opts.Policy)
-	if !ok {
+	if _, ok := kqpolicy.New(d.opts.Policy); !ok {
 		return errors.Newf("policy %q is unknown", d.opts.Policy)
 	}
 	self := kqcontract.Host{
@@ -192,7 +192,7 @@
 		Usages: func() []kqdispatch.Usage { return d.engine.Usages() }, Changed: func() { d.engine.Regrant() },
 	})
 	d.engine = kqcall.NewEngine(kqcall.Config{
-		Host: d.settings.Host, Domain: d.settings.Domain, Policy: policy, Plain: d.opts.Plain, Clock: kqclock.System{}, Rand: seeded(),
+		Host: d.settings.Host, Domain: d.settings.Domain, Policy: d.newPolicy, Plain: d.opts.Plain, Clock: kqclock.System{}, Rand: seeded(),
 		Events: d.events, Metrics: d.metrics, Keeper: d.keeper, Part: d.lender.Part, View: func() *kqfeed.View { return d.follower.View() },
 	})
 	d.roster = kqannounce.NewRoster(kqannounce.Config{
@@ -217,6 +217,11 @@
 	return nil
 }
 
+func (d *Daemon) newPolicy() kq.Policy {
+	p, _ := kqpolicy.New(d.opts.Policy) // the name is checked at the start
+	return p
+}
+
 func (d *Daemon) startAdmin() {
 	var store kqcontrol.Store = kqcontrol.Remote{Link: d.mesh, Controls: d.controls(), Hub: d.hubHost}
 	if d.control != nil {
--- a/internal/peer/kqlink/mesh.go
+++ b/internal/peer/kqlink/mesh.go
@@ -283,6 +283,14 @@
 	return nil
 }
 
+// beatEvery returns the time between two heartbeats of a link, by the number
+// of links: the bytes of all heartbeats of a host do not grow with the system.
+func (m *Mesh) beatEvery() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return leastBeat * time.Duration(max(len(m.conns), manyLinks)) / manyLinks
+}
+
 func (m *Mesh) conn(peer string) *conn {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/peer/kqlink/peer.go
+++ b/internal/peer/kqlink/peer.go
@@ -17,10 +17,13 @@
 )
 
 const (
-	heartbeatEvery = 2 * time.Second
-	silentAfter    = 5 * time.Second
-	queueLength    = 4096 // one-way messages waiting for one peer
-	methodBeat     = "beat"
+	leastBeat   = 2 * time.Second // between two heartbeats of a link
+	manyLinks   = 16              // with more links heartbeats are further apart, so that their sum stays the same
+	silentBeats = 2.5             // heartbeats after which a link counts as silent
+	unackedTime = 5 * time.Second // unacknowledged data breaks a connection after this
+	queueLength = 4096            // one-way messages waiting for one peer
+	methodBeat  = "b"             // are you there
+	methodHere  = "h"             // answer to a heartbeat
 )
 
 // envelope carries a message with the sender's hybrid time.
@@ -37,7 +40,6 @@
 	rpc   *jsonrpc2.Conn
 	out   chan outgoing
 	heard atomic.Int64 // unix nanoseconds of the last message in
-	wrote atomic.Int64 // unix nanoseconds of the last message out
 	once  sync.Once
 }
 
@@ -66,7 +68,6 @@
 	c := &conn{mesh: m, peer: peer, raw: raw, out: make(chan outgoing, queueLength)}
 	now := time.Now().UnixNano()
 	c.heard.Store(now)
-	c.wrote.Store(now)
 	stream := jsonrpc2.NewBufferedStream(plain{raw, r}, codec{m.sent, m.received})
 	c.rpc = jsonrpc2.NewConn(context.Background(), stream, c, jsonrpc2.SetLogger(quiet{}))
 	return c
@@ -74,7 +75,8 @@
 
 // run serves the connection until it breaks.
 func (c *conn) run() {
-	beat := time.NewTicker(heartbeatEvery)
+	every := c.mesh.beatEvery()
+	beat := time.NewTicker(every)
 	defer beat.Stop()
 	defer c.rpc.Close()
 	for {
@@ -86,20 +88,27 @@
 				return
 			}
 		case now := <-beat.C:
-			if now.UnixNano()-c.heard.Load() > int64(silentAfter) {
+			if now.UnixNano()-c.heard.Load() > int64(silentBeats*float64(every)) {
 				c.mesh.log.Warnf("peer %s is silent", c.peer)
 				return
 			}
-			if now.UnixNano()-c.wrote.Load() < int64(heartbeatEvery)/2 {
-				continue
-			}
-			if err := c.notify(methodBeat, nil); err != nil {
-				return
+			if now.UnixNano()-c.heard.Load() >= int64(every)/2 {
+				if err := c.short(methodBeat); err != nil {
+					return
+				}
 			}
+			every = c.mesh.beatEvery()
+			beat.Reset(every)
 		}
 	}
 }
 
+// short sends a message without a body. A heartbeat and its answer serve both
+// ends: who has heard the other one lately sends none of its own.
+func (c *conn) short(method string) error {
+	return c.rpc.Notify(context.Background(), method, nil)
+}
+
 func (c *conn) wrap(body any) (envelope, error) {
 	e := envelope{Time: c.mesh.clock.Next()}
 	if body == nil {
@@ -115,7 +124,6 @@
 	if err != nil {
 		return err
 	}
-	c.wrote.Store(time.Now().UnixNano())
 	return c.rpc.Notify(context.Background(), kind, e)
 }
 
@@ -148,13 +156,15 @@
 		}
 	}
 	c.mesh.clock.Observe(e.Time)
-	if req.Notif {
-		if req.Method != methodBeat {
-			c.mesh.receiver.Receive(c.peer, req.Method, e.Body)
-		}
-		return
+	switch {
+	case req.Method == methodHere:
+	case req.Method == methodBeat:
+		rpc.Notify(ctx, methodHere, nil) //nolint:errcheck // the link tells
+	case req.Notif:
+		c.mesh.receiver.Receive(c.peer, req.Method, e.Body)
+	default:
+		go c.answer(ctx, rpc, req, e.Body)
 	}
-	go c.answer(ctx, rpc, req, e.Body)
 }
 
 func (c *conn) answer(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, body json.RawMessage) {
@@ -181,6 +191,6 @@
 		return
 	}
 	sys.Control(func(fd uintptr) { //nolint:errcheck // the heartbeat covers it
-		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentAfter.Milliseconds())) //nolint:errcheck // as above
+		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTime.Milliseconds())) //nolint:errcheck // as above
 	})
 }
--- a/internal/route/kqdirectory/directory.go
+++ b/internal/route/kqdirectory/directory.go
@@ -15,7 +15,7 @@
 
 	leaseTime  = 4 * time.Second  // without an announcement a target is gone
 	keepGone   = 60 * time.Second // late messages of a gone target are refused so long
-	digestTime = 10 * time.Second // between two comparisons of held records
+	digestTime = 30 * time.Second // between two comparisons of held records
 	maxRecords = 65536            // records held at most
 )
 
--- a/internal/route/kqdispatch/attempt.go
+++ b/internal/route/kqdispatch/attempt.go
@@ -30,7 +30,7 @@
 	for _, t := range usable {
 		d.list = append(d.list, t.candidate(c.service.typical, now))
 	}
-	return usable[d.cfg.Policy.Choose(d.list, d.cfg.Rand)]
+	return usable[c.service.policy.Choose(d.list, d.cfg.Rand)]
 }
 
 // usable returns the targets that the call may go to; the ejected ones stay
--- a/internal/route/kqdispatch/dispatch.go
+++ b/internal/route/kqdispatch/dispatch.go
@@ -14,9 +14,9 @@
 
 // Config constructs a Dispatch.
 type Config struct {
-	Domain string // failure domain of this host
-	Policy kq.Policy
-	Plain  bool // the policy alone decides, for experiments with baselines
+	Domain string           // failure domain of this host
+	Policy func() kq.Policy // a new policy for each service
+	Plain  bool             // the policy alone decides, for experiments with baselines
 	Rand   *rand.Rand
 }
 
@@ -100,7 +100,7 @@
 func (d *Dispatch) serviceOf(name string) *service {
 	s := d.services[name]
 	if s == nil {
-		s = &service{name: name}
+		s = &service{name: name, policy: d.cfg.Policy()}
 		d.services[name] = s
 	}
 	return s
--- a/internal/route/kqdispatch/queue.go
+++ b/internal/route/kqdispatch/queue.go
@@ -3,11 +3,14 @@
 import (
 	"math"
 	"time"
+
+	kq "kumquatglade"
 )
 
 // service is the targets and owners of one service on this host.
 type service struct {
 	name    string
+	policy  kq.Policy
 	targets []*target
 	grants  []*grant
 	virtual float64 // virtual time of the fair order between owners
--- a/internal/route/kqdispatch/target.go
+++ b/internal/route/kqdispatch/target.go
@@ -14,7 +14,7 @@
 	othersDecay  = 30 * time.Millisecond  // age at which a load sample has lost most of its worth
 	latencyDecay = 5 * time.Second        // age at which a latency sample has lost most of its worth
 	meanDecay    = time.Second            // age at which the mean load of others has lost most of its worth
-	overcommit   = 0.5                    // calls beyond the slots that a target is given
+	overcommit   = 3.0                    // calls beyond the slots that a target may be thought to have
 	reportHolds  = 500 * time.Millisecond // a load on an answer beats announced loads so long
 	downTime     = time.Second            // no sends so long after a failed connect
 
@@ -169,9 +169,11 @@
 	return n
 }
 
-// free reports whether one more call would find a slot.
+// free reports whether one more call may be sent: own calls never exceed the
+// slots, while the estimate of others' calls may be wrong by a few.
 func (t *target) free(now time.Time) bool {
-	return float64(len(t.open))+t.elsewhere(now) < float64(t.slots())+overcommit
+	slots := t.slots()
+	return len(t.open) < slots && float64(len(t.open))+t.elsewhere(now) < float64(slots)+overcommit
 }
 
 func (t *target) candidate(typical float64, now time.Time) kq.Candidate {
--- a/internal/route/kqpolicy/expected.go
+++ b/internal/route/kqpolicy/expected.go
@@ -12,6 +12,7 @@
 
 const (
 	unknownLatency = 0.005 // seconds, for a target that has not answered yet
+	alike          = 2.0   // latencies below so many times the typical one are noise
 	busyCost       = 0.25  // part of a service time that each busy share costs
 )
 
@@ -23,7 +24,7 @@
 
 func score(c kq.Candidate, typical float64) float64 {
 	latency := c.Latency
-	if latency <= 0 {
+	if latency < alike*typical {
 		latency = typical
 	}
 	slots := float64(c.Slots) * max(c.Weight, 0.01)
--- a/internal/state/kqreplica/follow.go
+++ b/internal/state/kqreplica/follow.go
@@ -54,6 +54,12 @@
 		if r.counts(from, run.Incarnation) {
 			r.stepDownFor(m)
 			r.onAppended(from, m)
+			return
+		}
+		// The host takes entries with a folder that the list does not name, and
+		// may believe by an older list that it does: it asks for nothing itself.
+		if _, ok := find(r.members, from); ok && r.role == Leader {
+			r.joiners[from] = run.Incarnation
 		}
 	case kindPreVote, kindVote:
 		r.onCandidate(from, run, m)
