--- a/internal/bench/kqfleet/fleet.go
+++ b/internal/bench/kqfleet/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -15,6 +14,7 @@
 	"kumquatglade/internal/host/kqdaemon"
 	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/host/kqsettings"
+	"kumquatglade/internal/peer/kqsocket"
 	"kumquatglade/internal/state/kqcontract"
 
 	"github.com/cockroachdb/errors"
@@ -83,7 +83,7 @@
 
 // settle writes the settings of all hosts.
 func (f *Fleet) settle() error {
-	addrs, err := freeAddrs(3 * (f.cfg.Control + f.cfg.Entries))
+	addrs, err := kqsocket.FreeAddrs(3 * (f.cfg.Control + f.cfg.Entries))
 	if err != nil {
 		return err
 	}
@@ -118,20 +118,6 @@
 	}}
 }
 
-// freeAddrs returns loopback addresses that were free a moment ago.
-func freeAddrs(n int) ([]string, error) {
-	var list []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		list = append(list, l.Addr().String())
-	}
-	return list, nil
-}
-
 // Up starts a host that is down.
 func (f *Fleet) Up(h *Host) error {
 	d, err := kqdaemon.StartWith(h.Settings, f.log, f.cfg.Options)
--- a/internal/bench/kqprocess/hosts.go
+++ b/internal/bench/kqprocess/hosts.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -14,6 +13,7 @@
 
 	"kumquatglade/internal/admin/kqclient"
 	"kumquatglade/internal/host/kqsettings"
+	"kumquatglade/internal/peer/kqsocket"
 
 	"github.com/cockroachdb/errors"
 )
@@ -32,13 +32,10 @@
 
 // WriteSettings writes the settings of a system into the folder.
 func WriteSettings(dir string, control, entries int, domains []string) error {
-	listeners, addrs, err := reserve(3 * (control + entries))
+	addrs, err := kqsocket.FreeAddrs(3 * (control + entries))
 	if err != nil {
 		return err
 	}
-	for _, l := range listeners {
-		defer l.Close()
-	}
 	take := func() string {
 		a := addrs[0]
 		addrs = addrs[1:]
@@ -73,20 +70,6 @@
 	return nil
 }
 
-func reserve(n int) ([]net.Listener, []string, error) {
-	var listeners []net.Listener
-	var addrs []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return listeners, nil, err
-		}
-		listeners = append(listeners, l)
-		addrs = append(addrs, l.Addr().String())
-	}
-	return listeners, addrs, nil
-}
-
 // Hosts is a system of processes.
 type Hosts struct {
 	Control []*Host
--- a/internal/call/kqforward/conn.go
+++ b/internal/call/kqforward/conn.go
@@ -63,18 +63,3 @@
 	})
 	return err == nil && quiet
 }
-
-// tune bounds how long unacknowledged data may wait.
-func tune(raw net.Conn) {
-	t, ok := raw.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	sys, err := t.SyscallConn()
-	if err != nil {
-		return
-	}
-	sys.Control(func(fd uintptr) { //nolint:errcheck // the deadline covers it
-		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTime.Milliseconds())) //nolint:errcheck // as above
-	})
-}
--- a/internal/call/kqforward/pool.go
+++ b/internal/call/kqforward/pool.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"kumquatglade/internal/peer/kqsocket"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -57,7 +59,7 @@
 		p.release(addr)
 		return nil, err
 	}
-	tune(raw)
+	kqsocket.BoundUnacked(raw, unackedTime)
 	return newConn(raw, addr), nil
 }
 
--- a/internal/host/kqmain/dev.go
+++ b/internal/host/kqmain/dev.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"time"
@@ -14,6 +13,7 @@
 	"kumquatglade/internal/host/kqdaemon"
 	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/host/kqsettings"
+	"kumquatglade/internal/peer/kqsocket"
 	"kumquatglade/internal/state/kqcontract"
 
 	"github.com/cockroachdb/errors"
@@ -62,7 +62,7 @@
 	if err != nil {
 		return kqsettings.Settings{}, err
 	}
-	ports, err := freePorts(3)
+	ports, err := kqsocket.FreeAddrs(3)
 	if err != nil {
 		return kqsettings.Settings{}, err
 	}
@@ -76,20 +76,6 @@
 	return s, s.Validate()
 }
 
-// freePorts returns loopback addresses that were free a moment ago.
-func freePorts(n int) ([]string, error) {
-	var addrs []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		addrs = append(addrs, l.Addr().String())
-	}
-	return addrs, nil
-}
-
 // devTarget applies the sample contract and starts the sample target.
 func devTarget(s kqsettings.Settings) (*kqtarget.Target, error) {
 	contract := kqcontract.Contract{Owner: devOwner, Version: 1, Services: []kqcontract.Service{{
--- a/internal/peer/kqlink/mesh.go
+++ b/internal/peer/kqlink/mesh.go
@@ -12,6 +12,7 @@
 	kq "kumquatglade"
 	"kumquatglade/internal/host/kqevent"
 	"kumquatglade/internal/host/kqlog"
+	"kumquatglade/internal/peer/kqsocket"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
@@ -157,7 +158,7 @@
 	defer raw.Close()
 	stop := context.AfterFunc(m.ctx, func() { raw.Close() })
 	defer stop()
-	tune(raw)
+	kqsocket.BoundUnacked(raw, unackedTime)
 	r := bufio.NewReader(raw)
 	peer, err := listenSide(raw, r, m.cfg.Host, m.cfg.Secret)
 	if err != nil {
@@ -274,7 +275,7 @@
 	defer raw.Close()
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	defer stop()
-	tune(raw)
+	kqsocket.BoundUnacked(raw, unackedTime)
 	r := bufio.NewReader(raw)
 	if err := dialSide(raw, r, m.cfg.Host, peer, m.cfg.Secret); err != nil {
 		return err
--- a/internal/peer/kqlink/peer.go
+++ b/internal/peer/kqlink/peer.go
@@ -13,7 +13,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -179,18 +178,3 @@
 	}
 	rpc.Reply(ctx, req.ID, e) //nolint:errcheck // the link tells
 }
-
-// tune bounds how long unacknowledged data may wait on a connection.
-func tune(raw net.Conn) {
-	t, ok := raw.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	sys, err := t.SyscallConn()
-	if err != nil {
-		return
-	}
-	sys.Control(func(fd uintptr) { //nolint:errcheck // the heartbeat covers it
-		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTime.Milliseconds())) //nolint:errcheck // as above
-	})
-}
--- /dev/null
+++ b/internal/peer/kqsocket/socket.go
@@ -0,0 +1,39 @@
+package kqsocket
+
+import (
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// BoundUnacked breaks the connection when sent data stays unacknowledged for
+// longer than d. Where the system does not take the bound, the heartbeats and
+// deadlines above still hold.
+func BoundUnacked(c net.Conn, d time.Duration) {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	sys, err := t.SyscallConn()
+	if err != nil {
+		return
+	}
+	sys.Control(func(fd uintptr) { //nolint:errcheck // see above
+		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds())) //nolint:errcheck // see above
+	})
+}
+
+// FreeAddrs returns n different loopback addresses that were free a moment ago.
+func FreeAddrs(n int) ([]string, error) {
+	var list []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		list = append(list, l.Addr().String())
+	}
+	return list, nil
+}
--- a/internal/scenario/kqscenario/scenario_test.go
+++ b/internal/scenario/kqscenario/scenario_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/signal"
 	"regexp"
@@ -15,6 +14,7 @@
 	"kumquatglade/internal/admin/kqcommand"
 	"kumquatglade/internal/bench/kqbench"
 	"kumquatglade/internal/host/kqmain"
+	"kumquatglade/internal/peer/kqsocket"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -53,13 +53,12 @@
 }
 
 func setup(env *testscript.Env) error {
-	for i := range ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		defer l.Close()
-		env.Setenv(fmt.Sprintf("A%d", i), l.Addr().String())
+	addrs, err := kqsocket.FreeAddrs(ports)
+	if err != nil {
+		return err
+	}
+	for i, a := range addrs {
+		env.Setenv(fmt.Sprintf("A%d", i), a)
 	}
 	env.Setenv("KUMQUAT_OPERATOR", operatorKey)
 	return nil
