Count limits and keyed filings at the targets; stop a leak in the rate

Cause: nothing showed the sum of a rate over hosts, nor the runs of keyed filings, where they count: at the targets.

The first run of limits found 245 calls in a second where 240 are allowed although the parts in use never passed 0.95: cancelling a reservation of the rate library gives tokens back that were never taken.

Following demand that jumps every 2 s is weak.

--- a/internal/bench/kqfleet/fleet.go
+++ b/internal/bench/kqfleet/fleet.go
@@ -50,6 +50,7 @@
 	Entries []*Host
 	Targets []*kqtarget.Target
 	log     *kqlog.Log
+	mu      sync.Mutex // guards the Daemon of every host
 }
 
 // Start starts all hosts and waits until every entry host serves.
@@ -124,15 +125,33 @@
 	if err != nil {
 		return errors.Wrapf(err, "start %s", h.Settings.Host)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	h.Daemon = d
 	return nil
 }
 
+// Running returns the daemons of the entry hosts that are up.
+func (f *Fleet) Running() []*kqdaemon.Daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []*kqdaemon.Daemon
+	for _, h := range f.Entries {
+		if h.Daemon != nil {
+			list = append(list, h.Daemon)
+		}
+	}
+	return list
+}
+
 // Down ends a host at once, as a crash would.
 func (f *Fleet) Down(h *Host) {
-	if h.Daemon != nil {
-		h.Daemon.Close()
-		h.Daemon = nil
+	f.mu.Lock()
+	d := h.Daemon
+	h.Daemon = nil
+	f.mu.Unlock()
+	if d != nil {
+		d.Close()
 	}
 }
 
--- a/internal/bench/kqtarget/serve.go
+++ b/internal/bench/kqtarget/serve.go
@@ -129,6 +129,7 @@
 	defer t.mu.Unlock()
 	t.stats.Runs++
 	t.stats.LastNew = time.Now()
+	t.tens[time.Now().UnixMilli()/100]++
 	if key != "" {
 		t.keys[key]++
 	}
--- a/internal/bench/kqtarget/target.go
+++ b/internal/bench/kqtarget/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -74,6 +75,7 @@
 	stats Stats
 	keys  map[string]int // runs by idempotency key
 	secs  map[int64]int  // probes by second
+	tens  map[int64]int  // runs by tenth of a second
 }
 
 // Start listens, serves and announces.
@@ -88,7 +90,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	t := &Target{
 		cfg: cfg, addr: l.Addr().String(), slots: make(chan struct{}, cfg.Slots), stop: stop,
-		keys: map[string]int{}, secs: map[int64]int{},
+		keys: map[string]int{}, secs: map[int64]int{}, tens: map[int64]int{},
 	}
 	t.slow.Store(100)
 	t.fault.Store(NoFault)
@@ -148,22 +150,21 @@
 func (t *Target) Keys() map[string]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[string]int, len(t.keys))
-	for k, n := range t.keys {
-		out[k] = n
-	}
-	return out
+	return maps.Clone(t.keys)
+}
+
+// RunsByTenth returns the calls that began in each tenth of a second of Unix time.
+func (t *Target) RunsByTenth() map[int64]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.tens)
 }
 
 // ProbesBySecond returns the probes taken in each second of Unix time.
 func (t *Target) ProbesBySecond() map[int64]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[int64]int, len(t.secs))
-	for s, n := range t.secs {
-		out[s] = n
-	}
-	return out
+	return maps.Clone(t.secs)
 }
 
 // serviceTime draws how long one call takes: half fixed, half exponential.
--- a/internal/host/kqdaemon/peers.go
+++ b/internal/host/kqdaemon/peers.go
@@ -159,3 +159,13 @@
 	}
 	return d.control.Leader() != ""
 }
+
+// GuardReady reports whether this host's guard answers.
+func (d *Daemon) GuardReady() bool {
+	return d.keeper != nil && d.keeper.Status().Ready
+}
+
+// LimitPart returns the part of an owner's limits that this host may use now.
+func (d *Daemon) LimitPart(owner, service string) float64 {
+	return d.lender.Part(owner, service)
+}
--- a/internal/route/kqdispatch/grant.go
+++ b/internal/route/kqdispatch/grant.go
@@ -49,7 +49,7 @@
 }
 
 // usageGain is the weight of the newest interval in the smoothed arrivals.
-const usageGain = 0.5
+const usageGain = 0.8
 
 // usage measures the arrivals since the last measurement.
 func (g *grant) usage(now time.Time) Usage {
--- a/internal/route/kqlimit/bucket.go
+++ b/internal/route/kqlimit/bucket.go
@@ -6,6 +6,9 @@
 	"golang.org/x/time/rate"
 )
 
+// noShare is when a host that may admit nothing now may have been lent a share.
+const noShare = time.Second
+
 // Bucket limits a rate with a burst and implements kq.Limiter. It starts
 // empty: a host that restarts must not spend a burst again.
 type Bucket struct {
@@ -32,14 +35,12 @@
 
 // Take admits one call, or returns how long until one may be admitted.
 func (b *Bucket) Take(now time.Time) (wait time.Duration, ok bool) {
-	r := b.lim.ReserveN(now, 1)
-	if !r.OK() {
-		return time.Second, false
-	}
-	wait = r.DelayFrom(now)
-	if wait == 0 {
+	if b.lim.AllowN(now, 1) {
 		return 0, true
 	}
-	r.CancelAt(now)
-	return wait, false
+	if b.lim.Limit() <= 0 || b.lim.Burst() < 1 {
+		return noShare, false
+	}
+	missing := 1 - b.lim.TokensAt(now)
+	return time.Duration(missing / float64(b.lim.Limit()) * float64(time.Second)), false
 }
