Keep a host's cost of control flat with more hosts

Cause: the slopes showed 43 bytes a second and 0.27 MB for each further entry host on every host, and 2.8 KB/s on an idle entry host with 64 of them.

--- a/internal/call/kqlend/lender.go
+++ b/internal/call/kqlend/lender.go
@@ -18,10 +18,9 @@
 const MethodReport = "report"
 
 const (
-	calmEvery   = time.Second           // between two reports while demand stays as it is
-	calmChange  = 0.2                   // part by which demand may change meanwhile
-	calmLeast   = 0.005                 // part of a limit that is no change
-	checkEvery  = 25 * time.Millisecond // how late the end of a loan may be noticed
+	calmEvery   = time.Second // between two reports while demand stays as it is
+	calmChange  = 0.2         // part by which demand may change meanwhile
+	calmLeast   = 0.005       // part of a limit that is no change
 	reportLimit = 400 * time.Millisecond
 	leastUse    = 1e-6
 )
@@ -92,7 +91,7 @@
 
 // loop reports now and then, and notices the end of a loan at once.
 func (l *Lender) loop() {
-	check := time.NewTicker(checkEvery)
+	check := time.NewTimer(0)
 	defer check.Stop()
 	ended := false
 	for {
@@ -104,19 +103,29 @@
 		case <-check.C:
 		}
 		now := l.cfg.Clock.Now()
-		l.mu.Lock()
-		over := !now.Before(l.allot.Expiry())
-		l.mu.Unlock()
-		if over && !ended {
+		left := l.left(now)
+		if left <= 0 && !ended {
 			l.cfg.Changed()
 		}
-		ended = over
+		ended = left <= 0
 		if now.Sub(l.reported) >= kqallot.ReportEvery {
 			l.report(now)
 		}
+		next := kqallot.ReportEvery
+		if left > 0 {
+			next = min(next, left)
+		}
+		check.Reset(next)
 	}
 }
 
+// left returns for how long the loan may still be used.
+func (l *Lender) left(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.allot.Expiry().Sub(now)
+}
+
 func (l *Lender) report(now time.Time) {
 	list := demands(l.cfg.Usages())
 	if l.calm(list) && now.Sub(l.reported) < calmEvery {
--- a/internal/peer/kqlink/peer.go
+++ b/internal/peer/kqlink/peer.go
@@ -20,7 +20,7 @@
 	manyLinks   = 16              // with more links heartbeats are further apart, so that their sum stays the same
 	silentBeats = 2.5             // heartbeats after which a link counts as silent
 	unackedTime = 5 * time.Second // unacknowledged data breaks a connection after this
-	queueLength = 4096            // one-way messages waiting for one peer
+	queueLength = 512             // one-way messages waiting for one peer
 	methodBeat  = "b"             // are you there
 	methodHere  = "h"             // answer to a heartbeat
 )
--- a/internal/state/kqfeed/hub.go
+++ b/internal/state/kqfeed/hub.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	freshEvery   = 2 * time.Second
+	freshEvery   = 4 * time.Second
 	confirmLimit = 1500 * time.Millisecond
 	keptChanges  = 1024                  // changes that a subscriber may lag without a whole view
 	ackDelay     = 20 * time.Millisecond // acknowledgements are passed on together
--- a/internal/state/kqfeed/lease.go
+++ b/internal/state/kqfeed/lease.go
@@ -9,7 +9,7 @@
 	LeaseTime = 10 * time.Second
 
 	// askAfter is the age of the confirmation at which peers are asked.
-	askAfter = 5 * time.Second
+	askAfter = 7 * time.Second
 )
 
 // lease decides what a host may do whose control hosts are silent. Its clock
