--- a/internal/bench/kqcaller/caller.go
+++ b/internal/bench/kqcaller/caller.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"kumquatglade/internal/call/kqcall"
+	"kumquatglade/internal/call/kqheader"
 
 	"github.com/cockroachdb/errors"
 )
@@ -71,7 +71,7 @@
 // Run returns what the system itself said of the call: "no", "unknown", or
 // empty for an answer of a target.
 func (a Answer) Run() string {
-	return a.Header.Get(kqcall.HeaderRun)
+	return a.Header.Get(kqheader.Run)
 }
 
 // Do makes one call through one entry host.
@@ -104,8 +104,8 @@
 	for k, v := range call.Header {
 		req.Header[k] = v
 	}
-	req.Header.Set(kqcall.HeaderOwner, c.cfg.Owner)
-	req.Header.Set(kqcall.HeaderService, c.cfg.Service)
+	req.Header.Set(kqheader.Owner, c.cfg.Owner)
+	req.Header.Set(kqheader.Service, c.cfg.Service)
 	if c.cfg.Key != "" {
 		req.Header.Set("Authorization", "Bearer "+c.cfg.Key)
 	}
@@ -163,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	req.Header.Set(kqcall.HeaderOwner, c.cfg.Owner)
+	req.Header.Set(kqheader.Owner, c.cfg.Owner)
 	res, err := c.http.Do(req)
 	if err != nil {
 		return err
--- a/internal/bench/kqfleet/fleet.go
+++ b/internal/bench/kqfleet/fleet.go
@@ -245,3 +245,14 @@
 		os.RemoveAll(f.folder)
 	}
 }
+
+// Stop ends a host as planned.
+func (f *Fleet) Stop(h *Host) {
+	f.mu.Lock()
+	d := h.Daemon
+	h.Daemon = nil
+	f.mu.Unlock()
+	if d != nil {
+		d.Stop(make(chan struct{}))
+	}
+}
--- a/internal/bench/kqtarget/serve.go
+++ b/internal/bench/kqtarget/serve.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"kumquatglade/internal/call/kqcall"
+	"kumquatglade/internal/call/kqheader"
 	"kumquatglade/internal/route/kqdirectory"
 )
 
@@ -28,8 +28,8 @@
 	w.Header().Set(HeaderTarget, t.cfg.ID)
 	switch t.fault.Load().(Fault) {
 	case FailFast:
-		w.Header().Set(kqcall.HeaderLoad, fmt.Sprintf("0/%d", t.cfg.Slots))
-		w.Header().Set(kqcall.HeaderRun, kqcall.RunNo)
+		w.Header().Set(kqheader.Load, fmt.Sprintf("0/%d", t.cfg.Slots))
+		w.Header().Set(kqheader.Run, kqheader.RunNo)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case FailRan:
@@ -103,7 +103,7 @@
 		return
 	}
 	defer t.release()
-	t.ran(r.Header.Get(kqcall.HeaderKey))
+	t.ran(r.Header.Get(kqheader.Key))
 	if t.fault.Load().(Fault) == Silent {
 		<-r.Context().Done()
 		return
@@ -118,8 +118,8 @@
 	t.mu.Lock()
 	t.stats.Shed++
 	t.mu.Unlock()
-	w.Header().Set(kqcall.HeaderLoad, t.load())
-	w.Header().Set(kqcall.HeaderRun, kqcall.RunNo)
+	w.Header().Set(kqheader.Load, t.load())
+	w.Header().Set(kqheader.Run, kqheader.RunNo)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -158,7 +158,7 @@
 
 // answer echoes the body.
 func (t *Target) answer(w http.ResponseWriter, body []byte) {
-	w.Header().Set(kqcall.HeaderLoad, t.load())
+	w.Header().Set(kqheader.Load, t.load())
 	if t.fault.Load().(Fault) == DieInside {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)+100))
 		w.Write(body) //nolint:errcheck // breaks anyhow
--- a/internal/bench/kqtarget/target.go
+++ b/internal/bench/kqtarget/target.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"kumquatglade/internal/bench/kqwire"
 	"kumquatglade/internal/route/kqdirectory"
 )
 
@@ -42,6 +43,7 @@
 	ColdFactor  float64
 	Epoch       uint64
 	Entries     []string // calls addresses of entry hosts to announce to
+	Wire        bool     // connections pass through a Wire that can go silent
 }
 
 // Stats counts what reached a target.
@@ -58,7 +60,8 @@
 // Target is one running stand-in.
 type Target struct {
 	cfg      Config
-	addr     string
+	addr     string // as announced
+	wire     *kqwire.Wire
 	server   *http.Server
 	slots    chan struct{}
 	waiting  atomic.Int64
@@ -92,6 +95,12 @@
 		cfg: cfg, addr: l.Addr().String(), slots: make(chan struct{}, cfg.Slots), stop: stop,
 		keys: map[string]int{}, secs: map[int64]int{}, tens: map[int64]int{},
 	}
+	if cfg.Wire {
+		if t.wire, err = kqwire.Start(t.addr); err != nil {
+			return nil, err
+		}
+		t.addr = t.wire.Addr()
+	}
 	t.slow.Store(100)
 	t.fault.Store(NoFault)
 	t.state.Store(kqdirectory.Ready)
@@ -124,6 +133,13 @@
 	t.fault.Store(f)
 }
 
+// Silence lets the open connections of a target with a Wire go silent.
+func (t *Target) Silence() {
+	if t.wire != nil {
+		t.wire.Silence()
+	}
+}
+
 // Drain announces that no new calls should come; running ones go on.
 func (t *Target) Drain() {
 	t.state.Store(kqdirectory.Draining)
@@ -136,6 +152,9 @@
 func (t *Target) Kill() {
 	t.stop()
 	t.server.Close()
+	if t.wire != nil {
+		t.wire.Close()
+	}
 	t.wait.Wait()
 }
 
--- a/internal/call/kqcall/attempt.go
+++ b/internal/call/kqcall/attempt.go
@@ -9,6 +9,7 @@
 
 	"kumquatglade/internal/call/kqaccount"
 	"kumquatglade/internal/call/kqforward"
+	"kumquatglade/internal/call/kqheader"
 	"kumquatglade/internal/host/kqevent"
 	"kumquatglade/internal/route/kqdispatch"
 
@@ -53,10 +54,10 @@
 		h = h.Clone()
 	}
 	left := c.req.deadline.Sub(c.engine.cfg.Clock.Now())
-	h.Set(HeaderDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
-	h.Set(HeaderRetries, strconv.Itoa(s.Retries))
-	h.Set(HeaderDepth, strconv.Itoa(c.req.depth+1))
-	h.Set(HeaderCall, c.name)
+	h.Set(kqheader.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	h.Set(kqheader.Retries, strconv.Itoa(s.Retries))
+	h.Set(kqheader.Depth, strconv.Itoa(c.req.depth+1))
+	h.Set(kqheader.Call, c.name)
 	return kqforward.Request{
 		Method: c.in.Method, URL: c.in.URL, Host: c.in.Host, Header: h, Body: c.req.body, Trailer: c.in.Trailer,
 		Addr: s.Target.Addr, Once: !c.req.idempotent,
@@ -101,7 +102,7 @@
 		}
 		return kqdispatch.Broken, kqdispatch.Load{}
 	}
-	load := parseLoad(res.reply.Header.Get(HeaderLoad))
+	load := parseLoad(res.reply.Header.Get(kqheader.Load))
 	switch {
 	case isRefusal(res.reply):
 		return kqdispatch.Refused, load
@@ -114,7 +115,7 @@
 // isRefusal reports whether the target itself says that it did not run the call.
 func isRefusal(r *kqforward.Reply) bool {
 	shed := r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests
-	return shed && r.Header.Get(HeaderRun) == RunNo
+	return shed && r.Header.Get(kqheader.Run) == kqheader.RunNo
 }
 
 // parseLoad reads "busy/slots"; anything else is no load.
@@ -137,8 +138,8 @@
 	for name, values := range endToEnd(reply.Header) {
 		h[name] = values
 	}
-	h.Del(HeaderRun)
-	h.Del(HeaderLoad)
+	h.Del(kqheader.Run)
+	h.Del(kqheader.Load)
 	for name := range reply.Trailer {
 		h.Add("Trailer", name)
 	}
--- a/internal/call/kqcall/keyed.go
+++ b/internal/call/kqcall/keyed.go
@@ -10,13 +10,11 @@
 
 	"kumquatglade/internal/call/kqaccount"
 	"kumquatglade/internal/call/kqforward"
+	"kumquatglade/internal/call/kqheader"
 	"kumquatglade/internal/call/kqkeyed"
 	"kumquatglade/internal/route/kqguard"
 )
 
-// HeaderKept marks a kept answer that is given again.
-const HeaderKept = "Kumquat-Kept"
-
 // claimWait is when a claim that too few guards answered may be tried again.
 const claimWait = time.Second
 
@@ -37,13 +35,13 @@
 		giveAgain(w, claim.Answer)
 	case kqkeyed.Other:
 		note(kqaccount.Conflict)
-		q.problem(http.StatusConflict, "other", RunNo, 0).write(w)
+		q.problem(http.StatusConflict, "other", kqheader.RunNo, 0).write(w)
 	case kqkeyed.Claimed:
 		note(kqaccount.Conflict)
-		q.problem(http.StatusConflict, "claimed", RunUnknown, 0).write(w)
+		q.problem(http.StatusConflict, "claimed", kqheader.RunUnknown, 0).write(w)
 	default:
 		note(kqaccount.Unguided)
-		q.problem(http.StatusServiceUnavailable, "guards", RunNo, claimWait).write(w)
+		q.problem(http.StatusServiceUnavailable, "guards", kqheader.RunNo, claimWait).write(w)
 	}
 }
 
@@ -59,7 +57,7 @@
 	for name, values := range a.Header {
 		w.Header()[name] = values
 	}
-	w.Header().Set(HeaderKept, "yes")
+	w.Header().Set(kqheader.Kept, "yes")
 	w.WriteHeader(a.Status)
 	w.Write(a.Body) //nolint:errcheck // the caller is gone
 }
--- a/internal/call/kqcall/problem.go
+++ b/internal/call/kqcall/problem.go
@@ -6,25 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
-)
-
-// Header fields between callers, the system and targets.
-const (
-	HeaderOwner    = "Kumquat-Owner"
-	HeaderService  = "Kumquat-Service"
-	HeaderDeadline = "Kumquat-Deadline" // milliseconds left
-	HeaderRun      = "Kumquat-Run"
-	HeaderLoad     = "Kumquat-Load"    // busy/slots of a target
-	HeaderRetries  = "Kumquat-Retries" // extra sends that calls below may make
-	HeaderDepth    = "Kumquat-Depth"   // calls above this one
-	HeaderCall     = "Kumquat-Call"    // identity of the call for the time line
-	HeaderKey      = "Idempotency-Key"
-)
 
-// What an answer that the system makes says of the call.
-const (
-	RunNo      = "no"      // certainly not run
-	RunUnknown = "unknown" // may have run
+	"kumquatglade/internal/call/kqheader"
 )
 
 // problem is the body of every answer that the system itself makes.
@@ -44,7 +27,7 @@
 func (p problem) write(w http.ResponseWriter) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set(HeaderRun, p.Run)
+	h.Set(kqheader.Run, p.Run)
 	if p.wait > 0 {
 		p.Wait = p.wait.Round(time.Millisecond).String()
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.wait.Seconds()))))
--- a/internal/call/kqcall/request.go
+++ b/internal/call/kqcall/request.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"kumquatglade/internal/call/kqheader"
 	"kumquatglade/internal/state/kqcheck"
 	"kumquatglade/internal/state/kqcontract"
 
@@ -40,18 +41,18 @@
 
 // check reads everything of the call but its body; a non-nil problem refuses it.
 func (e *Engine) check(r *http.Request, now time.Time) (*request, *problem) {
-	q := &request{owner: r.Header.Get(HeaderOwner)}
-	name := r.Header.Get(HeaderService)
+	q := &request{owner: r.Header.Get(kqheader.Owner)}
+	name := r.Header.Get(kqheader.Service)
 	refuse := func(status int, word, detail string) (*request, *problem) {
-		return q, &problem{Error: word, Owner: q.owner, Service: name, Version: q.version, Run: RunNo, Detail: detail, status: status}
+		return q, &problem{Error: word, Owner: q.owner, Service: name, Version: q.version, Run: kqheader.RunNo, Detail: detail, status: status}
 	}
 	v := e.cfg.View()
 	if v == nil {
-		p := problem{Error: "cut", Owner: q.owner, Service: name, Run: RunNo, status: http.StatusServiceUnavailable, wait: time.Second}
+		p := problem{Error: "cut", Owner: q.owner, Service: name, Run: kqheader.RunNo, status: http.StatusServiceUnavailable, wait: time.Second}
 		return q, &p
 	}
 	if !kqcheck.IsWord(q.owner) || !kqcheck.IsWord(name) {
-		return refuse(http.StatusBadRequest, "malformed", HeaderOwner+" and "+HeaderService+" are required")
+		return refuse(http.StatusBadRequest, "malformed", kqheader.Owner+" and "+kqheader.Service+" are required")
 	}
 	c := v.Contracts[q.owner]
 	if c == nil {
@@ -94,21 +95,21 @@
 // read takes the header fields that shape the call.
 func (q *request) read(r *http.Request, now time.Time) error {
 	q.idempotent = q.service.IsIdempotent(r.Method, r.URL.Path)
-	q.key = r.Header.Get(HeaderKey)
+	q.key = r.Header.Get(kqheader.Key)
 	if len(q.key) > maxKey {
-		return errors.Newf("%s: at most %d characters", HeaderKey, maxKey)
+		return errors.Newf("%s: at most %d characters", kqheader.Key, maxKey)
 	}
 	limit := time.Duration(q.service.Deadline)
-	left, err := number(r.Header, HeaderDeadline, int(limit.Milliseconds()), 0)
+	left, err := number(r.Header, kqheader.Deadline, int(limit.Milliseconds()), 0)
 	if err != nil {
 		return err
 	}
 	q.deadline = now.Add(min(limit, time.Duration(left)*time.Millisecond))
-	if q.retries, err = number(r.Header, HeaderRetries, maxRetries, maxRetries); err != nil {
+	if q.retries, err = number(r.Header, kqheader.Retries, maxRetries, maxRetries); err != nil {
 		return err
 	}
-	q.depth, err = number(r.Header, HeaderDepth, 0, maxDepth)
-	q.call = r.Header.Get(HeaderCall)
+	q.depth, err = number(r.Header, kqheader.Depth, 0, maxDepth)
+	q.call = r.Header.Get(kqheader.Call)
 	if len(q.call) > maxKey {
 		q.call = ""
 	}
--- a/internal/call/kqcall/serve.go
+++ b/internal/call/kqcall/serve.go
@@ -7,6 +7,7 @@
 
 	"kumquatglade/internal/call/kqaccount"
 	"kumquatglade/internal/call/kqforward"
+	"kumquatglade/internal/call/kqheader"
 	"kumquatglade/internal/call/kqkeyed"
 	"kumquatglade/internal/host/kqevent"
 	"kumquatglade/internal/route/kqdispatch"
@@ -21,7 +22,7 @@
 	q, p := e.check(r, now)
 	if p == nil {
 		if err := q.readBody(w, r); err != nil {
-			bad := q.problem(http.StatusBadRequest, "body", RunNo, 0)
+			bad := q.problem(http.StatusBadRequest, "body", kqheader.RunNo, 0)
 			bad.Detail = err.Error()
 			p = &bad
 			w.Header().Set("Connection", "close") // the rest of the body is not read
@@ -157,7 +158,7 @@
 		c.refuse(w, eff)
 		return true
 	case kqdispatch.Fail:
-		c.answer(w, http.StatusBadGateway, string(eff.Reason), RunUnknown, 0)
+		c.answer(w, http.StatusBadGateway, string(eff.Reason), kqheader.RunUnknown, 0)
 		return true
 	}
 	return false
@@ -172,12 +173,12 @@
 		status = http.StatusNotFound
 	}
 	c.engine.refused.Inc(1)
-	c.answer(w, status, string(eff.Reason), RunNo, eff.Wait)
+	c.answer(w, status, string(eff.Reason), kqheader.RunNo, eff.Wait)
 }
 
 // answer makes the system's own answer and writes it to account and time line.
 func (c *call) answer(w http.ResponseWriter, status int, word, run string, wait time.Duration) {
-	if c.claim != nil && run == RunNo {
+	if c.claim != nil && run == kqheader.RunNo {
 		c.claim.Release()
 	}
 	c.note(kqaccount.Cause(word), "")
@@ -198,8 +199,8 @@
 		return
 	}
 	if len(c.sent) == 0 {
-		c.answer(w, http.StatusServiceUnavailable, string(kqdispatch.ReasonDeadline), RunNo, 0)
+		c.answer(w, http.StatusServiceUnavailable, string(kqdispatch.ReasonDeadline), kqheader.RunNo, 0)
 		return
 	}
-	c.answer(w, http.StatusGatewayTimeout, string(kqaccount.Late), RunUnknown, 0)
+	c.answer(w, http.StatusGatewayTimeout, string(kqaccount.Late), kqheader.RunUnknown, 0)
 }
--- a/internal/route/kqannounce/handlers.go
+++ b/internal/route/kqannounce/handlers.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"time"
 
-	"kumquatglade/internal/call/kqcall"
+	"kumquatglade/internal/call/kqheader"
 	"kumquatglade/internal/route/kqdirectory"
 	"kumquatglade/internal/route/kqresolve"
 	"kumquatglade/internal/state/kqcheck"
@@ -61,8 +61,8 @@
 }
 
 func refuse(c echo.Context, status int, word, detail string) error {
-	c.Response().Header().Set(kqcall.HeaderRun, kqcall.RunNo)
-	return c.JSON(status, refusal{Error: word, Run: kqcall.RunNo, Detail: detail})
+	c.Response().Header().Set(kqheader.Run, kqheader.RunNo)
+	return c.JSON(status, refusal{Error: word, Run: kqheader.RunNo, Detail: detail})
 }
 
 // Register adds the routes of targets and of callers that ask for entry hosts.
@@ -136,9 +136,9 @@
 	if v == nil {
 		return refuse(c, http.StatusServiceUnavailable, "cut", "")
 	}
-	service, owner := c.QueryParam("service"), c.Request().Header.Get(kqcall.HeaderOwner)
+	service, owner := c.QueryParam("service"), c.Request().Header.Get(kqheader.Owner)
 	if !kqcheck.IsWord(service) || !kqcheck.IsWord(owner) {
-		return refuse(c, http.StatusBadRequest, "malformed", "service and "+kqcall.HeaderOwner+" are required")
+		return refuse(c, http.StatusBadRequest, "malformed", "service and "+kqheader.Owner+" are required")
 	}
 	contract := v.Contracts[owner]
 	if contract == nil {
--- a/internal/route/kqresolve/resolve.go
+++ b/internal/route/kqresolve/resolve.go
@@ -32,11 +32,11 @@
 	hosts := slices.Clone(q.Hosts)
 	weight := func(h kqcontract.Host) uint64 { return xxhash.Sum64String(q.Service + "|" + h.Name) }
 	slices.SortFunc(hosts, func(a, b kqcontract.Host) int { return cmp.Compare(weight(a), weight(b)) })
-	wanted := math.Ceil(q.Rate / callsPerHost)
-	if wanted >= float64(len(hosts)) || len(hosts) <= leastHosts {
+	if len(hosts) == 0 {
 		return hosts
 	}
-	return spread(hosts, max(leastHosts, int(wanted)))
+	wanted := max(leastHosts, math.Ceil(q.Rate/callsPerHost))
+	return spread(hosts, int(min(wanted, float64(len(hosts)))))
 }
 
 // spread takes n hosts by their order, but the second from another failure
