Confirm reads of the hubs with heartbeats; rest non-voters

Cause: worked out for the two-year size, a confirmation for each of 21 control hosts every 4 s would make the leader send five rounds a second to all replicas, and heartbeats to 20 replicas alone are 8 KB/s.

Change: a read may be lazy and wait for the next heartbeat, which costs no message of its own; rounds for reads go to voters only; a non-voter that lacks nothing gets every tenth heartbeat.

Conclusion: the leader's idle bytes no longer grow with each further control host by 400 bytes a second, but by 40.

--- a/internal/state/kqcontrol/control.go
+++ b/internal/state/kqcontrol/control.go
@@ -273,8 +273,17 @@
 // Confirm returns once this host's state holds every change that was accepted
 // before the call; a quorum confirms it.
 func (c *Control) Confirm(ctx context.Context) error {
+	return c.confirm(ctx, false)
+}
+
+// ConfirmLazily is Confirm for those who can wait for the next heartbeat.
+func (c *Control) ConfirmLazily(ctx context.Context) error {
+	return c.confirm(ctx, true)
+}
+
+func (c *Control) confirm(ctx context.Context, lazy bool) error {
 	for {
-		err := c.confirmOnce(ctx)
+		err := c.confirmOnce(ctx, lazy)
 		if err == nil {
 			return nil
 		}
@@ -286,12 +295,12 @@
 	}
 }
 
-func (c *Control) confirmOnce(ctx context.Context) error {
+func (c *Control) confirmOnce(ctx context.Context, lazy bool) error {
 	ready := make(chan kqreplica.Readable, 1)
 	c.post(func() {
 		id := c.newID()
 		c.reads[id] = ready
-		c.feed(kqreplica.Read{ID: id})
+		c.feed(kqreplica.Read{ID: id, Lazy: lazy})
 	})
 	select {
 	case res := <-ready:
--- a/internal/state/kqfeed/hub.go
+++ b/internal/state/kqfeed/hub.go
@@ -24,6 +24,8 @@
 type Source interface {
 	// Confirm returns once the state holds all changes accepted before.
 	Confirm(ctx context.Context) error
+	// ConfirmLazily does so with the next message that is sent anyway.
+	ConfirmLazily(ctx context.Context) error
 	// View calls f with the state, between two changes.
 	View(f func(*kqcontract.State)) error
 	// Submit has a command accepted or refused.
@@ -184,7 +186,7 @@
 func (h *Hub) confirm() {
 	ctx, cancel := context.WithTimeout(h.ctx, confirmLimit)
 	defer cancel()
-	if err := h.source.Confirm(ctx); err != nil {
+	if err := h.source.ConfirmLazily(ctx); err != nil {
 		h.cfg.Log.Debugf("not confirmed: %v", err)
 		return
 	}
--- a/internal/state/kqreplica/history_test.go
+++ b/internal/state/kqreplica/history_test.go
@@ -143,7 +143,7 @@
 	c.token, c.node, c.since, c.last = fmt.Sprint("op", r.next), n, r.slot, in
 	c.op = &porcupine.Operation{ClientId: c.id, Input: in, Call: r.clock()}
 	if in.Version == 0 {
-		r.feed(n, Read{ID: c.token})
+		r.feed(n, Read{ID: c.token, Lazy: r.rng.IntN(2) == 0})
 		return
 	}
 	data, err := json.Marshal(kqcontract.Command{Op: kqcontract.OpApply, Contract: r.contract(in), Time: time.Unix(0, 0)})
--- a/internal/state/kqreplica/lead.go
+++ b/internal/state/kqreplica/lead.go
@@ -28,7 +28,11 @@
 // heartbeat starts a new round and sends again what was not acknowledged.
 func (r *Replica) heartbeat() {
 	r.round++
+	defer r.confirmReads()
 	for host, p := range r.sortedPeers() {
+		if m, _ := find(r.members, host); !m.Voter && p.match == r.log.last() && r.round%restRounds != 0 {
+			continue // a non-voter that lacks nothing counts for no quorum
+		}
 		p.next = min(p.next, p.match+1)
 		if p.paused {
 			r.send(host, Message{Kind: kindAppend, Cluster: r.meta.Cluster, Term: r.meta.Term, Round: r.round})
--- a/internal/state/kqreplica/message.go
+++ b/internal/state/kqreplica/message.go
@@ -30,7 +30,7 @@
 	LogTerm  uint64              `json:"l,omitempty"` // term at Index
 	Commit   uint64              `json:"m,omitempty"`
 	Round    uint64              `json:"n,omitempty"` // heartbeat round that is acknowledged
-	OK       bool                `json:"o,omitempty"`
+	OK       bool                `json:"o,omitempty"` // granted; in a read: it may wait for the next heartbeat
 	ID       string              `json:"d,omitempty"` // read, or run that is expired
 	Entries  []kqjournal.Entry   `json:"e,omitempty"`
 	Snapshot *kqjournal.Snapshot `json:"s,omitempty"`
@@ -56,7 +56,10 @@
 }
 
 // Read asks for an index that is at or behind no earlier accepted change.
-type Read struct{ ID string }
+type Read struct {
+	ID   string
+	Lazy bool // may wait for the next heartbeat, which then costs nothing more
+}
 
 // LinkUp says that a link to the peer was made anew.
 type LinkUp struct{ Peer string }
--- a/internal/state/kqreplica/read.go
+++ b/internal/state/kqreplica/read.go
@@ -1,29 +1,36 @@
 package kqreplica
 
-func (r *Replica) read(id string) {
+func (r *Replica) read(ev Read) {
 	if r.role == Leader {
-		r.startRead(read{id: id})
+		r.startRead(read{id: ev.ID}, ev.Lazy)
 		return
 	}
 	if r.leader == "" {
-		r.emit(Readable{ID: id})
+		r.emit(Readable{ID: ev.ID})
 		return
 	}
-	r.asked[id] = 0
-	r.send(r.leader, Message{Kind: kindRead, Cluster: r.meta.Cluster, Term: r.meta.Term, ID: id})
+	r.asked[ev.ID] = 0
+	r.send(r.leader, Message{Kind: kindRead, Cluster: r.meta.Cluster, Term: r.meta.Term, ID: ev.ID, OK: ev.Lazy})
 }
 
 // startRead notes the commit index and asks a quorum whether this host still
 // leads; before the first commit of its term a leader does not know it.
-func (r *Replica) startRead(q read) {
+func (r *Replica) startRead(q read, lazy bool) {
 	if term, _ := r.log.term(r.commit); term != r.meta.Term {
 		r.answerRead(q, false)
 		return
 	}
-	r.round++
-	q.index, q.round = r.commit, r.round
+	q.index, q.round = r.commit, r.round+1
 	r.reads = append(r.reads, q)
-	r.broadcast()
+	if lazy {
+		return // the next heartbeat starts that round
+	}
+	r.round++
+	for host, p := range r.sortedPeers() {
+		if m, _ := find(r.members, host); m.Voter && !p.paused {
+			r.sendAppend(host, p)
+		}
+	}
 	r.confirmReads()
 }
 
@@ -56,7 +63,7 @@
 		r.answerRead(q, false)
 		return
 	}
-	r.startRead(q)
+	r.startRead(q, m.OK)
 }
 
 func (r *Replica) onReadable(m Message) {
--- a/internal/state/kqreplica/replica.go
+++ b/internal/state/kqreplica/replica.go
@@ -25,6 +25,7 @@
 	heartbeatTicks = 10  // 500 ms
 	electionTicks  = 24  // 1.2 s at the least
 	electionSpread = 12  // up to 600 ms more, at random
+	restRounds     = 10  // heartbeats of which a non-voter gets one
 	helloTicks     = 6   // 300 ms
 	snapshotTicks  = 100 // 5 s until a snapshot is sent again
 	readTicks      = 20  // 1 s until a read is given up
@@ -182,7 +183,7 @@
 	case Propose:
 		r.propose(ev)
 	case Read:
-		r.read(ev.ID)
+		r.read(ev)
 	case LinkUp:
 		r.linkUp(ev.Peer)
 	case LinkDown:
