Drop directives of a linter that is not used

Cause: comments asked a linter that the project does not run to be quiet. Change: they say why an error is not handled, and nothing else.

--- a/internal/admin/kqcommand/print.go
+++ b/internal/admin/kqcommand/print.go
@@ -23,7 +23,7 @@
 }
 
 func (a *App) printLine(v any) {
-	json.NewEncoder(a.out).Encode(v) //nolint:errcheck // a closed pipe ends the program
+	json.NewEncoder(a.out).Encode(v) // a closed pipe ends the program
 }
 
 // table prints aligned columns.
--- a/internal/bench/kqbench/contracts.go
+++ b/internal/bench/kqbench/contracts.go
@@ -152,7 +152,7 @@
 		if out.InForce == nil || out.InForce.Hosts != len(c.hosts.Entries) {
 			took = time.Minute
 		}
-		h.RecordValue(int64(took)) //nolint:errcheck // within the bounds
+		h.RecordValue(int64(took)) // within the bounds
 	}
 	p99 := time.Duration(h.ValueAtPercentile(99))
 	c.say(p99 <= inForceBound, "sent to in force on %d entry hosts, 300 changes: p50 %s p99 %s (bound %s)", len(c.hosts.Entries),
@@ -200,7 +200,7 @@
 	for round := range c.races {
 		if round%25 == 24 {
 			if l := c.hosts.Leader(ctx); l != nil {
-				l.Signal(syscall.SIGKILL) //nolint:errcheck // it may be down already
+				l.Signal(syscall.SIGKILL) // it may be down already
 			}
 		}
 		won, resent, err := c.race(ctx, uint64(round+1))
@@ -286,7 +286,7 @@
 	}
 	time.Sleep(time.Duration(rand.IntN(2000)) * time.Millisecond)
 	for _, h := range c.hosts.Control {
-		h.Signal(syscall.SIGKILL) //nolint:errcheck // it is running
+		h.Signal(syscall.SIGKILL) // it is running
 	}
 	wait.Wait()
 	select {
@@ -295,7 +295,7 @@
 	default:
 	}
 	for _, h := range c.hosts.Control {
-		h.Signal(syscall.SIGKILL) //nolint:errcheck // it is running
+		h.Signal(syscall.SIGKILL) // it is running
 	}
 	return nil
 }
--- a/internal/bench/kqbench/headline.go
+++ b/internal/bench/kqbench/headline.go
@@ -192,7 +192,7 @@
 	}
 	for service := range s.services {
 		wait.Go(func() {
-			rep := h.load1(ctx, s, policy, service, quietOwner, load*s.capacity(service))
+			rep := h.loadService(ctx, s, policy, service, quietOwner, load*s.capacity(service))
 			mu.Lock()
 			defer mu.Unlock()
 			if total == nil {
@@ -202,15 +202,15 @@
 			total.Merge(rep)
 		})
 		if name == "noisy" {
-			wait.Go(func() { h.load1(ctx, s, policy, service, noisyOwner, s.capacity(service)) })
+			wait.Go(func() { h.loadService(ctx, s, policy, service, noisyOwner, s.capacity(service)) })
 		}
 	}
 	wait.Wait()
 	return total
 }
 
-// load1 loads one service for one owner.
-func (h *headlineCommand) load1(ctx context.Context, s *system, policy, service, owner string, rate float64) *kqload.Report {
+// loadService loads one service for one owner.
+func (h *headlineCommand) loadService(ctx context.Context, s *system, policy, service, owner string, rate float64) *kqload.Report {
 	callers := make([]*kqcaller.Caller, callersEach)
 	for i := range callers {
 		callers[i] = kqcaller.New(kqcaller.Config{Owner: owner, Service: service, Entries: s.fleet.Addrs()})
--- a/internal/bench/kqbench/slopes.go
+++ b/internal/bench/kqbench/slopes.go
@@ -188,7 +188,7 @@
 		}
 		wait.Go(func() {
 			var out change
-			client.Put(context.WithoutCancel(ctx), "/v1/contracts/"+c.Owner, body, &out) //nolint:errcheck // the rate is what counts
+			client.Put(context.WithoutCancel(ctx), "/v1/contracts/"+c.Owner, body, &out) // the rate is what counts
 		})
 	}
 }
@@ -237,7 +237,7 @@
 			return
 		}
 		if res, err := client.Do(req); err == nil {
-			io.Copy(io.Discard, res.Body) //nolint:errcheck // only the cost counts
+			io.Copy(io.Discard, res.Body) // only the cost counts
 			res.Body.Close()
 		}
 		select {
@@ -276,7 +276,7 @@
 		Rate: s.amount, Duration: s.window + time.Minute, Seed: 1,
 		Do: func(ctx context.Context, _ int) kqload.Kind {
 			if s.series == "resolves" {
-				caller.Resolve(ctx) //nolint:errcheck // only the cost counts
+				caller.Resolve(ctx) // only the cost counts
 				return kqload.Done
 			}
 			return echo(ctx, caller, entry, 200)
--- a/internal/bench/kqload/load.go
+++ b/internal/bench/kqload/load.go
@@ -101,6 +101,6 @@
 	r.Calls++
 	r.Kinds[kind]++
 	if kind == Done {
-		r.Latency.RecordValue(min(int64(took), highest)) //nolint:errcheck // within the bounds
+		r.Latency.RecordValue(min(int64(took), highest)) // within the bounds
 	}
 }
--- a/internal/bench/kqprocess/hosts.go
+++ b/internal/bench/kqprocess/hosts.go
@@ -182,7 +182,7 @@
 // FolderSize returns the bytes of the host's data folder.
 func (h *Host) FolderSize() int64 {
 	var sum int64
-	filepath.Walk(h.Settings.Data, func(_ string, i os.FileInfo, err error) error { //nolint:errcheck // a partial sum is shown
+	filepath.Walk(h.Settings.Data, func(_ string, i os.FileInfo, err error) error { // a partial sum is shown
 		if err == nil && !i.IsDir() {
 			sum += i.Size()
 		}
--- a/internal/bench/kqrelay/relay.go
+++ b/internal/bench/kqrelay/relay.go
@@ -22,7 +22,7 @@
 	}
 	r := &Relay{addr: addr, listener: l, transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
 	r.server = &http.Server{Handler: r}
-	go r.server.Serve(l) //nolint:errcheck // Close ends it
+	go r.server.Serve(l) // Close ends it
 	return r, nil
 }
 
@@ -52,5 +52,5 @@
 		w.Header()[k] = v
 	}
 	w.WriteHeader(res.StatusCode)
-	io.Copy(w, res.Body) //nolint:errcheck // the caller is gone
+	io.Copy(w, res.Body) // the caller is gone
 }
--- a/internal/bench/kqtarget/serve.go
+++ b/internal/bench/kqtarget/serve.go
@@ -56,7 +56,7 @@
 	}
 	time.Sleep(ProbeCost)
 	t.release()
-	json.NewEncoder(w).Encode(probeAnswer{int(t.busy.Load()), t.cfg.Slots, t.state.Load().(kqdirectory.State)}) //nolint:errcheck // the other end is gone
+	json.NewEncoder(w).Encode(probeAnswer{int(t.busy.Load()), t.cfg.Slots, t.state.Load().(kqdirectory.State)}) // the other end is gone
 }
 
 // acquire waits for a slot; false says that the queue is full or ctx ended.
@@ -161,10 +161,10 @@
 	w.Header().Set(kqheader.Load, t.load())
 	if t.fault.Load().(Fault) == DieInside {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)+100))
-		w.Write(body) //nolint:errcheck // breaks anyhow
+		w.Write(body) // breaks anyhow
 		http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.Write(body) //nolint:errcheck // the other end is gone
+	w.Write(body) // the other end is gone
 }
--- a/internal/bench/kqtarget/target.go
+++ b/internal/bench/kqtarget/target.go
@@ -105,7 +105,7 @@
 	t.fault.Store(NoFault)
 	t.state.Store(kqdirectory.Ready)
 	t.server = &http.Server{Handler: t, ReadHeaderTimeout: 5 * time.Second}
-	t.wait.Go(func() { t.server.Serve(l) }) //nolint:errcheck // Close ends it
+	t.wait.Go(func() { t.server.Serve(l) }) // Close ends it
 	if len(cfg.Entries) > 0 {
 		t.announce = newAnnouncer(t, cfg.Entries)
 		t.wait.Go(func() { t.announce.run(ctx) })
--- a/internal/call/kqcall/keyed.go
+++ b/internal/call/kqcall/keyed.go
@@ -59,7 +59,7 @@
 	}
 	w.Header().Set(kqheader.Kept, "yes")
 	w.WriteHeader(a.Status)
-	w.Write(a.Body) //nolint:errcheck // the caller is gone
+	w.Write(a.Body) // the caller is gone
 }
 
 // keep notes the answer while it passes; the returned function gives it to the
--- a/internal/call/kqcall/problem.go
+++ b/internal/call/kqcall/problem.go
@@ -38,5 +38,5 @@
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)+1))
 	w.WriteHeader(p.status)
-	w.Write(append(body, '\n')) //nolint:errcheck // the caller is gone
+	w.Write(append(body, '\n')) // the caller is gone
 }
--- a/internal/call/kqcall/request.go
+++ b/internal/call/kqcall/request.go
@@ -169,7 +169,7 @@
 	if r.ContentLength > q.service.Body {
 		return errors.Newf("body of %d bytes: at most %d", r.ContentLength, q.service.Body)
 	}
-	http.NewResponseController(w).SetReadDeadline(q.deadline) //nolint:errcheck // no deadline is borne
+	http.NewResponseController(w).SetReadDeadline(q.deadline) // no deadline is borne
 	body, err := io.ReadAll(io.LimitReader(r.Body, q.service.Body+1))
 	if err != nil {
 		return errors.Wrap(err, "body")
@@ -177,7 +177,7 @@
 	if int64(len(body)) > q.service.Body {
 		return errors.Newf("body: at most %d bytes", q.service.Body)
 	}
-	http.NewResponseController(w).SetReadDeadline(time.Time{}) //nolint:errcheck // as above
+	http.NewResponseController(w).SetReadDeadline(time.Time{}) // as above
 	q.body = body
 	return nil
 }
--- a/internal/host/kqdaemon/daemon.go
+++ b/internal/host/kqdaemon/daemon.go
@@ -342,6 +342,6 @@
 		}
 	}()
 	for _, s := range d.servers {
-		s.Shutdown(ctx) //nolint:errcheck // Close follows
+		s.Shutdown(ctx) // Close follows
 	}
 }
--- a/internal/peer/kqlink/handshake.go
+++ b/internal/peer/kqlink/handshake.go
@@ -40,7 +40,7 @@
 
 func newNonce() string {
 	var p [nonceSize]byte
-	rand.Read(p[:]) //nolint:errcheck // never fails
+	rand.Read(p[:]) // never fails
 	return hex.EncodeToString(p[:])
 }
 
--- a/internal/peer/kqlink/mesh_test.go
+++ b/internal/peer/kqlink/mesh_test.go
@@ -167,7 +167,7 @@
 	f.Add([]byte{2, '{', '}'})
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0x01, '{'})
 	c := codec{metrics.NewCounter(), metrics.NewCounter()}
-	f.Fuzz(func(t *testing.T, p []byte) {
+	f.Fuzz(func(_ *testing.T, p []byte) {
 		var v map[string]any
 		c.ReadObject(bufio.NewReader(bytes.NewReader(p)), &v) // must neither crash nor take memory for a length alone
 	})
--- a/internal/peer/kqlink/peer.go
+++ b/internal/peer/kqlink/peer.go
@@ -158,7 +158,7 @@
 	switch {
 	case req.Method == methodHere:
 	case req.Method == methodBeat:
-		rpc.Notify(ctx, methodHere, nil) //nolint:errcheck // the link tells
+		rpc.Notify(ctx, methodHere, nil) // the link tells
 	case req.Notif:
 		c.mesh.receiver.Receive(c.peer, req.Method, e.Body)
 	default:
@@ -169,12 +169,12 @@
 func (c *conn) answer(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, body json.RawMessage) {
 	res, err := c.mesh.receiver.Answer(ctx, c.peer, req.Method, body)
 	if err != nil {
-		rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}) //nolint:errcheck // the link tells
+		rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}) // the link tells
 		return
 	}
 	e, err := c.wrap(res)
 	if err != nil {
 		return
 	}
-	rpc.Reply(ctx, req.ID, e) //nolint:errcheck // the link tells
+	rpc.Reply(ctx, req.ID, e) // the link tells
 }
--- a/internal/peer/kqsocket/socket.go
+++ b/internal/peer/kqsocket/socket.go
@@ -19,8 +19,8 @@
 	if err != nil {
 		return
 	}
-	sys.Control(func(fd uintptr) { //nolint:errcheck // see above
-		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds())) //nolint:errcheck // see above
+	sys.Control(func(fd uintptr) { // see above
+		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds())) // see above
 	})
 }
 
--- a/internal/route/kqannounce/roster.go
+++ b/internal/route/kqannounce/roster.go
@@ -193,7 +193,7 @@
 			continue
 		}
 		wait.Go(func() {
-			r.cfg.Link.Call(ctx, p, MethodTargets, targetList{list}, nil) //nolint:errcheck // the digest mends it
+			r.cfg.Link.Call(ctx, p, MethodTargets, targetList{list}, nil) // the digest mends it
 		})
 	}
 	wait.Wait()
--- a/internal/state/kqfeed/hub.go
+++ b/internal/state/kqfeed/hub.go
@@ -190,7 +190,7 @@
 		h.cfg.Log.Debugf("not confirmed: %v", err)
 		return
 	}
-	h.source.View(func(s *kqcontract.State) { //nolint:errcheck // stopping
+	h.source.View(func(s *kqcontract.State) { // stopping
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		for peer := range h.subs {
