Let nested calls through a limit that their parents use up

Cause: with one contract for parents and children, parents in progress used up 'active' while their children waited for it: 0 of 30 chains of ten levels ended under a limit of 20.

Change: while an owner's calls are nested, each level leaves room for the one below it, and deeper calls wait in front.

--- a/internal/route/kqdispatch/dispatch.go
+++ b/internal/route/kqdispatch/dispatch.go
@@ -175,7 +175,10 @@
 		return
 	}
 	c.service.mark(c)
-	if len(c.grant.waiting) == 0 && c.grant.active < c.grant.share.Active && d.first(now, c) {
+	if in.Depth > 0 {
+		c.grant.nested = now
+	}
+	if !c.grant.behind(in.Depth) && c.grant.active < c.grant.room(in.Depth, now) && d.first(now, c) {
 		return
 	}
 	d.enqueue(now, c)
@@ -202,7 +205,7 @@
 		return
 	}
 	c.queued = true
-	g.waiting = append(g.waiting, c)
+	g.queue(c)
 }
 
 // first makes the first send if some target has a free slot.
@@ -229,7 +232,7 @@
 		d.refuseAll(s)
 		return
 	}
-	for c := s.next(); c != nil; c = s.next() {
+	for c := s.next(now); c != nil; c = s.next(now) {
 		if now.After(c.Deadline) {
 			c.grant.drop(c)
 			d.refuse(c, ReasonDeadline, 0)
--- a/internal/route/kqdispatch/dispatch_test.go
+++ b/internal/route/kqdispatch/dispatch_test.go
@@ -305,6 +305,61 @@
 	}
 }
 
+// TestNestedCallsDoNotBlockEachOther lets many callers make calls that make
+// calls, nine deep, under one limit that the first level alone would use up.
+func TestNestedCallsDoNotBlockEachOther(t *testing.T) {
+	k := newDesk(t, 40)
+	k.warm()
+	k.grant("o", func(_ *kqcontract.Service, s *Share) { s.Active, s.Queue = 20, 1000 })
+	type chain struct {
+		ids      []uint64
+		attempts []uint64
+	}
+	const chains = 30
+	byCall, finished := map[uint64]*chain{}, 0
+	var due []*chain // whose newest call was sent, in order: level by level
+	handle := func(effects []Effect) {
+		for _, e := range effects {
+			if s, ok := e.(Start); ok {
+				c := byCall[s.ID]
+				c.attempts = append(c.attempts, s.Attempt)
+				due = append(due, c)
+			}
+		}
+	}
+	call := func(c *chain) {
+		if len(c.ids) > maxDepth {
+			finished++ // the deepest answers, then each level above it
+			for i := len(c.attempts) - 1; i >= 0; i-- {
+				k.feed(Replied{Attempt: c.attempts[i], Outcome: Answered})
+				handle(k.feed(Ended{c.attempts[i]}))
+				handle(k.feed(Leave{c.ids[i]}))
+			}
+			return
+		}
+		k.id++
+		byCall[k.id] = c
+		c.ids = append(c.ids, k.id)
+		handle(k.feed(Arrive{Call{ID: k.id, Owner: "o", Service: "s", Idempotent: true, Deadline: k.now.Add(time.Hour), Depth: len(c.ids) - 1}}))
+	}
+	k.feed(Arrive{Call{ID: 1 << 40, Owner: "o", Service: "s", Deadline: k.now.Add(time.Hour), Depth: 1}}) // nesting is known
+	for range chains {
+		call(&chain{})
+	}
+	for range 1000 {
+		for len(due) > 0 {
+			c := due[0]
+			due = due[1:]
+			call(c)
+		}
+		k.now = k.now.Add(TickInterval)
+		handle(k.feed(Tick{}))
+	}
+	if finished != chains {
+		t.Fatalf("%d of %d chains finished", finished, chains)
+	}
+}
+
 func TestLeavingFreesTheSlot(t *testing.T) {
 	k := newDesk(t, 1)
 	id, effects := k.arrive("o", true)
--- a/internal/route/kqdispatch/grant.go
+++ b/internal/route/kqdispatch/grant.go
@@ -1,6 +1,8 @@
 package kqdispatch
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"kumquatglade/internal/route/kqlimit"
@@ -24,7 +26,8 @@
 	arrived  int     // calls since the last measurement
 	arrivals float64 // calls a second, smoothed
 	measured time.Time
-	tag      float64 // virtual finish time of the owner's newest call
+	nested   time.Time // when a call below another one was last seen
+	tag      float64   // virtual finish time of the owner's newest call
 }
 
 func newGrant(owner string, now time.Time) *grant {
@@ -34,6 +37,37 @@
 	}
 }
 
+const (
+	maxDepth    = 9                // calls above a call
+	nestedTime  = 10 * time.Second // how long room is kept for nested calls
+	nestedShare = 0.5              // of the calls in progress, kept for the deepest level
+)
+
+// room returns how many calls may be in progress for one more at the depth to
+// start. While calls are nested, each level leaves room for the one below it:
+// parents could otherwise use up the limit that their children wait for.
+func (g *grant) room(depth int, now time.Time) int {
+	if now.Sub(g.nested) > nestedTime {
+		return g.share.Active
+	}
+	kept := nestedShare * float64(maxDepth-min(depth, maxDepth)) / maxDepth
+	return int(math.Ceil(float64(g.share.Active) * (1 - kept)))
+}
+
+// queue lets a call wait behind the ones as deep as itself or deeper.
+func (g *grant) queue(c *call) {
+	at := len(g.waiting)
+	for at > 0 && g.waiting[at-1].Depth < c.Depth {
+		at--
+	}
+	g.waiting = slices.Insert(g.waiting, at, c)
+}
+
+// behind reports whether some waiting call goes before one of the depth.
+func (g *grant) behind(depth int) bool {
+	return len(g.waiting) > 0 && g.waiting[0].Depth >= depth
+}
+
 func (g *grant) set(ev Granted, now time.Time) {
 	g.terms, g.share = ev.Service, ev.Share
 	g.bucket.Set(now, ev.Share.Rate, ev.Share.Burst)
--- a/internal/route/kqdispatch/queue.go
+++ b/internal/route/kqdispatch/queue.go
@@ -39,13 +39,17 @@
 }
 
 // next returns the waiting call whose owner is due by share, nil if none may go.
-func (s *service) next() *call {
+func (s *service) next(now time.Time) *call {
 	var best *call
 	for _, g := range s.grants {
-		if len(g.waiting) == 0 || g.active >= g.share.Active {
+		if len(g.waiting) == 0 {
 			continue
 		}
-		if c := g.waiting[0]; best == nil || c.tag < best.tag {
+		c := g.waiting[0]
+		if g.active >= g.room(c.Depth, now) {
+			continue
+		}
+		if best == nil || c.tag < best.tag {
 			best = c
 		}
 	}
