Test the door of targets and callers: announcements, resolve answers, leaving hosts

Cause: bad announcements were only refused by reading the code. Change: table and fuzz tests with a stub link; every refusal is counted, says that nothing ran, and leaves what is known as it was.

--- /dev/null
+++ b/internal/route/kqannounce/handlers_test.go
@@ -0,0 +1,181 @@
+package kqannounce
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"kumquatglade/internal/call/kqheader"
+	"kumquatglade/internal/host/kqclock"
+	"kumquatglade/internal/host/kqevent"
+	"kumquatglade/internal/route/kqdirectory"
+	"kumquatglade/internal/state/kqcontract"
+	"kumquatglade/internal/state/kqfeed"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/rcrowley/go-metrics"
+)
+
+// stubLink notes what is sent; every host but e9 answers.
+type stubLink struct {
+	mu   sync.Mutex
+	sent []string
+}
+
+func (l *stubLink) note(peer, kind string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent = append(l.sent, kind+" to "+peer)
+}
+
+func (l *stubLink) Send(peer, kind string, _ any) { l.note(peer, kind) }
+
+func (l *stubLink) Call(_ context.Context, peer, kind string, _, _ any) error {
+	l.note(peer, kind)
+	if peer == "e9" {
+		return errors.New("silent")
+	}
+	return nil
+}
+
+func (l *stubLink) Up(string) bool { return true }
+
+func (l *stubLink) Host() string { return "e1" }
+
+func newRoster(tb testing.TB, view *kqfeed.View) (*Roster, *stubLink, http.Handler) {
+	tb.Helper()
+	link := &stubLink{}
+	get := func() *kqfeed.View { return view }
+	r := NewRoster(Config{
+		Host: "e1", Link: link, Clock: kqclock.System{}, Events: kqevent.NewRecorder("e1", time.Now),
+		Metrics: metrics.NewRegistry(), View: get, Known: get,
+		Updated: func(kqdirectory.Record) {}, Reported: func(kqdirectory.Record) {},
+	})
+	tb.Cleanup(r.Close)
+	e := echo.New()
+	r.Register(e)
+	return r, link, e
+}
+
+func testView() *kqfeed.View {
+	return &kqfeed.View{
+		Revision:  3,
+		Contracts: map[string]*kqcontract.Contract{"o": {Owner: "o", Version: 1, Services: []kqcontract.Service{{Name: "s", Rate: 10}}}},
+		Hosts: kqcontract.Hosts{Entry: []kqcontract.Host{
+			{Name: "e1", Domain: "a", Calls: "127.0.0.1:1"}, {Name: "e2", Domain: "b", Calls: "127.0.0.1:2"}, {Name: "e9", Domain: "c", Calls: "127.0.0.1:9"},
+		}},
+	}
+}
+
+const goodTarget = `{"service":"s","id":"t","addr":"127.0.0.1:5","domain":"a","slots":4,"connections":220,"state":"ready","load":2,"epoch":1,"seq":1}`
+
+func post(h http.Handler, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/targets", strings.NewReader(body)))
+	return w
+}
+
+func TestAnnouncements(t *testing.T) {
+	cases := []struct {
+		name   string
+		body   string
+		status int
+	}{
+		{"good", goodTarget, 200},
+		{"the same again", goodTarget, 409},
+		{"empty", "", 400},
+		{"not JSON", "service=s", 400},
+		{"unknown key", strings.Replace(goodTarget, "slots", "slotz", 1), 400},
+		{"bad service", strings.Replace(goodTarget, `"s"`, `"S S"`, 1), 400},
+		{"name for IP", strings.Replace(goodTarget, "127.0.0.1:5", "localhost:5", 1), 400},
+		{"no slots", strings.Replace(goodTarget, `"slots":4`, `"slots":0`, 1), 400},
+		{"negative load", strings.Replace(goodTarget, `"load":2`, `"load":-2`, 1), 400},
+		{"bad state", strings.Replace(goodTarget, "ready", "lazy", 1), 400},
+		{"too long", strings.Replace(goodTarget, `"s"`, `"`+strings.Repeat("s", maxAnnouncement)+`"`, 1), 400},
+	}
+	r, link, h := newRoster(t, testView())
+	refused := 0
+	for _, c := range cases {
+		w := post(h, c.body)
+		if w.Code != c.status {
+			t.Errorf("%s: %d %s", c.name, w.Code, w.Body)
+		}
+		if c.status != 200 {
+			refused++
+			if w.Header().Get(kqheader.Run) != kqheader.RunNo {
+				t.Errorf("%s: does not say that it did not run", c.name)
+			}
+		}
+	}
+	if n := r.refused.Count(); n != int64(refused) {
+		t.Errorf("%d refusals are counted, want %d", n, refused)
+	}
+	if len(r.All()) != 1 {
+		t.Errorf("%d targets are known", len(r.All()))
+	}
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	if len(link.sent) != 2 { // the change went to both other hosts before the answer
+		t.Errorf("sent %v", link.sent)
+	}
+}
+
+func TestEntriesAnswer(t *testing.T) {
+	cases := []struct {
+		name, owner, service string
+		view                 *kqfeed.View
+		status               int
+	}{
+		{"good", "o", "s", testView(), 200},
+		{"no owner", "", "s", testView(), 400},
+		{"unknown owner", "p", "s", testView(), 404},
+		{"unknown service", "o", "z", testView(), 404},
+		{"cut off", "o", "s", nil, 503},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, _, h := newRoster(t, c.view)
+			ask := func() resolution {
+				req := httptest.NewRequest(http.MethodGet, "/v1/entries?service="+c.service, nil)
+				req.Header.Set(kqheader.Owner, c.owner)
+				w := httptest.NewRecorder()
+				h.ServeHTTP(w, req)
+				if w.Code != c.status {
+					t.Fatalf("%d %s", w.Code, w.Body)
+				}
+				var out resolution
+				json.Unmarshal(w.Body.Bytes(), &out)
+				return out
+			}
+			out := ask()
+			if c.status != 200 {
+				return
+			}
+			if len(out.Entries) != 2 || out.Entries[0].Domain == out.Entries[1].Domain || out.Hold == "" {
+				t.Fatalf("%+v", out)
+			}
+			r.Receive("e2", MethodLeaving, nil)
+			r.Leave()
+			if out = ask(); len(out.Entries) != 1 || out.Entries[0].Addr != "127.0.0.1:9" {
+				t.Fatalf("leaving hosts are named: %+v", out)
+			}
+		})
+	}
+}
+
+func FuzzAnnouncement(f *testing.F) {
+	f.Add(goodTarget)
+	f.Add(`{"service":"s","seq":18446744073709551615}`)
+	_, _, h := newRoster(f, testView())
+	f.Fuzz(func(t *testing.T, body string) {
+		if w := post(h, body); w.Code != 200 && w.Code != 400 && w.Code != 409 {
+			t.Fatalf("%d", w.Code)
+		}
+	})
+}
