--- a/internal/route/kqguard/guard.go
+++ b/internal/route/kqguard/guard.go
@@ -18,7 +18,7 @@
 	settleTime = 4 * ClaimTime
 
 	maxClaims = 200_000  // claims held on one host
-	maxBytes  = 48 << 20 // kept answers on one host
+	maxBytes  = 32 << 20 // kept answers on one host
 	// MaxAnswer bounds the body of one kept answer in bytes.
 	MaxAnswer = 16 << 10
 )
