Choose by own calls only; others' load closes targets

Change: the load that answers carry no longer takes part in the choice, only in closing targets that are full.

Cause found: both hosts of a service see the same free slot reported and send there at once.

--- a/internal/route/kqdispatch/target.go
+++ b/internal/route/kqdispatch/target.go
@@ -179,9 +179,8 @@
 func (t *target) candidate(typical float64, now time.Time) kq.Candidate {
 	return kq.Candidate{
 		ID: t.rec.ID, Domain: t.rec.Domain, Slots: t.rec.Slots, Inflight: len(t.open),
-		Reported: int(math.Round(t.elsewhere(now))) + len(t.open),
-		Weight:   float64(t.slots()) / float64(t.rec.Slots),
-		Latency:  t.expected(typical, now),
+		Weight:  float64(t.slots()) / float64(t.rec.Slots),
+		Latency: t.expected(typical, now),
 	}
 }
 
--- a/internal/route/kqpolicy/expected.go
+++ b/internal/route/kqpolicy/expected.go
@@ -28,7 +28,7 @@
 		latency = typical
 	}
 	slots := float64(c.Slots) * max(c.Weight, 0.01)
-	busy := float64(max(c.Inflight, c.Reported))
+	busy := float64(c.Inflight)
 	waiting := max(0, busy+1-slots) / slots
 	return latency * (1 + waiting + busyCost*busy/slots)
 }
--- a/policy.go
+++ b/policy.go
@@ -8,7 +8,6 @@
 	Domain   string
 	Slots    int
 	Inflight int     // attempts in progress from this host
-	Reported int     // busy slots by the newest report, from any source
 	Weight   float64 // share of full load that the target may get, 0 to 1
 	Latency  float64 // smoothed service time in seconds, 0 if unknown
 }
