--- a/internal/host/kqdaemon/daemon.go
+++ b/internal/host/kqdaemon/daemon.go
@@ -192,7 +192,7 @@
 		Usages: func() []kqdispatch.Usage { return d.engine.Usages() }, Changed: func() { d.engine.Regrant() },
 	})
 	d.engine = kqcall.NewEngine(kqcall.Config{
-		Host: d.settings.Host, Domain: d.settings.Domain, Policy: d.newPolicy, Plain: d.opts.Plain, Clock: kqclock.System{}, Rand: seeded(),
+		Host: d.settings.Host, Policy: d.newPolicy, Plain: d.opts.Plain, Clock: kqclock.System{}, Rand: seeded(),
 		Events: d.events, Metrics: d.metrics, Keeper: d.keeper, Part: d.lender.Part, View: func() *kqfeed.View { return d.follower.View() },
 	})
 	d.roster = kqannounce.NewRoster(kqannounce.Config{
--- a/internal/route/kqdispatch/dispatch.go
+++ b/internal/route/kqdispatch/dispatch.go
@@ -14,7 +14,6 @@
 
 // Config constructs a Dispatch.
 type Config struct {
-	Domain string           // failure domain of this host
 	Policy func() kq.Policy // a new policy for each service
 	Plain  bool             // the policy alone decides, for experiments with baselines
 	Rand   *rand.Rand
--- a/internal/route/kqdispatch/dispatch_test.go
+++ b/internal/route/kqdispatch/dispatch_test.go
@@ -23,7 +23,7 @@
 func newDesk(t *testing.T, targets int) *desk {
 	t.Helper()
 	k := &desk{t: t, now: time.Unix(1_700_000_000, 0), d: New(Config{
-		Domain: "a", Policy: func() kq.Policy { return kqpolicy.Expected{} }, Rand: rand.New(rand.NewPCG(1, 1)),
+		Policy: func() kq.Policy { return kqpolicy.Expected{} }, Rand: rand.New(rand.NewPCG(1, 1)),
 	})}
 	k.grant("o", func(*kqcontract.Service, *Share) {})
 	for i := range targets {
