Give the wiring its own area on top: internal/run

Cause: internal/host held both the base that all parts use and the wiring that uses all parts, so imports ran back up through it. Change: kqdaemon and kqmain move to internal/run, nothing else.

--- a/cmd/kumquatd/main.go
+++ b/cmd/kumquatd/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"kumquatglade/internal/host/kqmain"
+	"kumquatglade/internal/run/kqmain"
 )
 
 func main() {
--- a/internal/bench/kqbench/deployment.go
+++ b/internal/bench/kqbench/deployment.go
@@ -6,7 +6,7 @@
 
 	"kumquatglade/internal/bench/kqfleet"
 	"kumquatglade/internal/bench/kqtarget"
-	"kumquatglade/internal/host/kqdaemon"
+	"kumquatglade/internal/run/kqdaemon"
 	"kumquatglade/internal/route/kqpolicy"
 	"kumquatglade/internal/state/kqcontract"
 
--- a/internal/bench/kqfleet/fleet.go
+++ b/internal/bench/kqfleet/fleet.go
@@ -11,7 +11,7 @@
 
 	"kumquatglade/internal/admin/kqclient"
 	"kumquatglade/internal/bench/kqtarget"
-	"kumquatglade/internal/host/kqdaemon"
+	"kumquatglade/internal/run/kqdaemon"
 	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/host/kqsettings"
 	"kumquatglade/internal/peer/kqsocket"
--- a/internal/host/kqmain/dev.go
+++ b/internal/run/kqmain/dev.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"kumquatglade/internal/bench/kqtarget"
-	"kumquatglade/internal/host/kqdaemon"
+	"kumquatglade/internal/run/kqdaemon"
 	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/host/kqsettings"
 	"kumquatglade/internal/peer/kqsocket"
--- a/internal/host/kqmain/main.go
+++ b/internal/run/kqmain/main.go
@@ -7,7 +7,7 @@
 	"os/signal"
 	"syscall"
 
-	"kumquatglade/internal/host/kqdaemon"
+	"kumquatglade/internal/run/kqdaemon"
 	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/host/kqsettings"
 
--- a/internal/scenario/kqscenario/scenario_test.go
+++ b/internal/scenario/kqscenario/scenario_test.go
@@ -13,7 +13,7 @@
 
 	"kumquatglade/internal/admin/kqcommand"
 	"kumquatglade/internal/bench/kqbench"
-	"kumquatglade/internal/host/kqmain"
+	"kumquatglade/internal/run/kqmain"
 	"kumquatglade/internal/peer/kqsocket"
 
 	"github.com/rogpeppe/go-internal/testscript"
