--- a/internal/bench/kqbench/deployment.go
+++ b/internal/bench/kqbench/deployment.go
@@ -6,8 +6,8 @@
 
 	"kumquatglade/internal/bench/kqfleet"
 	"kumquatglade/internal/bench/kqtarget"
-	"kumquatglade/internal/run/kqdaemon"
 	"kumquatglade/internal/route/kqpolicy"
+	"kumquatglade/internal/run/kqdaemon"
 	"kumquatglade/internal/state/kqcontract"
 
 	"github.com/cockroachdb/errors"
--- a/internal/call/kqforward/conn.go
+++ b/internal/call/kqforward/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"net"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -20,8 +22,9 @@
 	addr  string
 	r     *bufio.Reader
 	w     *bufio.Writer
-	idle  time.Time // since when it waits in the pool
-	wrote int64     // bytes given to the kernel for the request under way
+	idle  time.Time     // since when it waits in the pool
+	most  time.Duration // that it may wait in the pool, as the target says; 0: it does not say
+	wrote int64         // bytes given to the kernel for the request under way
 }
 
 func newConn(raw net.Conn, addr string) *conn {
@@ -31,6 +34,24 @@
 	return c
 }
 
+// keepMargin is how much sooner than the target an idle connection is closed
+// here, so that no request crosses the target's close.
+const keepMargin = time.Second
+
+// keepIdle takes the Keep-Alive field of an answer, in whole seconds.
+func (c *conn) keepIdle(field string) {
+	for part := range strings.SplitSeq(field, ",") {
+		word, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if n, err := strconv.Atoi(word); err == nil && n >= 0 {
+			told := time.Duration(n) * time.Second
+			c.most = max(told-keepMargin, told/2, time.Millisecond)
+		}
+	}
+}
+
 // counting notes how many bytes may have reached the target.
 type counting struct{ c *conn }
 
--- a/internal/call/kqforward/pool.go
+++ b/internal/call/kqforward/pool.go
@@ -13,14 +13,14 @@
 
 const (
 	// MaxIdle is the age at which an idle connection is closed.
-	MaxIdle = 15 * time.Second
+	MaxIdle = 8 * time.Second
 
 	// SureIdle is the idle age over which a call that must not run twice gets a
 	// fresh connection: what stands between the two ends may have forgotten the
 	// old one without a word, and then nobody can tell whether the call ran.
 	SureIdle = 500 * time.Millisecond
 
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 300 * time.Millisecond
 )
 
 // errFull says that the target's connections from this host are all in use.
@@ -70,7 +70,11 @@
 		if c == nil {
 			return nil
 		}
-		if time.Since(c.idle) <= maxIdle && c.quiet() {
+		limit := maxIdle
+		if c.most > 0 {
+			limit = min(limit, c.most)
+		}
+		if time.Since(c.idle) <= limit && c.quiet() {
 			return c
 		}
 		p.drop(c)
@@ -134,6 +138,13 @@
 	p.drop(c)
 }
 
+// Forget closes the idle connections to the address.
+func (p *Pool) Forget(addr string) {
+	for c := p.pop(addr); c != nil; c = p.pop(addr) {
+		p.drop(c)
+	}
+}
+
 // Sweep closes the connections that have been idle for too long.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
--- a/internal/call/kqforward/send.go
+++ b/internal/call/kqforward/send.go
@@ -26,6 +26,13 @@
 	Addr    string // IP:port of the target
 	Conns   int    // connections to the target that this host may have open
 	Once    bool   // must not run twice
+
+	// Rest follows Body on the wire; with it Length is the whole, -1 if unknown.
+	Rest   io.Reader
+	Length int64
+	// CloseEnds takes an answer without a length that its connection ends in
+	// order for whole; one that is reset never is.
+	CloseEnds bool
 }
 
 // Error says what is known of a request that got no answer.
@@ -80,13 +87,14 @@
 func (p *Pool) exchange(ctx context.Context, c *conn, req Request) (*Reply, error) {
 	out := outgoing(ctx, req)
 	written := make(chan error, 1)
-	if len(req.Body) <= inlineBody {
+	inline := len(req.Body) <= inlineBody && req.Rest == nil
+	if inline {
 		written <- c.write(out)
 	} else {
 		// A target may answer before it has read a large body.
 		go func() { written <- c.write(out) }()
 	}
-	if len(req.Body) <= inlineBody {
+	if inline {
 		if err := <-written; err != nil {
 			return nil, err
 		}
@@ -98,7 +106,8 @@
 		<-written
 		return nil, err
 	}
-	return p.reply(c, res, written), nil
+	c.keepIdle(res.Header.Get("Keep-Alive"))
+	return p.reply(c, res, written, req.CloseEnds), nil
 }
 
 func (c *conn) write(out *http.Request) error {
@@ -117,6 +126,13 @@
 		out.Body = io.NopCloser(bytes.NewReader(req.Body))
 		out.ContentLength = int64(len(req.Body))
 	}
+	if req.Rest != nil {
+		out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(req.Body), req.Rest))
+		out.ContentLength = req.Length
+		if req.Length < 0 {
+			out.TransferEncoding = []string{"chunked"}
+		}
+	}
 	if len(req.Trailer) > 0 {
 		out.ContentLength = -1
 		out.TransferEncoding = []string{"chunked"}
@@ -141,14 +157,14 @@
 	}
 }
 
-func (p *Pool) reply(c *conn, res *http.Response, written <-chan error) *Reply {
+func (p *Pool) reply(c *conn, res *http.Response, written <-chan error, closeEnds bool) *Reply {
 	r := &Reply{
 		Status: res.StatusCode, Header: res.Header, Trailer: res.Trailer,
 		Length: res.ContentLength, pool: p, conn: c,
 	}
 	chunked := len(res.TransferEncoding) > 0
 	bounded := chunked || res.ContentLength >= 0 || res.Body == http.NoBody
-	r.Body = &body{reply: r, res: res, bounded: bounded, written: written}
+	r.Body = &body{reply: r, res: res, bounded: bounded || closeEnds, keeps: bounded, written: written}
 	return r
 }
 
@@ -159,7 +175,8 @@
 type body struct {
 	reply   *Reply
 	res     *http.Response
-	bounded bool
+	bounded bool // the end of the answer can be told from a break
+	keeps   bool // the connection may go on behind the answer
 	written <-chan error
 }
 
@@ -175,7 +192,7 @@
 	b.reply.whole = true
 	select {
 	case werr := <-b.written:
-		b.reply.keep = werr == nil && !b.res.Close
+		b.reply.keep = b.keeps && werr == nil && !b.res.Close
 	default:
 	}
 	return n, err
--- /dev/null
+++ b/internal/call/kqpass/answer.go
@@ -0,0 +1,121 @@
+package kqpass
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"kumquatglade/internal/route/kqfresh"
+)
+
+// hopFields concern one connection only.
+var hopFields = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Authenticate", "Proxy-Authorization",
+}
+
+// dropHop removes what concerns one connection only.
+func dropHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			delete(h, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopFields {
+		delete(h, name)
+	}
+}
+
+// passedOn returns the caller's header fields for the target.
+func passedOn(h http.Header) http.Header {
+	out := h.Clone()
+	dropHop(out)
+	out.Del("Expect")
+	if _, ok := out["User-Agent"]; !ok {
+		out["User-Agent"] = []string{""} // the writer would put its own
+	}
+	return out
+}
+
+const (
+	backLeast = 60 * time.Millisecond // before which a refused caller should not return
+	backShare = 0.25                  // of the time left over which returns are spread
+)
+
+// retryAfter spreads the return of refused callers over a part of the time that
+// they have left.
+func (p *passage) retryAfter() time.Duration {
+	left := time.Until(p.until)
+	p.engine.mu.Lock()
+	defer p.engine.mu.Unlock()
+	return backLeast + time.Duration(p.engine.cfg.Rand.Float64()*backShare*float64(max(left, 0)))
+}
+
+// refuse answers for a request that has not run and never will.
+func (p *passage) refuse(status int, word string, wait time.Duration) {
+	p.engine.counts.refused.Inc(1)
+	if wait > 0 {
+		p.w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	}
+	p.note("refused", status, word)
+	p.own(status, word)
+}
+
+// fail answers for a request of which nobody knows whether it ran.
+func (p *passage) fail(status int, word string) {
+	p.engine.counts.failed.Inc(1)
+	p.note("failed", status, word)
+	p.own(status, word)
+}
+
+// own writes an answer that is not a target's.
+func (p *passage) own(status int, word string) {
+	h := p.w.Header()
+	if p.id != "" {
+		h.Set(p.engine.cfg.Names.ID, p.id)
+	}
+	h.Set("Content-Type", "text/plain")
+	body := word + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	p.w.WriteHeader(status)
+	_, _ = p.w.Write([]byte(body)) // the caller may have gone
+}
+
+// note logs how the request ended and what decided it.
+func (p *passage) note(outcome string, status int, word string) {
+	l := p.engine.cfg.Log.Info()
+	if l == nil {
+		return
+	}
+	now := p.engine.cfg.Clock.Now()
+	l.Str("id", p.id).Str("outcome", outcome).Int("status", status).Dur("took", now.Sub(p.began)).Int("sends", p.sends+1)
+	if p.scene != nil {
+		l.Uint64("revision", p.scene.revision).Uint64("routes", p.scene.table.Version)
+	}
+	if p.route != nil {
+		l.Str("route", p.route.Name).Str("service", p.service).Int64("left", p.until.Sub(now).Milliseconds())
+	}
+	if t := p.chosen.target; t != nil {
+		s := p.chosen.sample
+		l.Str("target", t.ID).Int("asked", p.chosen.asked).Int("told", p.chosen.told).
+			Int("running", s.Running).Int("waiting", s.Waiting).Float64("slow", s.Slow).Float64("score", p.chosen.score)
+		if !s.At.IsZero() {
+			l.Dur("age", now.Sub(s.At))
+		}
+	}
+	if word != "" {
+		l.Str("cause", word)
+	}
+	l.Msg("request: " + outcome)
+}
+
+// noteSend logs a send that brought no answer for the caller.
+func (p *passage) noteSend(t *kqfresh.Target, out outcome, status int) {
+	l := p.engine.cfg.Log.Info()
+	if l == nil {
+		return
+	}
+	l.Str("id", p.id).Str("target", t.ID).Str("addr", t.Addr).Int("status", status).Bool("mayrun", out.mayRun).
+		Bool("unsent", out.unsent).Dur("took", out.elapsed).Str("cause", out.word).Msg("send: no answer")
+}
--- /dev/null
+++ b/internal/call/kqpass/ask.go
@@ -0,0 +1,190 @@
+package kqpass
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"kumquatglade/internal/call/kqforward"
+	"kumquatglade/internal/route/kqfresh"
+)
+
+const (
+	askMany  = 4                     // targets asked before a send
+	askTime  = 12 * time.Millisecond // that the first send waits for answers: a few round trips between failure domains
+	askLimit = 60 * time.Millisecond // after which a question is given up and its connection closed
+	askAgain = 4 * time.Millisecond  // age up to which an answer serves another request
+	askBurst = 8                     // questions to one target at once from one host
+)
+
+// allowance is a bucket of questions to one target.
+type allowance struct {
+	left float64
+	at   time.Time
+}
+
+// mayAsk takes one question to the target from its bucket.
+func (e *Engine) mayAsk(id string, now time.Time) bool {
+	if e.cfg.Limits.Questions <= 0 {
+		return true
+	}
+	a := e.asked[id]
+	if a == nil {
+		a = &allowance{left: askBurst, at: now}
+		e.asked[id] = a
+	}
+	rate := e.cfg.Limits.Questions / float64(max(e.cfg.Hosts(), 1))
+	a.left = min(askBurst, a.left+rate*now.Sub(a.at).Seconds())
+	a.at = now
+	if a.left < 1 {
+		return false
+	}
+	a.left--
+	return true
+}
+
+// choice is a chosen target and what was known of it.
+type choice struct {
+	target *kqfresh.Target
+	sample kqfresh.Sample
+	asked  int // targets that were asked
+	told   int // that answered in time
+	score  float64
+}
+
+// choose asks a few targets and returns the best one, counted as sent to. It
+// returns no target if there is none to send to.
+func (e *Engine) choose(ctx context.Context, s *scene, service string, tried []*kqfresh.Target) choice {
+	began := e.cfg.Clock.Now()
+	e.mu.Lock()
+	list := kqfresh.Candidates(s.service(service, tried), askMany, began, e.cfg.Rand)
+	var ask []*kqfresh.Target
+	fresh := map[*kqfresh.Target]bool{}
+	if len(list) > 1 {
+		for _, t := range list {
+			if !t.Last.At.IsZero() && began.Sub(t.Last.At) <= askAgain {
+				fresh[t] = true
+			} else if e.mayAsk(t.ID, began) {
+				ask = append(ask, t)
+			}
+		}
+	}
+	e.mu.Unlock()
+	c := choice{asked: len(ask)}
+	for _, t := range e.ask(ctx, s, service, ask) {
+		fresh[t] = true
+		c.told++
+	}
+	now := e.cfg.Clock.Now()
+	if len(ask) > 0 {
+		e.counts.asking.Update(now.Sub(began))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	best := kqfresh.Best(list, func(t *kqfresh.Target) bool { return fresh[t] || len(fresh) == 0 }, now, e.cfg.Domain)
+	if best == nil {
+		return c
+	}
+	c.target, c.sample, c.score = best, best.Last, best.Score(now, e.cfg.Domain)
+	best.Own++
+	best.Last.Sent++
+	return c
+}
+
+// ask questions the targets at once and returns those that answered in time.
+func (e *Engine) ask(ctx context.Context, s *scene, service string, list []*kqfresh.Target) []*kqfresh.Target {
+	if len(list) == 0 {
+		return nil
+	}
+	path := s.table.Services[service].Health
+	conns := e.connections(s, service)
+	answers := make(chan *kqfresh.Target, len(list))
+	for _, t := range list {
+		go func() {
+			if e.question(ctx, t, path, conns) {
+				answers <- t
+				return
+			}
+			answers <- nil
+		}()
+	}
+	wait := time.NewTimer(askTime)
+	defer wait.Stop()
+	var told []*kqfresh.Target
+	for range list {
+		select {
+		case t := <-answers:
+			if t != nil {
+				told = append(told, t)
+			}
+		case <-wait.C:
+			return told
+		case <-ctx.Done():
+			return told
+		}
+	}
+	return told
+}
+
+// question asks one target; true says that it told its load and seems sound.
+// It goes on when the request that needed it has left, for the next one.
+func (e *Engine) question(ctx context.Context, t *kqfresh.Target, path string, conns int) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askLimit)
+	defer cancel()
+	e.counts.questions.Inc(1)
+	reply, err := e.pool.Send(ctx, kqforward.Request{
+		Method: http.MethodGet, URL: &url.URL{Path: path}, Host: t.Addr, Header: http.Header{}, Addr: t.Addr, Conns: conns,
+	})
+	now := e.cfg.Clock.Now()
+	if err != nil {
+		e.unanswered(t, now, err)
+		return false
+	}
+	defer reply.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(reply.Body, askBytes)); err != nil {
+		e.unanswered(t, now, err)
+		return false
+	}
+	sample, ok := parseLoad(reply.Header.Get(e.cfg.Names.Load), now)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if ok {
+		t.Told(sample)
+	}
+	return ok && reply.Status == http.StatusOK
+}
+
+// askBytes bounds the answer to a question.
+const askBytes = 4 << 10
+
+func (e *Engine) unanswered(t *kqfresh.Target, now time.Time, err error) {
+	e.counts.unanswered.Inc(1)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if unsent(err) && !full(err) {
+		t.Unreachable(now)
+	}
+}
+
+// parseLoad reads running, waiting, slots and, if it is there, the percentage of
+// the usual time that work takes now.
+func parseLoad(field string, now time.Time) (kqfresh.Sample, bool) {
+	parts := strings.Split(field, ",")
+	if len(parts) < 3 {
+		return kqfresh.Sample{}, false
+	}
+	var n [4]int
+	n[3] = 100
+	for i, p := range parts[:min(len(parts), len(n))] {
+		v, err := strconv.Atoi(strings.TrimSpace(p))
+		if err != nil || v < 0 {
+			return kqfresh.Sample{}, false
+		}
+		n[i] = v
+	}
+	return kqfresh.Sample{Running: n[0], Waiting: n[1], Slots: n[2], Slow: float64(max(n[3], 1)) / 100, At: now}, true
+}
--- a/internal/host/kqlog/log.go
+++ b/internal/host/kqlog/log.go
@@ -12,12 +12,34 @@
 type Log struct {
 	out    *log.Logger
 	prefix string
+	sink   *sink
 }
 
-// Open returns the log of the host; path empty means stderr, level empty info.
+// Flush waits until what was logged is written, but not for long.
+func (l *Log) Flush() {
+	if l.sink != nil {
+		l.sink.flush()
+	}
+}
+
+// Dropped returns how many lines were left out because the reader is slow.
+func (l *Log) Dropped() int64 {
+	if l.sink == nil {
+		return 0
+	}
+	return l.sink.lost()
+}
+
+// Stdout as a path is standard output.
+const Stdout = "-"
+
+// Open returns the log of the host; path empty means stderr, Stdout standard
+// output, level empty info. No part ever waits for a line to be written.
 func Open(host, level, path string) (*Log, error) {
 	var w io.Writer = os.Stderr
-	if path != "" {
+	if path == Stdout {
+		w = os.Stdout
+	} else if path != "" {
 		f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 		if err != nil {
 			return nil, errors.Wrap(err, "log")
@@ -27,13 +49,14 @@
 	if level == "" {
 		level = "info"
 	}
+	sink := newSink(w)
 	out := &log.Logger{
 		Level:      log.ParseLevel(level),
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
 		Context:    log.NewContext(nil).Str("host", host).Value(),
-		Writer:     &log.IOWriter{Writer: w},
+		Writer:     &log.IOWriter{Writer: sink},
 	}
-	return &Log{out: out}, nil
+	return &Log{out: out, sink: sink}, nil
 }
 
 // Discard returns a log that writes nothing.
@@ -43,7 +66,12 @@
 
 // Part returns the log of one part; its prefix stands before each sentence.
 func (l *Log) Part(name string) *Log {
-	return &Log{out: l.out, prefix: name + ": "}
+	return &Log{out: l.out, prefix: name + ": ", sink: l.sink}
+}
+
+// Info begins a structured line; nil if the level leaves it out.
+func (l *Log) Info() *log.Entry {
+	return l.out.Info()
 }
 
 // Debugf logs details for developers.
--- a/internal/host/kqsettings/validate.go
+++ b/internal/host/kqsettings/validate.go
@@ -14,12 +14,18 @@
 	if s.Has(RoleEntry) && s.Listen.Calls == "" {
 		return errors.New("key listen.calls: missing: an entry host needs an IP:port")
 	}
+	if len(s.Control) == 0 && len(s.Seeds) == 0 {
+		return errors.New("key control: value []: allowed: at least 1")
+	}
 	if !s.Has(RoleControl) {
 		return nil
 	}
 	if s.Data == "" {
 		return errors.New("key data: missing: a control host needs a folder")
 	}
+	if len(s.Seeds) > 0 {
+		return nil
+	}
 	return s.checkSelf()
 }
 
--- a/internal/peer/kqlink/mesh.go
+++ b/internal/peer/kqlink/mesh.go
@@ -46,6 +46,7 @@
 	Log      *kqlog.Log
 	Metrics  metrics.Registry
 	Receiver Receiver
+	Beat     time.Duration // between two heartbeats of a link while there are few, leastBeat if 0
 }
 
 // Mesh holds one link to each peer host.
@@ -289,7 +290,11 @@
 func (m *Mesh) beatEvery() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return leastBeat * time.Duration(max(len(m.conns), manyLinks)) / manyLinks
+	beat := m.cfg.Beat
+	if beat == 0 {
+		beat = leastBeat
+	}
+	return beat * time.Duration(max(len(m.conns), manyLinks)) / manyLinks
 }
 
 func (m *Mesh) conn(peer string) *conn {
--- /dev/null
+++ b/internal/route/kqfresh/budget.go
@@ -0,0 +1,62 @@
+package kqfresh
+
+import "time"
+
+const (
+	budgetSlots = 10 // parts of a budget's window
+)
+
+// Budget bounds second sends to a service to a share of its requests in every
+// window, and a slack that all hosts have together.
+type Budget struct {
+	Ratio  float64       // second sends for each request
+	Slack  float64       // second sends of all hosts together in one window
+	Window time.Duration // over which is counted
+
+	began    time.Time
+	at       int64 // part of the window that is counted now
+	requests [budgetSlots]float64
+	seconds  [budgetSlots]float64
+}
+
+// advance forgets the parts that have left the window.
+func (b *Budget) advance(now time.Time) {
+	if b.began.IsZero() {
+		b.began = now
+	}
+	at := int64(now.Sub(b.began) / (b.Window / budgetSlots))
+	for n := 0; b.at < at; n++ {
+		b.at++
+		b.requests[b.at%budgetSlots], b.seconds[b.at%budgetSlots] = 0, 0
+		if n >= budgetSlots {
+			b.at = at
+		}
+	}
+}
+
+// Request counts one request for the service.
+func (b *Budget) Request(now time.Time) {
+	b.advance(now)
+	b.requests[b.at%budgetSlots]++
+}
+
+// Take counts a second send if the window allows it; hosts is how many share
+// the slack. A host that has just started spends none of it: what it spent
+// before the start is not known.
+func (b *Budget) Take(now time.Time, hosts int) bool {
+	b.advance(now)
+	requests, seconds := 0.0, 0.0
+	for i := range budgetSlots {
+		requests += b.requests[i]
+		seconds += b.seconds[i]
+	}
+	slack := 0.0
+	if now.Sub(b.began) >= b.Window {
+		slack = b.Slack / float64(max(hosts, 1))
+	}
+	if seconds+1 > b.Ratio*requests+slack {
+		return false
+	}
+	b.seconds[b.at%budgetSlots]++
+	return true
+}
--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -13,6 +13,7 @@
 	"kumquatglade/internal/call/kqcall"
 	"kumquatglade/internal/call/kqkeyed"
 	"kumquatglade/internal/call/kqlend"
+	"kumquatglade/internal/call/kqpass"
 	"kumquatglade/internal/host/kqclock"
 	"kumquatglade/internal/host/kqdisk"
 	"kumquatglade/internal/host/kqevent"
@@ -58,6 +59,7 @@
 	follower *kqfeed.Follower
 	roster   *kqannounce.Roster
 	engine   *kqcall.Engine
+	passer   *kqpass.Engine // of a host that finds the others by seeds
 	keeper   *kqkeyed.Keeper
 	lender   *kqlend.Lender
 
@@ -67,9 +69,13 @@
 	ready   chan struct{} // closed when all parts are there, or none will come
 	opened  sync.Once
 
-	mu      sync.Mutex
-	members []kqreplica.Member
-	leaving bool
+	mu       sync.Mutex
+	members  []kqreplica.Member
+	leaving  bool
+	seeds    []string           // IPs of the seeds
+	learned  []kqfeed.Neighbour // control hosts, as a hub told
+	presence map[string]present // entry hosts, as they told this control host
+	began    time.Time
 }
 
 // Options change a host for experiments; the zero value is what users run.
@@ -103,6 +109,9 @@
 }
 
 func (d *Daemon) start() error {
+	if len(d.settings.Seeds) > 0 {
+		return d.startSeeded()
+	}
 	mesh, err := kqlink.Listen(kqlink.Config{
 		Host: d.settings.Host, Listen: d.settings.Listen.Peers, Secret: d.settings.Secret,
 		Clock: d.events.Clock(), Log: d.log.Part("link"), Metrics: d.metrics, Receiver: receiver{d},
@@ -204,7 +213,7 @@
 	})
 	var old *kqfeed.View
 	d.follower = kqfeed.NewFollower(kqfeed.FollowerConfig{
-		Host: self, Controls: d.controls(), Link: d.mesh, Clock: kqclock.System{},
+		Host: self, Controls: d.neighbours, Link: d.mesh, Clock: kqclock.System{},
 		Log: d.log.Part("feed"), Events: d.events,
 		InForce: func(v *kqfeed.View) {
 			d.lender.Enforce(v.Listed, entryNames(v))
@@ -281,7 +290,10 @@
 		s.Close()
 	}
 	d.wait.Wait()
-	if d.follower != nil {
+	if d.passer != nil {
+		d.passer.Close()
+		d.follower.Close()
+	} else if d.follower != nil {
 		d.follower.Close()
 		d.roster.Close()
 		d.engine.Close()
@@ -306,6 +318,10 @@
 // while callers may still hold an earlier answer, and finishes the calls in
 // progress. A closed hurry skips the first wait.
 func (d *Daemon) Stop(hurry <-chan struct{}) {
+	if len(d.settings.Seeds) > 0 {
+		d.stopSeeded(hurry)
+		return
+	}
 	if d.engine != nil {
 		d.mu.Lock()
 		d.leaving = true
--- a/internal/run/kqdaemon/peers.go
+++ b/internal/run/kqdaemon/peers.go
@@ -18,6 +18,19 @@
 	return list
 }
 
+// neighbours returns the control hosts of the settings, or those found by seeds.
+func (d *Daemon) neighbours() []kqfeed.Neighbour {
+	if len(d.settings.Seeds) > 0 {
+		return d.found()
+	}
+	var list []kqfeed.Neighbour
+	for _, c := range d.settings.Control {
+		// Without a failure domain the order is by hash alone, as it always was.
+		list = append(list, kqfeed.Neighbour{Host: c.Host, Peers: c.Peers})
+	}
+	return list
+}
+
 // controlAddrs returns the known control hosts with their peers addresses.
 func (d *Daemon) controlAddrs() map[string]string {
 	addrs := map[string]string{}
@@ -42,12 +55,23 @@
 	d.mu.Lock()
 	d.members = list
 	d.mu.Unlock()
+	if d.hub != nil && len(d.settings.Seeds) > 0 {
+		d.tellControls(list)
+	}
 	d.dialPeers()
 }
 
 // peerAddrs returns all hosts that this one should be linked to: the control
 // hosts, and for an entry host the other entry hosts in force.
 func (d *Daemon) peerAddrs() map[string]string {
+	if len(d.settings.Seeds) > 0 {
+		addrs := map[string]string{}
+		for _, n := range d.found() {
+			addrs[n.Host] = n.Peers
+		}
+		delete(addrs, d.settings.Host)
+		return addrs
+	}
 	addrs := d.controlAddrs()
 	if d.follower != nil {
 		if v := d.follower.Known(); v != nil {
@@ -121,7 +145,9 @@
 		s.Peers[h] = d.mesh.Up(h)
 	}
 	if d.follower != nil {
-		s.Calls = d.engine.Calls()
+		if d.engine != nil {
+			s.Calls = d.engine.Calls()
+		}
 		if v := d.follower.Known(); v != nil {
 			s.Revision = v.Revision
 		}
@@ -151,6 +177,9 @@
 }
 
 func (d *Daemon) healthy() bool {
+	if d.passer != nil {
+		return d.takes()
+	}
 	d.mu.Lock()
 	leaving := d.leaving
 	d.mu.Unlock()
--- a/internal/run/kqdaemon/receiver.go
+++ b/internal/run/kqdaemon/receiver.go
@@ -40,7 +40,11 @@
 		if d.hub != nil {
 			return d.hub.Receive(peer, kind, body)
 		}
-	case kqfeed.MethodChange, kqfeed.MethodFresh:
+	case kqfeed.MethodPresence:
+		if d.hub != nil {
+			return d.takePresence(peer, body)
+		}
+	case kqfeed.MethodChange, kqfeed.MethodFresh, kqfeed.MethodControls:
 		if d.follower != nil {
 			return d.follower.Receive(peer, kind, body)
 		}
@@ -99,6 +103,9 @@
 	if d.hub != nil && !up {
 		d.hub.Unlink(peer)
 	}
+	if len(d.settings.Seeds) > 0 {
+		d.linkedSeeded(peer, up)
+	}
 	if d.roster != nil {
 		d.roster.Linked(peer, up)
 	}
--- a/internal/run/kqmain/dev.go
+++ b/internal/run/kqmain/dev.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"kumquatglade/internal/bench/kqtarget"
-	"kumquatglade/internal/run/kqdaemon"
 	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/host/kqsettings"
 	"kumquatglade/internal/peer/kqsocket"
+	"kumquatglade/internal/run/kqdaemon"
 	"kumquatglade/internal/state/kqcontract"
 
 	"github.com/cockroachdb/errors"
--- a/internal/run/kqmain/main.go
+++ b/internal/run/kqmain/main.go
@@ -7,9 +7,9 @@
 	"os/signal"
 	"syscall"
 
-	"kumquatglade/internal/run/kqdaemon"
 	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/host/kqsettings"
+	"kumquatglade/internal/run/kqdaemon"
 
 	"github.com/integrii/flaggy"
 )
@@ -23,12 +23,13 @@
 
 // Run parses args and runs the daemon until it is stopped; it returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
-	var path, file string
+	var path, file, adapter string
 	p := flaggy.NewParser("kumquatd")
 	p.Description = "one host of kumquatglade: entry, control, or both"
 	p.ShowCompletion = false
 	p.DisableShowVersionWithVersion()
 	p.String(&path, "", "settings", "settings file")
+	p.String(&adapter, "", "adapter", "whose settings and calls: \"platform\", or the project's own")
 	check := flaggy.NewSubcommand("check")
 	check.Description = "validate a settings file and exit"
 	check.AddPositionalValue(&file, "file", 1, true, "settings file")
@@ -45,6 +46,11 @@
 		return checkFile(file, stdout, stderr)
 	case dev.Used:
 		return runDev(stdout, stderr)
+	case adapter != "" && adapter != adapterPlatform:
+		fmt.Fprintf(stderr, "kumquatd: --adapter %q: allowed: %s\n", adapter, adapterPlatform)
+		return exitUsage
+	case adapter != "":
+		return runAdapted(path, stderr)
 	case path == "":
 		fmt.Fprintln(stderr, "kumquatd: --settings FILE is required")
 		return exitUsage
@@ -68,17 +74,26 @@
 		fmt.Fprintln(stderr, "kumquatd:", err)
 		return exitUsage
 	}
-	log, err := kqlog.Open(s.Host, s.Log.Level, s.Log.Path)
+	log, d, err := start(s)
 	if err != nil {
 		fmt.Fprintln(stderr, "kumquatd:", err)
 		return exitFatal
 	}
+	defer log.Flush()
+	return serve(d, stderr)
+}
+
+func start(s kqsettings.Settings) (*kqlog.Log, *kqdaemon.Daemon, error) {
+	log, err := kqlog.Open(s.Name(), s.Log.Level, s.Log.Path)
+	if err != nil {
+		return nil, nil, err
+	}
 	d, err := kqdaemon.Start(s, log.Part("daemon"))
 	if err != nil {
-		fmt.Fprintln(stderr, "kumquatd:", err)
-		return exitFatal
+		log.Errorf("does not start: %v", err)
+		log.Flush()
 	}
-	return serve(d, stderr)
+	return log, d, err
 }
 
 // serve runs until a signal or a fatal error; a second signal hurries.
--- a/internal/scenario/kqscenario/scenario_test.go
+++ b/internal/scenario/kqscenario/scenario_test.go
@@ -13,8 +13,8 @@
 
 	"kumquatglade/internal/admin/kqcommand"
 	"kumquatglade/internal/bench/kqbench"
-	"kumquatglade/internal/run/kqmain"
 	"kumquatglade/internal/peer/kqsocket"
+	"kumquatglade/internal/run/kqmain"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
--- a/internal/state/kqcontract/state.go
+++ b/internal/state/kqcontract/state.go
@@ -6,6 +6,9 @@
 	"slices"
 	"time"
 
+	"kumquatglade/internal/state/kqroutes"
+	"kumquatglade/internal/state/kqtargets"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -23,17 +26,21 @@
 	OpRemove = "remove"
 	OpHosts  = "hosts" // operators set the host lists
 	OpJoin   = "join"  // an entry host announced itself
+	OpRoutes = "routes"
+	OpTarget = "target" // a target joined, drains or left
 )
 
 // Command is one change asked of the state machine.
 type Command struct {
-	Op       string    `json:"op"`
-	Contract *Contract `json:"contract,omitempty"`
-	Owner    string    `json:"owner,omitempty"`
-	Version  uint64    `json:"version,omitempty"`
-	Hosts    *Hosts    `json:"hosts,omitempty"`
-	Join     *Host     `json:"join,omitempty"`
-	Time     time.Time `json:"time"` // when the leader took it
+	Op       string             `json:"op"`
+	Contract *Contract          `json:"contract,omitempty"`
+	Owner    string             `json:"owner,omitempty"`
+	Version  uint64             `json:"version,omitempty"`
+	Hosts    *Hosts             `json:"hosts,omitempty"`
+	Join     *Host              `json:"join,omitempty"`
+	Routes   *kqroutes.Proposal `json:"routes,omitempty"`
+	Target   *kqtargets.Target  `json:"target,omitempty"`
+	Time     time.Time          `json:"time"` // when the leader took it
 }
 
 // Hosts is the document of all hosts that the system counts on.
@@ -107,10 +114,12 @@
 
 // Change is what one accepted command altered, as entry hosts receive it.
 type Change struct {
-	Revision uint64    `json:"revision"`
-	Owner    string    `json:"owner,omitempty"`
-	Contract *Contract `json:"contract,omitempty"` // nil with an Owner: removed
-	Hosts    *Hosts    `json:"hosts,omitempty"`
+	Revision uint64             `json:"revision"`
+	Owner    string             `json:"owner,omitempty"`
+	Contract *Contract          `json:"contract,omitempty"` // nil with an Owner: removed
+	Hosts    *Hosts             `json:"hosts,omitempty"`
+	Routes   *kqroutes.Delta    `json:"routes,omitempty"`
+	Targets  []kqtargets.Target `json:"targets,omitempty"` // that changed
 }
 
 // State is the deterministic state machine of contracts and hosts.
@@ -120,11 +129,13 @@
 	Hosts    Hosts              `json:"hosts"`
 	HostLog  Record             `json:"hostLog"` // accepted versions of Hosts
 	Listed   uint64             `json:"listed"`  // revision at which Hosts last changed
+	Routes   kqroutes.Book      `json:"routes"`
+	Targets  kqtargets.Set      `json:"targets"`
 }
 
 // NewState returns the empty state at revision 0.
 func NewState() *State {
-	return &State{Owners: map[string]*Record{}}
+	return &State{Owners: map[string]*Record{}, Targets: kqtargets.NewSet()}
 }
 
 // Apply runs one command; the change is nil if nothing altered.
@@ -144,6 +155,10 @@
 		return s.setHosts(c)
 	case OpJoin:
 		return s.join(c)
+	case OpRoutes:
+		return s.setRoutes(c)
+	case OpTarget:
+		return s.announce(c)
 	default:
 		return Result{Refused: ReasonUnknown}, nil
 	}
@@ -232,6 +247,46 @@
 	return Result{Accepted: Accepted{Revision: s.Revision, Time: c.Time}}, s.hostsChange()
 }
 
+// setRoutes puts the routes in force if their version is the highest; any other
+// is acknowledged and changes nothing.
+func (s *State) setRoutes(c Command) (Result, *Change) {
+	if c.Routes == nil {
+		return Result{Refused: ReasonUnknown}, nil
+	}
+	old := s.Routes.Current
+	if !s.Routes.Accept(c.Routes, c.Time, s.Revision+1) {
+		return Result{Accepted: s.routesAccepted(), Repeat: true}, nil
+	}
+	s.Revision++
+	var from *kqroutes.Document
+	if old != nil {
+		from = &old.Document
+	}
+	delta := c.Routes.Document.Diff(from)
+	return Result{Accepted: s.routesAccepted()}, &Change{Revision: s.Revision, Routes: &delta}
+}
+
+// RoutesOwner stands for the routes where an owner's name is shown.
+const RoutesOwner = "(routes)"
+
+func (s *State) routesAccepted() Accepted {
+	a := s.Routes.History[len(s.Routes.History)-1]
+	return Accepted{Owner: RoutesOwner, Version: a.Version, Hash: a.Hash, Time: a.Time, Revision: a.Revision}
+}
+
+// announce takes what a target said of itself.
+func (s *State) announce(c Command) (Result, *Change) {
+	if c.Target == nil {
+		return Result{Refused: ReasonUnknown}, nil
+	}
+	changed := s.Targets.Apply(*c.Target)
+	if len(changed) == 0 {
+		return Result{Accepted: Accepted{Revision: s.Revision}, Repeat: true}, nil
+	}
+	s.Revision++
+	return Result{Accepted: Accepted{Revision: s.Revision, Time: c.Time}}, &Change{Revision: s.Revision, Targets: changed}
+}
+
 func (s *State) hostsChange() *Change {
 	s.Listed = s.Revision
 	h := s.Hosts
@@ -274,6 +329,9 @@
 func Decode(p []byte) (*State, error) {
 	s := NewState()
 	err := cbor.Unmarshal(p, s)
+	if s.Targets.Targets == nil {
+		s.Targets = kqtargets.NewSet() // a state written before there was a directory
+	}
 	return s, err
 }
 
--- a/internal/state/kqcontrol/control.go
+++ b/internal/state/kqcontrol/control.go
@@ -27,7 +27,8 @@
 
 // Config constructs a Control.
 type Config struct {
-	Hosts   []kqreplica.Want // control hosts of the settings
+	Self    kqreplica.Want   // this host, as it asks to join
+	Hosts   []kqreplica.Want // founding control hosts of the settings
 	Disk    kq.Disk
 	Link    kq.Link
 	Clock   kq.Clock
@@ -35,6 +36,11 @@
 	Events  *kqevent.Recorder
 	Metrics metrics.Registry
 	Rand    *rand.Rand
+
+	Tolerance  int  // data folders that may be lost at once
+	Open       bool // control hosts are admitted as they ask
+	NeverFound bool // an empty data folder was lost: no new cluster
+
 	// Changed is called in order for every change in force on this host.
 	Changed func(kqcontract.Change)
 	// Restored is called when the whole state was replaced.
@@ -94,7 +100,8 @@
 	m := &machine{state: kqcontract.NewState()}
 	replica, effects, err := kqreplica.New(kqreplica.Config{
 		Host: cfg.Link.Host(), Hosts: cfg.Hosts, Loaded: loaded, Machine: m, Rand: cfg.Rand,
-		Token: word(cfg.Rand), Cluster: word(cfg.Rand),
+		Token: word(cfg.Rand), Cluster: word(cfg.Rand), Self: cfg.Self,
+		Tolerance: cfg.Tolerance, Open: cfg.Open, NeverFound: cfg.NeverFound,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/state/kqcontrol/machine.go
+++ b/internal/state/kqcontrol/machine.go
@@ -1,8 +1,13 @@
 package kqcontrol
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
+
 	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqreplica"
+	"kumquatglade/internal/state/kqroutes"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -27,14 +32,50 @@
 	return mode
 }()
 
+// packLeast is the size in bytes from which a command is compressed.
+const packLeast = 1 << 10
+
+// packed marks a compressed command; no CBOR map begins so.
+const packed = 0x00
+
+// encodeCommand writes a command as the log keeps it: documents repeat
+// themselves, and travel to every replica.
 func encodeCommand(c kqcontract.Command) ([]byte, error) {
-	return encoding.Marshal(c)
+	p, err := encoding.Marshal(c)
+	if err != nil || len(p) < packLeast {
+		return p, err
+	}
+	out := bytes.NewBuffer([]byte{packed})
+	w, err := flate.NewWriter(out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(p); err != nil {
+		return nil, err
+	}
+	err = w.Close()
+	return out.Bytes(), err
 }
 
+func decodeCommand(data []byte) (kqcontract.Command, error) {
+	var c kqcontract.Command
+	if len(data) > 0 && data[0] == packed {
+		p, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data[1:])), maxCommand))
+		if err != nil {
+			return c, err
+		}
+		data = p
+	}
+	return c, cbor.Unmarshal(data, &c)
+}
+
+// maxCommand bounds a command in bytes, twice the largest document and some.
+const maxCommand = 4 * kqroutes.MaxDocument
+
 // Apply runs one command; one that does not decode changes nothing on any host.
 func (m *machine) Apply(data []byte) any {
-	var c kqcontract.Command
-	if err := cbor.Unmarshal(data, &c); err != nil {
+	c, err := decodeCommand(data)
+	if err != nil {
 		return outcome{result: kqcontract.Result{Refused: kqcontract.ReasonUnknown}}
 	}
 	res, change := m.state.Apply(c)
--- a/internal/state/kqcontrol/store.go
+++ b/internal/state/kqcontrol/store.go
@@ -8,6 +8,8 @@
 	kq "kumquatglade"
 	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqfeed"
+	"kumquatglade/internal/state/kqroutes"
+	"kumquatglade/internal/state/kqtargets"
 
 	"github.com/cockroachdb/errors"
 )
@@ -83,6 +85,38 @@
 	return doc, err
 }
 
+// Routes returns the routes in force, confirmed by a quorum; nil before the first.
+func (l Local) Routes(ctx context.Context) (*kqroutes.Proposal, error) {
+	if err := l.Confirm(ctx); err != nil {
+		return nil, err
+	}
+	var p *kqroutes.Proposal
+	err := l.View(func(s *kqcontract.State) { p = s.Routes.Current })
+	return p, err
+}
+
+// Announce takes what a target says of itself; nil says that all hosts in touch
+// learn of it. A renewal changes nothing and needs no quorum.
+func (l Local) Announce(ctx context.Context, t kqtargets.Target) error {
+	news, known := false, true
+	err := l.View(func(s *kqcontract.State) {
+		news = s.Targets.News(t)
+		if s.Routes.Current != nil && t.State != kqtargets.Gone {
+			known = s.Routes.Current.Document.Has(t.Service)
+		}
+	})
+	switch {
+	case err != nil:
+		return err
+	case !known:
+		return errors.Newf("announcement of %s: service %q is unknown", t.ID, t.Service)
+	case !news:
+		return nil
+	}
+	_, err = l.Submit(ctx, kqcontract.Command{Op: kqcontract.OpTarget, Target: &t})
+	return err
+}
+
 // Reached implements Store.
 func (l Local) Reached(ctx context.Context, revision uint64, wait time.Duration) (Reach, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -1,7 +1,9 @@
 package kqfeed
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,14 +24,22 @@
 
 // FollowerConfig constructs a Follower.
 type FollowerConfig struct {
-	Host     kqcontract.Host
-	Controls []string // control hosts of the settings
+	Host kqcontract.Host
+	// Controls returns the control hosts known now.
+	Controls func() []Neighbour
 	Link     kq.Link
 	Clock    kq.Clock
 	Log      *kqlog.Log
 	Events   *kqevent.Recorder
 	// InForce is called, in order, when a newer view acts on this host.
 	InForce func(*View)
+	// Learned is called with the control hosts as a hub tells them; nil: ignored.
+	Learned func([]Neighbour)
+	// Stale is the age of the last confirmation at which another control host
+	// is asked, 0: only a broken link counts.
+	Stale time.Duration
+	// Subscribe bounds one try to subscribe, subscribeLimit if 0.
+	Subscribe time.Duration
 }
 
 // Follower keeps the view in force on one entry host.
@@ -41,6 +51,8 @@
 	view atomic.Pointer[View]
 	poke chan struct{}
 
+	entries atomic.Int64
+
 	mu      sync.Mutex
 	hub     string // control host that this host subscribes to
 	joined  bool   // the subscription to hub is answered
@@ -48,6 +60,7 @@
 	lease   lease
 	fresh   bool // this host was in no list before
 	refused bool // the lease has run out
+	heard   time.Time
 }
 
 // NewFollower returns a Follower; Run starts it.
@@ -79,6 +92,11 @@
 	return f.view.Load()
 }
 
+// Entries returns how many entry hosts take callers, as last told; at least 1.
+func (f *Follower) Entries() int {
+	return int(max(f.entries.Load(), 1))
+}
+
 // New reports whether this host was in no host list before it started.
 func (f *Follower) New() bool {
 	return f.fresh // only read inside InForce, under the lock
@@ -127,41 +145,57 @@
 func (f *Follower) keepHub() {
 	f.mu.Lock()
 	hub, joined := f.hub, f.joined
+	stale := f.cfg.Stale > 0 && f.cfg.Clock.Now().Sub(f.heard) > f.cfg.Stale
 	f.mu.Unlock()
-	if joined && f.cfg.Link.Up(hub) {
+	if joined && !stale && f.cfg.Link.Up(hub) {
 		return
 	}
-	for _, c := range f.order() {
+	if joined {
+		f.cfg.Log.Warnf("control host %s lost: linked %v, stale %v", hub, f.cfg.Link.Up(hub), stale)
+	}
+	list := f.order()
+	if i := slices.Index(list, hub); i >= 0 && stale {
+		list = append(list[i+1:], list[:i+1]...) // the one that is silent comes last
+	}
+	for _, c := range list {
 		if f.cfg.Link.Up(c) && f.subscribe(c) {
 			return
 		}
 	}
 }
 
+// order puts this very host first, whose own replica costs no message, then
+// those of the own failure domain; the rest differs from host to host.
 func (f *Follower) order() []string {
-	list := append([]string(nil), f.cfg.Controls...)
-	rank := func(c string) uint64 { return xxhash.Sum64String(f.cfg.Host.Name + "|" + c) }
-	for i := range list {
-		for j := i; j > 0 && f.before(list[j], list[j-1], rank); j-- {
-			list[j], list[j-1] = list[j-1], list[j]
+	rank := func(n Neighbour) uint64 {
+		switch {
+		case n.Host == f.cfg.Host.Name:
+			return 0
+		case n.Domain == f.cfg.Host.Domain:
+			return 1
 		}
+		return 2 + xxhash.Sum64String(f.cfg.Host.Name+"|"+n.Host)>>1
 	}
-	return list
-}
-
-// before puts this very host first: its own replica costs no message.
-func (f *Follower) before(a, b string, rank func(string) uint64) bool {
-	if a == f.cfg.Host.Name || b == f.cfg.Host.Name {
-		return a == f.cfg.Host.Name
+	known := slices.Clone(f.cfg.Controls())
+	slices.SortFunc(known, func(a, b Neighbour) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Host, b.Host))
+	})
+	list := make([]string, len(known))
+	for i, n := range known {
+		list[i] = n.Host
 	}
-	return rank(a) < rank(b)
+	return list
 }
 
 func (f *Follower) subscribe(control string) bool {
 	f.mu.Lock()
 	f.hub, f.joined, f.held = control, false, nil
 	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(f.ctx, subscribeLimit)
+	limit := f.cfg.Subscribe
+	if limit == 0 {
+		limit = subscribeLimit
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, limit)
 	defer cancel()
 	asked := f.cfg.Clock.Now()
 	var s start
@@ -173,7 +207,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lease.confirm(asked)
+	f.heard = f.cfg.Clock.Now()
 	f.joined = true
+	f.cfg.Log.Infof("follows control host %s from revision %d", control, f.revision())
+	if f.cfg.Learned != nil && len(s.Controls) > 0 {
+		f.cfg.Learned(s.Controls)
+	}
 	f.fresh = f.fresh || s.New
 	f.take(s)
 	return true
@@ -199,7 +238,14 @@
 		f.joined = false
 		f.wake()
 	case c.Revision == v.Revision+1:
-		next := v.with(c)
+		next, ok := v.with(c)
+		if !ok {
+			f.cfg.Log.Errorf("change %d does not fit the view %d", c.Revision, v.Revision)
+			f.view.Store(nil) // only a whole view helps
+			f.joined = false
+			f.wake()
+			return
+		}
 		f.enforce(&next)
 	}
 }
@@ -245,5 +291,9 @@
 		f.wake()
 		return
 	}
-	f.lease.confirm(f.cfg.Clock.Now())
+	f.heard = f.cfg.Clock.Now()
+	f.lease.confirm(f.heard)
+	if m.Entries > 0 {
+		f.entries.Store(int64(m.Entries))
+	}
 }
--- a/internal/state/kqfeed/hub.go
+++ b/internal/state/kqfeed/hub.go
@@ -39,6 +39,13 @@
 	Log   *kqlog.Log
 	// Controls returns the other control hosts.
 	Controls func() []string
+	// Fresh is the time between two confirmations, freshEvery if 0.
+	Fresh time.Duration
+	// Unlisted keeps entry hosts out of the replicated host list: they are
+	// known by their Presence alone.
+	Unlisted bool
+	// Entries returns how many entry hosts take callers; nil: not told.
+	Entries func() int
 }
 
 // Hub pushes changes from one control host to its subscribers.
@@ -51,6 +58,7 @@
 
 	mu       sync.Mutex
 	subs     map[string]bool
+	controls []Neighbour
 	changes  []kqcontract.Change // the newest, ascending without gaps
 	acked    map[string]uint64   // revision in force on each entry host
 	unsent   map[string]uint64   // acknowledgements not yet passed on
@@ -116,17 +124,21 @@
 	if err := h.source.Confirm(ctx); err != nil {
 		return start{}, err
 	}
-	added, err := h.admit(ctx, s.Host)
-	if err != nil {
-		return start{}, err
+	added := false
+	if !h.cfg.Unlisted {
+		var err error
+		if added, err = h.admit(ctx, s.Host); err != nil {
+			return start{}, err
+		}
 	}
 	var out start
-	err = h.source.View(func(state *kqcontract.State) {
+	err := h.source.View(func(state *kqcontract.State) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.subs[peer] = true
 		out = h.startFor(s.Revision, state)
 		out.New = added
+		out.Controls = h.controls
 	})
 	return out, err
 }
@@ -166,7 +178,11 @@
 // refresh confirms the state for the subscribers again and again.
 func (h *Hub) refresh() {
 	defer h.wait.Done()
-	tick := time.NewTicker(freshEvery)
+	every := h.cfg.Fresh
+	if every == 0 {
+		every = freshEvery
+	}
+	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
 		select {
@@ -190,15 +206,29 @@
 		h.cfg.Log.Debugf("not confirmed: %v", err)
 		return
 	}
+	entries := 0
+	if h.cfg.Entries != nil {
+		entries = h.cfg.Entries()
+	}
 	h.source.View(func(s *kqcontract.State) { // stopping
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		for peer := range h.subs {
-			h.cfg.Link.Send(peer, MethodFresh, fresh{Revision: s.Revision})
+			h.cfg.Link.Send(peer, MethodFresh, fresh{Revision: s.Revision, Entries: entries})
 		}
 	})
 }
 
+// SetControls tells the subscribers of the control hosts when they change.
+func (h *Hub) SetControls(list []Neighbour) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.controls = list
+	for peer := range h.subs {
+		h.cfg.Link.Send(peer, MethodControls, controls{list})
+	}
+}
+
 // Acknowledge takes what a peer says of revisions in force. What an entry
 // host says of itself is passed on to the other control hosts.
 func (h *Hub) Acknowledge(peer string, a inForce) {
--- a/internal/state/kqfeed/message.go
+++ b/internal/state/kqfeed/message.go
@@ -14,6 +14,8 @@
 	MethodInForce   = "inforce"   // entry to control, and between control hosts
 	MethodStanding  = "standing"  // entry to entry, request
 	MethodView      = "view"      // entry to entry, request
+	MethodControls  = "controls"  // control to entry
+	MethodPresence  = "presence"  // entry to control
 )
 
 // subscription asks for all changes after a revision.
@@ -27,11 +29,32 @@
 	View    *View               `json:"view,omitempty"`
 	Changes []kqcontract.Change `json:"changes,omitempty"`
 	New     bool                `json:"new,omitempty"` // the host was never listed before
+
+	Controls []Neighbour `json:"controls,omitempty"` // the control hosts now
+}
+
+// Neighbour is a control host as entry hosts learn of it.
+type Neighbour struct {
+	Host   string `json:"host"`
+	Domain string `json:"domain,omitempty"` // empty if not known yet
+	Peers  string `json:"peers"`
+}
+
+// controls tells entry hosts of the control hosts.
+type controls struct {
+	List []Neighbour `json:"list"`
+}
+
+// Presence is what an entry host tells every control host of itself.
+type Presence struct {
+	Host  kqcontract.Host `json:"host"`
+	Ready bool            `json:"ready"` // callers may be sent to it
 }
 
 // fresh says that the revision was confirmed by a quorum just now.
 type fresh struct {
 	Revision uint64 `json:"rev"`
+	Entries  int    `json:"entries,omitempty"` // entry hosts that take callers
 }
 
 // inForce says up to which revision hosts act.
--- a/internal/state/kqfeed/serve.go
+++ b/internal/state/kqfeed/serve.go
@@ -42,6 +42,11 @@
 		if err = json.Unmarshal(body, &m); err == nil {
 			f.Fresh(peer, m)
 		}
+	case MethodControls:
+		var m controls
+		if err = json.Unmarshal(body, &m); err == nil && f.cfg.Learned != nil {
+			f.cfg.Learned(m.List)
+		}
 	}
 	return errors.Wrapf(err, "feed: %s from %s", kind, peer)
 }
--- a/internal/state/kqreplica/elect.go
+++ b/internal/state/kqreplica/elect.go
@@ -91,6 +91,22 @@
 	return yes > voters/2
 }
 
+// held reports whether enough voters hold what ok says: a majority, and more
+// hosts than may lose their folders at once, or all.
+func (r *Replica) held(ok func(host string) bool) bool {
+	voters, yes := 0, 0
+	for _, m := range r.members {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		if ok(m.Host) {
+			yes++
+		}
+	}
+	return yes >= max(voters/2+1, min(r.cfg.Tolerance+1, voters))
+}
+
 // upToDate reports whether a log that ends so may lead this one.
 func (r *Replica) upToDate(m Message) bool {
 	if m.LogTerm != r.log.lastTerm() {
@@ -183,7 +199,7 @@
 func (r *Replica) lead() {
 	r.role, r.leader = Leader, r.cfg.Host
 	r.peers = map[string]*progress{}
-	r.joiners = map[string]string{}
+	r.joiners = map[string]Member{}
 	r.beat, r.elapsed = 0, 0
 	r.trackPeers()
 	r.appendOwn(kindNoop, "", nil)
--- a/internal/state/kqreplica/follow.go
+++ b/internal/state/kqreplica/follow.go
@@ -22,7 +22,7 @@
 	}
 	switch m.Kind {
 	case kindHello:
-		r.onHello(from, run)
+		r.onHello(from, run, m)
 		return
 	case kindPresent:
 		r.onPresent(from, m)
@@ -59,7 +59,9 @@
 		// The host takes entries with a folder that the list does not name, and
 		// may believe by an older list that it does: it asks for nothing itself.
 		if _, ok := find(r.members, from); ok && r.role == Leader {
-			r.joiners[from] = run.Incarnation
+			old, _ := find(r.members, from)
+			old.Incarnation = run.Incarnation
+			r.joiners[from] = old
 		}
 	case kindPreVote, kindVote:
 		r.onCandidate(from, run, m)
--- a/internal/state/kqreplica/form.go
+++ b/internal/state/kqreplica/form.go
@@ -1,6 +1,10 @@
 package kqreplica
 
-import "kumquatglade/internal/state/kqjournal"
+import (
+	"slices"
+
+	"kumquatglade/internal/state/kqjournal"
+)
 
 // A cluster is founded once, and only when every control host of the settings
 // is there at the same time without a cluster: a host that lost its folder can
@@ -14,29 +18,57 @@
 }
 
 func (r *Replica) sayHello() {
+	for _, host := range r.neighbours() {
+		r.send(host, Message{Kind: kindHello, Members: []Member{r.self()}})
+	}
+}
+
+// neighbours returns the founding hosts and the members, without this host.
+func (r *Replica) neighbours() []string {
+	var list []string
+	add := func(host string) {
+		if host != r.cfg.Host && !slices.Contains(list, host) {
+			list = append(list, host)
+		}
+	}
 	for _, w := range r.cfg.Hosts {
-		if w.Host != r.cfg.Host {
-			r.send(w.Host, Message{Kind: kindHello})
+		add(w.Host)
+	}
+	for _, m := range r.members {
+		add(m.Host)
+	}
+	return list
+}
+
+// self is this host as it asks to join.
+func (r *Replica) self() Member {
+	s := r.cfg.Self
+	for _, w := range r.cfg.Hosts {
+		if w.Host == r.cfg.Host && s.Host == "" {
+			s = w
 		}
 	}
+	return Member{Host: r.cfg.Host, Domain: s.Domain, Peers: s.Peers, Incarnation: r.run.Incarnation}
 }
 
-func (r *Replica) onHello(from string, run kqjournal.Run) {
+func (r *Replica) onHello(from string, run kqjournal.Run, m Message) {
 	if r.role == Blank {
-		r.send(from, Message{Kind: kindPresent})
+		r.send(from, Message{Kind: kindPresent, OK: !r.cfg.NeverFound, Members: []Member{r.self()}})
 		return
 	}
-	m, ok := find(r.members, from)
-	if ok && m.Incarnation == run.Incarnation {
+	asks := Member{Host: from, Incarnation: run.Incarnation}
+	if len(m.Members) == 1 && m.Members[0].Host == from {
+		asks.Domain, asks.Peers = m.Members[0].Domain, m.Members[0].Peers
+	}
+	if known, ok := find(r.members, from); ok && known.Incarnation == run.Incarnation {
 		r.sendFound(from)
 		return
 	}
 	switch {
 	case r.role == Leader:
-		r.joiners[from] = run.Incarnation
+		r.joiners[from] = asks
 	case r.leader != "":
 		// The host may not know the leader, whom the settings need not name.
-		asks := Member{Host: from, Incarnation: run.Incarnation}
 		r.send(r.leader, Message{Kind: kindJoin, Cluster: r.meta.Cluster, Members: []Member{asks}})
 	}
 	r.send(from, Message{Kind: kindPresent, Cluster: r.meta.Cluster})
@@ -49,7 +81,7 @@
 	}
 	asks := m.Members[0]
 	if !r.counts(asks.Host, asks.Incarnation) {
-		r.joiners[asks.Host] = asks.Incarnation
+		r.joiners[asks.Host] = asks
 	}
 }
 
@@ -68,21 +100,28 @@
 
 // tryFound founds the cluster on the host with the lowest name.
 func (r *Replica) tryFound() {
-	list := []Member{}
+	if r.cfg.NeverFound {
+		return
+	}
+	list, founder := []Member{}, false
 	for _, w := range r.cfg.Hosts {
-		inc := r.run.Incarnation
 		if w.Host < r.cfg.Host {
 			return
 		}
+		member := r.self()
 		if w.Host != r.cfg.Host {
 			m, ok := r.present[w.Host]
-			if !ok || m.Cluster != "" {
+			if !ok || m.Cluster != "" || !m.OK || len(m.Members) != 1 {
 				return
 			}
-			run, _ := DecodeRun(m.Run)
-			inc = run.Incarnation
+			member = m.Members[0]
 		}
-		list = append(list, Member{Host: w.Host, Domain: w.Domain, Peers: w.Peers, Incarnation: inc, Voter: true})
+		founder = founder || w.Host == r.cfg.Host
+		member.Voter = true
+		list = append(list, member)
+	}
+	if !founder {
+		return
 	}
 	r.join(r.cfg.Cluster, []kqjournal.Entry{{Index: 1, Term: 1, Kind: kindMembers, Data: encodeMembers(list)}})
 	for _, m := range list {
--- a/internal/state/kqreplica/lead.go
+++ b/internal/state/kqreplica/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"kumquatglade/internal/state/kqjournal"
 )
@@ -154,7 +155,7 @@
 		if term, _ := r.log.term(index); !r.commits(term) {
 			return
 		}
-		if r.quorum(func(h string) bool { return h == r.cfg.Host || r.peers[h] != nil && r.peers[h].match >= index }) {
+		if r.held(func(h string) bool { return h == r.cfg.Host || r.peers[h] != nil && r.peers[h].match >= index }) {
 			r.commitTo(index)
 			r.broadcast() // followers serve entry hosts: tell them at once
 			return
@@ -239,6 +240,9 @@
 	if want == nil {
 		want = r.asWanted()
 	}
+	if r.cfg.Open {
+		want = r.openWanted()
+	}
 	if next := r.demoteLost(); next != nil {
 		return next
 	}
@@ -273,13 +277,16 @@
 		if p == nil {
 			continue
 		}
-		inc, asked := r.joiners[m.Host]
-		replaced := asked && inc != m.Incarnation
+		asks, asked := r.joiners[m.Host]
+		replaced := asked && asks.Incarnation != m.Incarnation
 		if !replaced && !(p.lost && m.Voter) {
 			continue
 		}
 		if replaced {
-			m.Incarnation = inc
+			m.Incarnation = asks.Incarnation
+			if asks.Peers != "" {
+				m.Domain, m.Peers = asks.Domain, asks.Peers
+			}
 		}
 		delete(r.joiners, m.Host)
 		delete(r.peers, m.Host)
@@ -292,11 +299,12 @@
 func (r *Replica) stepHost(w Want) []Member {
 	m, ok := find(r.members, w.Host)
 	if !ok {
-		inc, asked := r.joiners[w.Host]
+		asks, asked := r.joiners[w.Host]
 		if !asked {
 			return nil
 		}
-		return with(r.members, Member{Host: w.Host, Domain: w.Domain, Peers: w.Peers, Incarnation: inc})
+		delete(r.joiners, w.Host)
+		return with(r.members, Member{Host: w.Host, Domain: w.Domain, Peers: w.Peers, Incarnation: asks.Incarnation})
 	}
 	p := r.peers[w.Host]
 	if w.Voter && !m.Voter && p != nil && p.heard < electionTicks && p.match >= r.commit {
@@ -319,3 +327,39 @@
 	}
 	return list
 }
+
+// silentTicks is after how long a silent member may make place: longer than an
+// election, shorter than the time in which a successor must count.
+const silentTicks = 2 * electionTicks
+
+// openWanted takes the members and those who ask to join. A silent voter goes
+// once enough voters are there to bear the tolerated loss without it; a silent
+// non-voter goes at once.
+func (r *Replica) openWanted() []Want {
+	live := 0
+	for _, m := range r.members {
+		if m.Voter && !r.silent(m.Host) {
+			live++
+		}
+	}
+	enough := live >= 2*r.cfg.Tolerance+1
+	var list []Want
+	for _, m := range r.members {
+		if r.silent(m.Host) && (enough || !m.Voter) {
+			continue
+		}
+		list = append(list, Want{Host: m.Host, Domain: m.Domain, Peers: m.Peers, Voter: true})
+	}
+	for host, j := range r.joiners {
+		if _, ok := find(r.members, host); !ok && j.Peers != "" {
+			list = append(list, Want{Host: host, Domain: j.Domain, Peers: j.Peers, Voter: true})
+		}
+	}
+	slices.SortFunc(list, func(a, b Want) int { return strings.Compare(a.Host, b.Host) })
+	return list
+}
+
+func (r *Replica) silent(host string) bool {
+	p := r.peers[host]
+	return host != r.cfg.Host && (p == nil || p.heard >= silentTicks)
+}
--- a/internal/state/kqreplica/replica.go
+++ b/internal/state/kqreplica/replica.go
@@ -50,13 +50,24 @@
 // Config constructs a Replica.
 type Config struct {
 	Host    string
-	Hosts   []Want // control hosts of the settings, this one included
+	Self    Want   // this host, as it asks to join; the name alone suffices if Hosts names it
+	Hosts   []Want // founding control hosts of the settings
 	Token   string // random word of this start
 	Cluster string // random word, the identity of a cluster founded here
 	Loaded  kqjournal.Loaded
 	Machine Machine
 	Rand    *rand.Rand
 	Batch   int // entries in one append message at most, 0 means defaultBatch
+
+	// Tolerance is how many data folders may be lost at once: an entry is
+	// committed only when more hosts than that hold it (all, if there are fewer).
+	Tolerance int
+	// Open admits every control host that asks, and lets a silent one go once
+	// enough others are there. Otherwise the operators' list decides.
+	Open bool
+	// NeverFound keeps a host without a cluster from founding one: its data
+	// folder is empty because it was lost.
+	NeverFound bool
 }
 
 // progress is what the leader knows of one other member.
@@ -101,7 +112,7 @@
 	asked    map[string]int // reads asked of the leader, ticks waited
 	mine     map[uint64]string
 	present  map[string]Message // answers to hello
-	joiners  map[string]string  // host to incarnation that asked to join
+	joiners  map[string]Member  // hosts that asked to join
 	effects  []Effect
 	reported Changed
 
@@ -125,7 +136,7 @@
 	r := &Replica{
 		cfg: cfg, meta: cfg.Loaded.Meta, machine: cfg.Machine, rng: cfg.Rand,
 		role: Follower, asked: map[string]int{}, mine: map[uint64]string{},
-		present: map[string]Message{}, joiners: map[string]string{},
+		present: map[string]Message{}, joiners: map[string]Member{},
 	}
 	if r.meta.Seen == nil {
 		r.meta.Seen = map[string]kqjournal.Run{}
--- /dev/null
+++ b/internal/state/kqroutes/delta.go
@@ -0,0 +1,136 @@
+package kqroutes
+
+import "slices"
+
+// Delta turns one document into a later one; only what differs travels.
+type Delta struct {
+	From     uint64    `json:"from"` // version it applies to, 0: the document is whole
+	Version  uint64    `json:"version"`
+	Services []Service `json:"services,omitempty"` // whole, if they differ
+	Limits   *Limits   `json:"limits,omitempty"`
+	Set      []Placed  `json:"set,omitempty"`
+	Dropped  []Place   `json:"dropped,omitempty"`
+}
+
+// Place names a route.
+type Place struct {
+	Host   string `json:"h"`
+	Prefix string `json:"p"`
+}
+
+// Placed is a route of a host.
+type Placed struct {
+	Host  string `json:"h"`
+	Route Route  `json:"r"`
+}
+
+func (d *Document) places() map[Place]Route {
+	m := map[Place]Route{}
+	for _, h := range d.Hosts {
+		for _, r := range h.Routes {
+			p := Place{h.Name, r.Prefix}
+			if _, twice := m[p]; !twice { // the first of a prefix is the one that Find returns
+				m[p] = r
+			}
+		}
+	}
+	return m
+}
+
+// Diff returns what turns from into d; a nil from yields the whole document.
+func (d *Document) Diff(from *Document) Delta {
+	out := Delta{Version: d.Version}
+	had := map[Place]Route{}
+	if from != nil {
+		out.From = from.Version
+		had = from.places()
+	}
+	if from == nil || !slices.Equal(from.Services, d.Services) {
+		out.Services = d.Services
+	}
+	if from == nil || from.Limits != d.Limits {
+		out.Limits = &d.Limits
+	}
+	has := d.places()
+	for _, h := range d.Hosts {
+		for _, r := range h.Routes {
+			p := Place{h.Name, r.Prefix}
+			old, ok := had[p]
+			if kept := has[p]; !same(&kept, &r) || ok && same(&old, &r) {
+				continue
+			}
+			out.Set = append(out.Set, Placed{h.Name, r})
+		}
+	}
+	for p := range had {
+		if _, ok := has[p]; !ok {
+			out.Dropped = append(out.Dropped, p)
+		}
+	}
+	return out
+}
+
+func same(a, b *Route) bool {
+	x, y := *a, *b
+	x.Split, y.Split = nil, nil
+	return slices.Equal(a.Split, b.Split) && equalPlain(x, y)
+}
+
+func equalPlain(a, b Route) bool {
+	return a.Name == b.Name && a.Prefix == b.Prefix && a.Service == b.Service && a.Kind == b.Kind &&
+		a.Attempts == b.Attempts && a.Timeout == b.Timeout && a.Objective == b.Objective &&
+		a.Priority == b.Priority && a.Owner == b.Owner
+}
+
+// With returns the document after the delta; false says that it applies to
+// another version.
+func (d *Document) With(delta Delta) (*Document, bool) {
+	out := &Document{Version: delta.Version}
+	m := map[Place]Route{}
+	if delta.From != 0 {
+		if d == nil || d.Version != delta.From {
+			return nil, false
+		}
+		out.Services, out.Limits = d.Services, d.Limits
+		m = d.places()
+	}
+	if delta.Services != nil {
+		out.Services = delta.Services
+	}
+	if delta.Limits != nil {
+		out.Limits = *delta.Limits
+	}
+	for _, p := range delta.Dropped {
+		delete(m, p)
+	}
+	for _, s := range delta.Set {
+		m[Place{s.Host, s.Route.Prefix}] = s.Route
+	}
+	out.Hosts = gather(m)
+	return out, true
+}
+
+// gather lists the routes in a fixed order.
+func gather(m map[Place]Route) []Host {
+	by := map[string][]Route{}
+	for p, r := range m {
+		by[p.Host] = append(by[p.Host], r)
+	}
+	var list []Host
+	for name, routes := range by {
+		slices.SortFunc(routes, func(a, b Route) int {
+			if a.Prefix < b.Prefix {
+				return -1
+			}
+			return 1
+		})
+		list = append(list, Host{Name: name, Routes: routes})
+	}
+	slices.SortFunc(list, func(a, b Host) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- /dev/null
+++ b/internal/state/kqtargets/targets.go
@@ -0,0 +1,145 @@
+package kqtargets
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State of a target.
+type State string
+
+// States of a target.
+const (
+	Ready    State = "ready"
+	Draining State = "draining"
+	Gone     State = "gone"
+)
+
+// keptGone is how many targets that left are remembered, so that a late
+// announcement cannot revive one.
+const keptGone = 2048
+
+// Target is what one start of a target said of itself.
+type Target struct {
+	ID      string        `json:"id"`
+	Boot    int64         `json:"boot"` // start of the target, milliseconds since 1970; 0 if it does not say
+	Seq     uint64        `json:"seq"`
+	Service string        `json:"service"`
+	Addr    string        `json:"addr"` // IP:port
+	Domain  string        `json:"domain"`
+	Slots   int           `json:"slots"`
+	State   State         `json:"state"`
+	Cold    time.Duration `json:"cold,omitempty"` // how much longer it is slow, as it said first
+}
+
+// Set is the directory; Apply is deterministic.
+type Set struct {
+	Targets map[string]*Target `json:"targets"`
+	Left    []string           `json:"left"` // IDs that are gone, oldest first
+}
+
+// NewSet returns an empty directory.
+func NewSet() Set {
+	return Set{Targets: map[string]*Target{}}
+}
+
+// News reports whether the announcement changes what hosts act on. Renewals
+// and late announcements do not.
+func (s *Set) News(a Target) bool {
+	old := s.Targets[a.ID]
+	if old == nil {
+		return a.State != Gone || a.Boot != 0
+	}
+	switch {
+	case a.Boot != old.Boot && a.Boot != 0:
+		return a.Boot > old.Boot
+	case old.State == Gone:
+		return false
+	case a.State == Gone:
+		return true
+	case a.Seq <= old.Seq:
+		return false
+	}
+	return a.State == Draining && old.State != Draining || a.Addr != old.Addr || a.Service != old.Service || a.Slots != old.Slots
+}
+
+// Apply takes an announcement and returns the targets that changed.
+func (s *Set) Apply(a Target) []Target {
+	if !s.News(a) {
+		return nil
+	}
+	old := s.Targets[a.ID]
+	sameBoot := old != nil && (a.Boot == old.Boot || a.Boot == 0)
+	if sameBoot && a.State == Gone {
+		gone := *old
+		gone.State = Gone
+		gone.Seq = max(old.Seq, a.Seq)
+		s.put(gone)
+		return []Target{gone}
+	}
+	if sameBoot && old.State == Draining {
+		a.State = Draining // of one boot it is final
+	}
+	changed := s.evict(&a)
+	s.put(a)
+	return append(changed, a)
+}
+
+// evict ends the older of two targets with one address: an address is used
+// again only after its target has ended.
+func (s *Set) evict(a *Target) []Target {
+	if a.State == Gone {
+		return nil
+	}
+	var changed []Target
+	for _, id := range s.ids() {
+		t := s.Targets[id]
+		if id == a.ID || t.State == Gone || t.Addr != a.Addr {
+			continue
+		}
+		if t.Boot > a.Boot && a.Boot != 0 {
+			a.State = Gone
+			continue
+		}
+		gone := *t
+		gone.State = Gone
+		s.put(gone)
+		changed = append(changed, gone)
+	}
+	return changed
+}
+
+func (s *Set) ids() []string {
+	list := make([]string, 0, len(s.Targets))
+	for id := range s.Targets {
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (s *Set) put(t Target) {
+	s.Targets[t.ID] = &t
+	s.Left = slices.DeleteFunc(s.Left, func(id string) bool { return id == t.ID })
+	if t.State != Gone {
+		return
+	}
+	s.Left = append(s.Left, t.ID)
+	if len(s.Left) > keptGone {
+		delete(s.Targets, s.Left[0])
+		s.Left = s.Left[1:]
+	}
+}
+
+// Live returns the targets that have not gone, by ID.
+func (s *Set) Live() []Target {
+	var list []Target
+	for _, t := range s.Targets {
+		if t.State != Gone {
+			list = append(list, *t)
+		}
+	}
+	slices.SortFunc(list, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
