--- a/internal/call/kqpass/passage.go
+++ b/internal/call/kqpass/passage.go
@@ -77,10 +77,7 @@
 	if ms, err := strconv.ParseInt(p.in.Header.Get(p.engine.cfg.Names.Deadline), 10, 64); err == nil && ms >= 0 {
 		most = min(time.Duration(ms)*time.Millisecond, kqroutes.MaxTimeout)
 	}
-	if p.route.Timeout > 0 {
-		most = min(most, p.route.Timeout)
-	}
-	return p.began.Add(most)
+	return p.began.Add(min(most, p.route.Timeout))
 }
 
 // readBody reads the body, so that a slow caller holds no slot of a target; of
--- a/internal/state/kqroutes/routes.go
+++ b/internal/state/kqroutes/routes.go
@@ -67,7 +67,7 @@
 	Split     []Part        `json:"split,omitempty"` // in place of Service
 	Kind      Kind          `json:"kind"`
 	Attempts  int           `json:"attempts"`  // targets that one request may be sent to
-	Timeout   time.Duration `json:"timeout"`   // 0: only the caller's own
+	Timeout   time.Duration `json:"timeout"`   // for a final answer
 	Objective time.Duration `json:"objective"` // latency that callers want
 	Priority  int           `json:"priority"`  // 0 is the most urgent
 	Owner     string        `json:"owner,omitempty"`
@@ -118,8 +118,8 @@
 	default:
 		return errors.Newf("kind %q: want safe, unsafe or upload", r.Kind)
 	}
-	if r.Timeout < 0 || r.Timeout > MaxTimeout {
-		return errors.Newf("timeout %s: want 0 to %s", r.Timeout, MaxTimeout)
+	if r.Timeout <= 0 || r.Timeout > MaxTimeout {
+		return errors.Newf("timeout %s: want more than 0 and at most %s", r.Timeout, MaxTimeout)
 	}
 	if r.Attempts < 0 || r.Objective < 0 {
 		return errors.New("attempts or objective is below 0")
--- /dev/null
+++ b/internal/state/kqroutes/routes_test.go
@@ -0,0 +1,137 @@
+package kqroutes
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func document(version uint64) *Document {
+	return &Document{
+		Version:  version,
+		Services: []Service{{Name: "chiso", Health: "/health", Connections: 220}, {Name: "kekhai"}},
+		Limits:   Limits{Header: 16 << 10, Body: 1 << 20},
+		Hosts: []Host{
+			{Name: "index.example", Routes: []Route{
+				{Name: "r1", Prefix: "/", Service: "chiso", Kind: Safe, Attempts: 2, Timeout: time.Second},
+				{Name: "r2", Prefix: "/filings/", Kind: Unsafe, Attempts: 2, Timeout: time.Second, Split: []Part{{"kekhai", 90}, {"chiso", 10}}},
+			}},
+			{Name: "other.example", Routes: []Route{{Name: "r3", Prefix: "/a/", Service: "kekhai", Kind: Upload, Timeout: time.Second}}},
+		},
+	}
+}
+
+func TestValidate(t *testing.T) {
+	cases := []struct {
+		name  string
+		spoil func(*Document)
+		valid bool
+	}{
+		{"as it is", func(*Document) {}, true},
+		{"all weights 0", func(d *Document) { d.Hosts[0].Routes[1].Split[0].Weight, d.Hosts[0].Routes[1].Split[1].Weight = 0, 0 }, true},
+		{"unknown service", func(d *Document) { d.Hosts[0].Routes[0].Service = "nobody" }, false},
+		{"unknown service in a split", func(d *Document) { d.Hosts[0].Routes[1].Split[1].Service = "nobody" }, false},
+		{"no service", func(d *Document) { d.Hosts[0].Routes[0].Service = "" }, false},
+		{"service and split", func(d *Document) { d.Hosts[0].Routes[1].Service = "chiso" }, false},
+		{"weight below 0", func(d *Document) { d.Hosts[0].Routes[1].Split[0].Weight = -1 }, false},
+		{"weight is no number", func(d *Document) { d.Hosts[0].Routes[1].Split[0].Weight = math.NaN() }, false},
+		// Two played days broke a rule because this one was accepted.
+		{"no time at all", func(d *Document) { d.Hosts[0].Routes[1].Timeout = 0 }, false},
+		{"too long a timeout", func(d *Document) { d.Hosts[0].Routes[1].Timeout = MaxTimeout + 1 }, false},
+		{"odd kind", func(d *Document) { d.Hosts[0].Routes[1].Kind = "maybe" }, false},
+		{"bare prefix", func(d *Document) { d.Hosts[0].Routes[1].Prefix = "filings/" }, false},
+		{"host without a name", func(d *Document) { d.Hosts[1].Name = "" }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := document(1)
+			c.spoil(d)
+			if err := d.Validate(); (err == nil) != c.valid {
+				t.Fatalf("got %v", err)
+			}
+		})
+	}
+}
+
+func TestFind(t *testing.T) {
+	table := NewTable(document(1))
+	cases := []struct{ host, path, route string }{
+		{"index.example", "/x", "r1"},
+		{"INDEX.example:8080", "/filings/7", "r2"},
+		{"index.example", "/filings", "r1"},
+		{"other.example", "/b", ""},
+		{"nobody.example", "/", ""},
+	}
+	for _, c := range cases {
+		r, ok := table.Find(c.host, c.path)
+		if ok != (c.route != "") || ok && r.Name != c.route {
+			t.Errorf("%s%s: got %+v", c.host, c.path, r)
+		}
+	}
+}
+
+// TestSplitKeepsShares holds that each part of a split gets its weight's share.
+func TestSplitKeepsShares(t *testing.T) {
+	r := document(1).Hosts[0].Routes[1]
+	rng := rand.New(rand.NewPCG(1, 2))
+	const n = 20000
+	count := map[string]int{}
+	for range n {
+		count[r.Pick(rng.Float64())]++
+	}
+	if share := float64(count["kekhai"]) / n; math.Abs(share-0.9) > 0.01 {
+		t.Fatalf("share %.3f of 0.9", share)
+	}
+}
+
+// TestDeltas holds that any chain of documents, sent as what differs, leads to
+// the last one.
+func TestDeltas(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	var have *Document
+	var last *Document
+	for v := uint64(1); v < 300; v += 1 + rng.Uint64N(3) {
+		d := document(v)
+		for i := range d.Hosts[0].Routes {
+			d.Hosts[0].Routes[i].Timeout += time.Duration(rng.IntN(3)) * time.Second
+		}
+		if rng.IntN(2) == 0 {
+			d.Hosts = d.Hosts[:1]
+		}
+		if rng.IntN(3) == 0 {
+			d.Limits.Body = int64(rng.IntN(2))
+		}
+		next, ok := have.With(d.Diff(last))
+		if !ok {
+			t.Fatalf("version %d does not follow", v)
+		}
+		want, _ := (*Document)(nil).With(d.Diff(nil))
+		if diff := cmp.Diff(want, next); diff != "" {
+			t.Fatalf("version %d: %s", v, diff)
+		}
+		have, last = next, d
+	}
+	if _, ok := document(5).With(Delta{From: 4, Version: 6}); ok {
+		t.Fatal("a delta of another version is taken")
+	}
+}
+
+func TestHighestVersionWins(t *testing.T) {
+	var b Book
+	steps := []struct {
+		version uint64
+		source  string
+		taken   bool
+	}{{7, "a", true}, {7, "a", false}, {7, "other", false}, {3, "older", false}, {40, "b", true}}
+	for _, s := range steps {
+		if got := b.Accept(&Proposal{Document: *document(s.version), Source: []byte(s.source)}, time.Time{}, 1); got != s.taken {
+			t.Errorf("version %d %q: taken %v", s.version, s.source, got)
+		}
+	}
+	if b.Version() != 40 || len(b.History) != 2 || string(b.Current.Source) != "b" {
+		t.Fatalf("%+v", b)
+	}
+}
--- /dev/null
+++ b/internal/state/kqtargets/targets_test.go
@@ -0,0 +1,47 @@
+package kqtargets
+
+import "testing"
+
+func announced(id string, boot int64, seq uint64, state State, addr string) Target {
+	return Target{ID: id, Boot: boot, Seq: seq, Service: "kekhai", Addr: addr, Slots: 4, State: state}
+}
+
+// TestAnnouncements tells small stories of announcements and what stands at
+// their end: the states of a, then of b.
+func TestAnnouncements(t *testing.T) {
+	const x, y = "10.0.0.1:80", "10.0.0.2:80"
+	cases := []struct {
+		name string
+		list []Target
+		a, b State // empty: unknown
+	}{
+		{"a renewal is no news", []Target{announced("a", 1, 1, Ready, x), announced("a", 1, 2, Ready, x)}, Ready, ""},
+		{"draining stays", []Target{announced("a", 1, 1, Ready, x), announced("a", 1, 2, Draining, x), announced("a", 1, 3, Ready, x)}, Draining, ""},
+		{"a late renewal does not undo draining", []Target{announced("a", 1, 5, Draining, x), announced("a", 1, 4, Ready, x)}, Draining, ""},
+		{"gone is final for a boot", []Target{announced("a", 1, 1, Ready, x), announced("a", 0, 0, Gone, ""), announced("a", 1, 9, Ready, x)}, Gone, ""},
+		{"a new boot comes back", []Target{announced("a", 1, 7, Draining, x), announced("a", 2, 1, Ready, x)}, Ready, ""},
+		{"a late announcement of an earlier boot revives nothing", []Target{announced("a", 2, 1, Draining, x), announced("a", 1, 99, Ready, x)}, Draining, ""},
+		{"leaving of an earlier boot", []Target{announced("a", 2, 1, Ready, x), announced("a", 1, 99, Gone, "")}, Ready, ""},
+		{"an address used again ends the earlier target", []Target{announced("a", 1, 1, Ready, x), announced("b", 2, 1, Ready, x)}, Gone, Ready},
+		{"a late announcement does not take an address back", []Target{announced("b", 2, 1, Ready, x), announced("a", 1, 4, Ready, x)}, Gone, Ready},
+		{"two addresses", []Target{announced("a", 1, 1, Ready, x), announced("b", 2, 1, Ready, y)}, Ready, Ready},
+		{"unknown leaves", []Target{announced("a", 0, 0, Gone, "")}, "", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := NewSet()
+			for _, a := range c.list {
+				s.Apply(a)
+			}
+			for id, want := range map[string]State{"a": c.a, "b": c.b} {
+				got := State("")
+				if r := s.Targets[id]; r != nil {
+					got = r.State
+				}
+				if got != want {
+					t.Errorf("%s is %q, want %q", id, got, want)
+				}
+			}
+		})
+	}
+}
