Wait at the entry host for room in place of queueing at slow targets

Change: kqfresh.Line: a request starts only where there is room (0.8 of the slots, not slow, told within 25 ms), otherwise it waits at the entry host, in time before late, urgent first, and is refused at once when the line is longer than it can wait; questions saved in quiet times are asked in busy ones. Tests in kqfresh name the patterns.

--- a/internal/call/kqpass/answer.go
+++ b/internal/call/kqpass/answer.go
@@ -98,7 +98,7 @@
 	}
 	if t := p.chosen.target; t != nil {
 		s := p.chosen.sample
-		l.Str("target", t.ID).Int("asked", p.chosen.asked).Int("told", p.chosen.told).
+		l.Str("target", t.ID).Dur("waited", p.chosen.waited).Int("line", p.chosen.line).Int("asked", p.chosen.asked).Int("told", p.chosen.told).
 			Int("running", s.Running).Int("waiting", s.Waiting).Float64("slow", s.Slow).Float64("score", p.chosen.score)
 		if !s.At.IsZero() {
 			l.Dur("age", now.Sub(s.At))
--- a/internal/call/kqpass/ask.go
+++ b/internal/call/kqpass/ask.go
@@ -18,7 +18,8 @@
 	askTime  = 12 * time.Millisecond // that the first send waits for answers: a few round trips between failure domains
 	askLimit = 60 * time.Millisecond // after which a question is given up and its connection closed
 	askAgain = 4 * time.Millisecond  // age up to which an answer serves another request
-	askBurst = 8                     // questions to one target at once from one host
+	askFirst = 8                     // questions to one target that a host may ask at its start
+	askSaved = 20 * time.Second      // over which questions that were not asked are saved for a busy time
 )
 
 // allowance is a bucket of questions to one target.
@@ -34,11 +35,11 @@
 	}
 	a := e.asked[id]
 	if a == nil {
-		a = &allowance{left: askBurst, at: now}
+		a = &allowance{left: askFirst, at: now}
 		e.asked[id] = a
 	}
 	rate := e.cfg.Limits.Questions / float64(max(e.cfg.Hosts(), 1))
-	a.left = min(askBurst, a.left+rate*now.Sub(a.at).Seconds())
+	a.left = min(max(askFirst, rate*askSaved.Seconds()), a.left+rate*now.Sub(a.at).Seconds())
 	a.at = now
 	if a.left < 1 {
 		return false
@@ -47,52 +48,38 @@
 	return true
 }
 
-// choice is a chosen target and what was known of it.
-type choice struct {
-	target *kqfresh.Target
-	sample kqfresh.Sample
-	asked  int // targets that were asked
-	told   int // that answered in time
-	score  float64
-}
-
-// choose asks a few targets and returns the best one, counted as sent to. It
-// returns no target if there is none to send to.
-func (e *Engine) choose(ctx context.Context, s *scene, service string, tried []*kqfresh.Target) choice {
+// look asks up to n of the targets that were not tried and returns those worth a
+// send, and which of them told their load just now.
+func (e *Engine) look(ctx context.Context, s *scene, service string, tried []*kqfresh.Target, n int) (list []*kqfresh.Target, f findings) {
 	began := e.cfg.Clock.Now()
+	f.fresh = map[*kqfresh.Target]bool{}
 	e.mu.Lock()
-	list := kqfresh.Candidates(s.service(service, tried), askMany, began, e.cfg.Rand)
+	list = kqfresh.Candidates(s.service(service, tried), n, began, e.cfg.Rand)
 	var ask []*kqfresh.Target
-	fresh := map[*kqfresh.Target]bool{}
-	if len(list) > 1 {
-		for _, t := range list {
-			if !t.Last.At.IsZero() && began.Sub(t.Last.At) <= askAgain {
-				fresh[t] = true
-			} else if e.mayAsk(t.ID, began) {
-				ask = append(ask, t)
-			}
+	for _, t := range list {
+		if !t.Last.At.IsZero() && began.Sub(t.Last.At) <= askAgain {
+			f.fresh[t] = true
+		} else if e.mayAsk(t.ID, began) {
+			ask = append(ask, t)
 		}
 	}
 	e.mu.Unlock()
-	c := choice{asked: len(ask)}
+	f.asked = len(ask)
 	for _, t := range e.ask(ctx, s, service, ask) {
-		fresh[t] = true
-		c.told++
+		f.fresh[t] = true
+		f.told++
 	}
-	now := e.cfg.Clock.Now()
 	if len(ask) > 0 {
-		e.counts.asking.Update(now.Sub(began))
+		e.counts.asking.Update(e.cfg.Clock.Now().Sub(began))
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	best := kqfresh.Best(list, func(t *kqfresh.Target) bool { return fresh[t] || len(fresh) == 0 }, now, e.cfg.Domain)
-	if best == nil {
-		return c
-	}
-	c.target, c.sample, c.score = best, best.Last, best.Score(now, e.cfg.Domain)
-	best.Own++
-	best.Last.Sent++
-	return c
+	return list, f
+}
+
+// findings is what a look brought.
+type findings struct {
+	asked int // targets that were asked
+	told  int // that answered in time
+	fresh map[*kqfresh.Target]bool
 }
 
 // ask questions the targets at once and returns those that answered in time.
--- a/internal/call/kqpass/attempt.go
+++ b/internal/call/kqpass/attempt.go
@@ -80,10 +80,11 @@
 	sample, told := parseLoad(reply.Header.Get(names.Load), e.cfg.Clock.Now())
 	bad := func(note func(time.Time), out outcome) (outcome, bool) {
 		e.settle(t, func(now time.Time) {
+			note(now)
 			if told {
 				t.Told(sample)
+				e.freed(p.service, t)
 			}
-			note(now)
 		})
 		out.elapsed = e.cfg.Clock.Now().Sub(began)
 		p.noteSend(t, out, reply.Status)
@@ -112,17 +113,24 @@
 		}
 		return bad(note, outcome{mayRun: true, word: "the answer broke off: " + err.Error()})
 	}
-	p.deliver(reply, body, whole)
+	if !whole {
+		p.deliver(reply, body, whole)
+		e.settle(t, func(now time.Time) { t.Succeeded(now) })
+		return outcome{}, true
+	}
 	e.settle(t, func(now time.Time) {
-		if told {
-			t.Told(sample)
-		}
 		if reply.Status/100 == 5 {
 			t.Failed(now)
-			return
+		} else {
+			t.Succeeded(now)
+			e.unit(p.route.Name).Took(now.Sub(began), p.chosen.score)
+		}
+		if told {
+			t.Told(sample)
+			e.freed(p.service, t)
 		}
-		t.Succeeded(now)
 	})
+	p.deliver(reply, body, whole)
 	return outcome{}, true
 }
 
@@ -184,7 +192,9 @@
 	if err != nil && !bodyless {
 		e.counts.failed.Inc(1)
 		p.note("broken", reply.Status, err.Error())
-		e.settle(p.chosen.target, func(time.Time) {})
+		if !whole {
+			e.settle(p.chosen.target, func(time.Time) {})
+		}
 		panic(http.ErrAbortHandler)
 	}
 	e.counts.answered.Inc(1)
--- a/internal/call/kqpass/engine.go
+++ b/internal/call/kqpass/engine.go
@@ -51,6 +51,9 @@
 	known   map[string]*kqfresh.Target
 	budgets map[string]*kqfresh.Budget
 	asked   map[string]*allowance // questions by target
+	lines   map[string]*line      // requests that wait, by service
+	units   map[string]*kqfresh.Unit
+	longest map[string]time.Duration // that callers of a route were seen to wait
 }
 
 // counters are what the metrics address tells.
@@ -64,6 +67,7 @@
 	e := &Engine{
 		cfg: cfg, pool: kqforward.NewPool(), done: make(chan struct{}), known: map[string]*kqfresh.Target{},
 		budgets: map[string]*kqfresh.Budget{}, asked: map[string]*allowance{},
+		lines: map[string]*line{}, units: map[string]*kqfresh.Unit{}, longest: map[string]time.Duration{},
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("routes."+name, cfg.Metrics) }
 	e.counts = counters{
--- a/internal/call/kqpass/passage.go
+++ b/internal/call/kqpass/passage.go
@@ -29,6 +29,7 @@
 	in     *http.Request
 	began  time.Time
 	until  time.Time // when the caller or the route gives up
+	born   time.Time // when the caller began, as far as its earlier tries show
 	id     string
 	route  *kqroutes.Route
 	scene  *scene
@@ -74,12 +75,25 @@
 // the route allows.
 func (p *passage) limit() time.Time {
 	most := defaultMax
+	p.born = p.began
 	if ms, err := strconv.ParseInt(p.in.Header.Get(p.engine.cfg.Names.Deadline), 10, 64); err == nil && ms >= 0 {
 		most = min(time.Duration(ms)*time.Millisecond, kqroutes.MaxTimeout)
+		p.born = p.began.Add(-p.engine.age(p.route.Name, most))
 	}
 	return p.began.Add(min(most, p.route.Timeout))
 }
 
+// age is for how long a caller that waits so much longer has been waiting: the
+// callers of a route begin with the same time, and what they lack of the longest
+// one that was seen has gone by in earlier tries.
+func (e *Engine) age(route string, left time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	longest := max(e.longest[route], left)
+	e.longest[route] = longest
+	return longest - left
+}
+
 // readBody reads the body, so that a slow caller holds no slot of a target; of
 // a long one only the beginning.
 func (p *passage) readBody() (status int, err error) {
@@ -135,9 +149,13 @@
 		if time.Until(p.until) < leastTime || ctx.Err() != nil {
 			break
 		}
-		p.chosen = p.engine.choose(ctx, p.scene, p.service, tried)
+		var word string
+		p.chosen, word = p.choose(ctx, tried)
 		t := p.chosen.target
 		if t == nil {
+			if p.sends == 0 && misses == 0 {
+				last.word = word
+			}
 			break
 		}
 		tried = append(tried, t)
--- /dev/null
+++ b/internal/route/kqfresh/fresh_test.go
@@ -0,0 +1,177 @@
+package kqfresh
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func told(running, waiting int, slow float64) Sample {
+	return Sample{Running: running, Waiting: waiting, Slots: 4, Slow: slow, At: epoch}
+}
+
+// TestExpectedOrder holds which of two targets is the better one.
+func TestExpectedOrder(t *testing.T) {
+	cases := []struct {
+		name          string
+		better, worse Sample
+	}{
+		{"idle before busy above the knee", told(0, 0, 1), told(3, 0, 1)},
+		{"fast and half full before slow and idle", told(2, 0, 1), told(0, 0, 5)},
+		{"a free slot before a queue", told(3, 0, 1), told(4, 1, 1)},
+		{"a short queue before a long one", told(4, 1, 1), told(4, 6, 1)},
+		{"one's own sends count before the target sees them", told(0, 0, 1), Sample{Slots: 4, Slow: 1, At: epoch, Sent: 4}},
+		{"known to be fast before unknown", told(0, 0, 1), Sample{}},
+	}
+	for _, c := range cases {
+		a, b := c.better.Expected(epoch, 4, 0), c.worse.Expected(epoch, 4, 0)
+		if a >= b {
+			t.Errorf("%s: %.2f, %.2f", c.name, a, b)
+		}
+	}
+	old := told(0, 0, 5)
+	if now, later := old.Expected(epoch, 4, 0), old.Expected(epoch.Add(slowLife), 4, 0); later >= now {
+		t.Errorf("slowness does not fade with the age of the answer: %.2f, %.2f", now, later)
+	}
+}
+
+// TestFailFastDrawsNoLoad holds that a target that answers at once with
+// failures is left alone although it looks idle, and comes back after a while.
+func TestFailFastDrawsNoLoad(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	bad := &Target{ID: "bad", Slots: 4, Last: told(0, 0, 1)}
+	list := []*Target{bad}
+	for range 5 {
+		list = append(list, &Target{ID: "good", Slots: 4, Last: told(2, 0, 1)})
+	}
+	for range 3 {
+		bad.Failed(epoch)
+	}
+	asked := func(*Target) bool { return true }
+	for range 100 {
+		if Best(Candidates(list, 4, epoch, rng), asked, epoch, "") == bad {
+			t.Fatal("the failing target is chosen")
+		}
+	}
+	later := epoch.Add(3 * riskLife)
+	for _, x := range list {
+		x.Last.At = later
+	}
+	for range 100 {
+		if Best(Candidates(list, 4, later, rng), asked, later, "") == bad {
+			return
+		}
+	}
+	t.Fatal("the target is never tried again")
+}
+
+func TestUnreachable(t *testing.T) {
+	x := &Target{Slots: 4}
+	x.Unreachable(epoch)
+	first := x.downFor
+	x.Unreachable(epoch)
+	if !x.Down(epoch.Add(first)) || x.Down(epoch.Add(downMost)) {
+		t.Fatalf("down for %s, then %s", first, x.downFor)
+	}
+	x.Succeeded(epoch)
+	if x.Down(epoch) {
+		t.Fatal("a success does not end it")
+	}
+}
+
+// TestBudgetHoldsInEveryWindow plays a burst of failures over requests that
+// come and go: in no window do second sends exceed the share and the slack.
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	const window, hosts = 10 * time.Second, 4
+	rng := rand.New(rand.NewPCG(5, 6))
+	b := Budget{Ratio: 0.2, Slack: 56, Window: window}
+	var requests, seconds []time.Time
+	for at := epoch; at.Before(epoch.Add(time.Minute)); at = at.Add(time.Duration(rng.IntN(20)) * time.Millisecond) {
+		if at.Sub(epoch)%(20*time.Second) < 8*time.Second || rng.IntN(20) == 0 {
+			b.Request(at)
+			requests = append(requests, at)
+		}
+		if b.Take(at, hosts) {
+			seconds = append(seconds, at)
+		}
+	}
+	within := func(list []time.Time, end time.Time) int {
+		n := 0
+		for _, x := range list {
+			if !x.After(end) && end.Sub(x) < window {
+				n++
+			}
+		}
+		return n
+	}
+	if len(seconds) < 50 {
+		t.Fatalf("only %d second sends", len(seconds))
+	}
+	for _, end := range seconds {
+		// One part of the window more is what counting in parts may miss.
+		if n, limit := within(seconds, end), 0.2*float64(within(requests, end))+56/hosts+1; float64(n) > limit {
+			t.Fatalf("%d second sends in a window that allows %.1f", n, limit)
+		}
+	}
+}
+
+func TestLine(t *testing.T) {
+	at := func(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+	urgent := &Waiter{Priority: 1, Latest: at(100), Until: at(400)}
+	soon := &Waiter{Priority: 2, Latest: at(50), Until: at(400)}
+	later := &Waiter{Priority: 2, Latest: at(200), Until: at(400)}
+	late := &Waiter{Priority: 0, Latest: at(-10), Until: at(400)}
+	t.Run("in time before late, urgent first, then who must start first", func(t *testing.T) {
+		var l Line
+		for _, w := range []*Waiter{late, later, soon, urgent} {
+			if !l.Join(w, epoch) {
+				t.Fatal("refused")
+			}
+		}
+		for i, want := range []*Waiter{urgent, soon, later, late, nil} {
+			if got := l.Next(epoch); got != want {
+				t.Fatalf("place %d: %+v", i, got)
+			}
+		}
+	})
+	t.Run("who would wait in vain is refused at once", func(t *testing.T) {
+		var l Line
+		joined := 0
+		for range 100 {
+			if l.Join(&Waiter{Latest: at(100), Until: at(2000)}, epoch) {
+				joined++
+			}
+		}
+		if joined == 0 || joined == 100 {
+			t.Fatalf("%d of 100 wait", joined)
+		}
+		if l.Join(&Waiter{Until: at(20)}, epoch) {
+			t.Fatal("one without time joins a long line")
+		}
+	})
+}
+
+func TestRoom(t *testing.T) {
+	x := &Target{Slots: 4}
+	cases := []struct {
+		name string
+		last Sample
+		own  int
+		now  time.Time
+		room int
+	}{
+		{"idle", told(0, 0, 1), 0, epoch, 3},
+		{"at the knee", told(3, 0, 1), 0, epoch, 0},
+		{"slow", told(0, 0, 5), 0, epoch, 0},
+		{"own sends it has not seen", Sample{Slots: 4, Slow: 1, At: epoch, Sent: 2}, 0, epoch, 1},
+		{"told too long ago", told(0, 0, 1), 0, epoch.Add(2 * roomLife), 0},
+	}
+	for _, c := range cases {
+		x.Last, x.Own = c.last, c.own
+		if got := x.Room(c.now, true); got != c.room {
+			t.Errorf("%s: %d, want %d", c.name, got, c.room)
+		}
+	}
+}
