A faint risk no longer loses every tie; budgets count whole windows

Change: risk below 0.05 counts as none; one part more of a window is kept; five starts in half a second are assumed.

--- a/internal/route/kqfresh/book.go
+++ b/internal/route/kqfresh/book.go
@@ -10,6 +10,7 @@
 	riskLife  = 3 * time.Second        // in which a target's failures count for e times less
 	riskStep  = 0.35                   // weight of the newest outcome
 	riskCost  = 6                      // times longer that a sure failure counts
+	riskNone  = 0.05                   // risk below which a target counts as sound: it must not lose every tie
 	riskAvoid = 0.5                    // risk above which a target is asked only if others lack
 	downLeast = 300 * time.Millisecond // for which an unreachable target is left alone at first
 	downMost  = 3 * time.Second        // and at most
@@ -85,7 +86,10 @@
 	if t.Domain != domain {
 		e *= farCost
 	}
-	return e * (1 + riskCost*t.Risk(now))
+	if risk := t.Risk(now); risk >= riskNone {
+		e *= 1 + riskCost*risk
+	}
+	return e
 }
 
 // Candidates returns at most n targets worth asking, in random order: those
--- a/internal/route/kqfresh/budget.go
+++ b/internal/route/kqfresh/budget.go
@@ -3,7 +3,8 @@
 import "time"
 
 const (
-	budgetSlots = 10 // parts of a budget's window
+	windowParts = 10              // parts of a budget's window
+	budgetParts = windowParts + 1 // with the one that has partly left it
 )
 
 // Budget bounds second sends to a service to a share of its requests in every
@@ -15,8 +16,8 @@
 
 	began    time.Time
 	at       int64 // part of the window that is counted now
-	requests [budgetSlots]float64
-	seconds  [budgetSlots]float64
+	requests [budgetParts]float64
+	seconds  [budgetParts]float64
 }
 
 // advance forgets the parts that have left the window.
@@ -24,11 +25,11 @@
 	if b.began.IsZero() {
 		b.began = now
 	}
-	at := int64(now.Sub(b.began) / (b.Window / budgetSlots))
+	at := int64(now.Sub(b.began) / (b.Window / windowParts))
 	for n := 0; b.at < at; n++ {
 		b.at++
-		b.requests[b.at%budgetSlots], b.seconds[b.at%budgetSlots] = 0, 0
-		if n >= budgetSlots {
+		b.requests[b.at%budgetParts], b.seconds[b.at%budgetParts] = 0, 0
+		if n >= budgetParts {
 			b.at = at
 		}
 	}
@@ -37,7 +38,7 @@
 // Request counts one request for the service.
 func (b *Budget) Request(now time.Time) {
 	b.advance(now)
-	b.requests[b.at%budgetSlots]++
+	b.requests[b.at%budgetParts]++
 }
 
 // Take counts a second send if the window allows it; hosts is how many share
@@ -46,7 +47,7 @@
 func (b *Budget) Take(now time.Time, hosts int) bool {
 	b.advance(now)
 	requests, seconds := 0.0, 0.0
-	for i := range budgetSlots {
+	for i := range budgetParts {
 		requests += b.requests[i]
 		seconds += b.seconds[i]
 	}
@@ -57,6 +58,6 @@
 	if seconds+1 > b.Ratio*requests+slack {
 		return false
 	}
-	b.seconds[b.at%budgetSlots]++
+	b.seconds[b.at%budgetParts]++
 	return true
 }
--- a/internal/route/kqfresh/line.go
+++ b/internal/route/kqfresh/line.go
@@ -21,6 +21,7 @@
 	unitWeight = 0.05 // of the newest request in what is usual
 	lineMost   = 512  // requests that wait for one service on one host
 	rateLife   = 500 * time.Millisecond
+	leastGiven = 5 // starts in rateLife that are assumed at the least
 )
 
 // Room returns how many requests may be started on the target now without
@@ -83,9 +84,9 @@
 // Wait returns how long a request that joins now is expected to wait.
 func (l *Line) Wait(now time.Time) time.Duration {
 	l.fade(now)
-	// At least one start in rateLife is assumed, so that a line that has stood
-	// still is joined again.
-	return time.Duration(float64(len(l.list)) * float64(rateLife) / max(l.given, 1))
+	// A few starts in rateLife are assumed: a host with few requests has seen none
+	// lately, and a line that has stood still is joined again.
+	return time.Duration(float64(len(l.list)) * float64(rateLife) / max(l.given, leastGiven))
 }
 
 // Join adds the request; false says that it would wait for longer than helps.
