The directory on entry hosts; a quick first election; entry hosts dial at once

After all were down, entry hosts waited a second before they dialled, the control hosts 1.2 s before they voted.

--- a/internal/peer/kqlink/mesh.go
+++ b/internal/peer/kqlink/mesh.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	dialTimeout = time.Second
+	dialTimeout = 500 * time.Millisecond
 	minRedial   = 100 * time.Millisecond
-	maxRedial   = 2 * time.Second
+	maxRedial   = time.Second
 	patience    = time.Second // the host with the higher name leaves dialling to the other so long
 )
 
@@ -46,6 +46,7 @@
 	Log      *kqlog.Log
 	Metrics  metrics.Registry
 	Receiver Receiver
+	Eager    bool          // nobody dials this host: it leaves dialling to no one
 	Beat     time.Duration // between two heartbeats of a link while there are few, leastBeat if 0
 }
 
@@ -242,7 +243,7 @@
 func (m *Mesh) keep(ctx context.Context, peer, addr string) {
 	defer m.wait.Done()
 	pause := minRedial
-	if m.cfg.Host > peer {
+	if m.cfg.Host > peer && !m.cfg.Eager {
 		rest(ctx, patience)
 	}
 	for ctx.Err() == nil {
--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -76,6 +76,9 @@
 	learned  []kqfeed.Neighbour // control hosts, as a hub told
 	presence map[string]present // entry hosts, as they told this control host
 	began    time.Time
+	came     time.Time     // when an entry host last told of itself
+	stopped  chan struct{} // closed when a host with seeds ends
+	ended    sync.Once
 }
 
 // Options change a host for experiments; the zero value is what users run.
@@ -98,7 +101,7 @@
 	d := &Daemon{
 		opts:     opts,
 		settings: s, log: log, events: kqevent.NewRecorder(s.Host, time.Now),
-		metrics: metrics.NewRegistry(), fatal: make(chan error, 1), ready: make(chan struct{}),
+		metrics: metrics.NewRegistry(), fatal: make(chan error, 1), ready: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	if err := d.start(); err != nil {
 		d.Close()
@@ -286,6 +289,7 @@
 // Close stops all parts at once; calls in progress are cut.
 func (d *Daemon) Close() {
 	d.open()
+	d.stopWatch()
 	for _, s := range d.servers {
 		s.Close()
 	}
--- a/internal/run/kqdaemon/presence.go
+++ b/internal/run/kqdaemon/presence.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"kumquatglade/internal/state/kqfeed"
@@ -21,9 +22,12 @@
 	// keep it three times as long, which must fit into a planned stop.
 	directoryHold = time.Second
 
-	// settleTime is for entry hosts to find a control host that has just
-	// started: before, its answers would send all callers to a few.
-	settleTime = 1500 * time.Millisecond
+	// settleTime without a further entry host ends the start of a control host:
+	// they come together, by links that are dialled at once.
+	settleTime = 250 * time.Millisecond
+	settleMost = 2 * time.Second // of a start at the most
+
+	doorsEvery = 50 * time.Millisecond // between two looks at who takes callers
 )
 
 // present is an entry host as it told this control host.
@@ -40,6 +44,7 @@
 	}
 	d.mu.Lock()
 	d.presence[peer] = present{Presence: p}
+	d.came = time.Now()
 	d.mu.Unlock()
 	d.log.Infof("entry host %s at %s: ready %v", peer, p.Host.Calls, p.Ready)
 	return nil
@@ -78,46 +83,73 @@
 	return !leaving && d.passer.Ready()
 }
 
-// entriesNow returns the entry hosts that take callers now.
-func (d *Daemon) entriesNow() []kqfeed.Presence {
+// openDoors returns the entry hosts that take callers now, and since when none
+// has come to this control host.
+func (d *Daemon) openDoors() (list []kqfeed.Door, quiet time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var list []kqfeed.Presence
 	for host, p := range d.presence {
 		if !p.lost.IsZero() && time.Since(p.lost) > absentAfter {
 			delete(d.presence, host)
+			d.log.Infof("entry host %s is absent", p.Host.Calls)
 			continue
 		}
 		if p.Ready {
-			list = append(list, p.Presence)
+			list = append(list, kqfeed.Door{Addr: p.Host.Calls, Domain: p.Host.Domain})
+		}
+	}
+	slices.SortFunc(list, func(a, b kqfeed.Door) int { return strings.Compare(a.Addr, b.Addr) })
+	return list, time.Since(d.came)
+}
+
+// watchDoors tells the followers which entry hosts take callers. After its own
+// start a control host waits until no more of them come to it: told of a few,
+// all callers would go there.
+func (d *Daemon) watchDoors() {
+	tick := time.NewTicker(doorsEvery)
+	defer tick.Stop()
+	settled := false
+	for {
+		select {
+		case <-d.stopped:
+			return
+		case <-tick.C:
+		}
+		list, quiet := d.openDoors()
+		settled = settled || time.Since(d.began) > settleMost || len(list) > 0 && quiet > settleTime
+		if settled {
+			d.hub.SetDoors(list)
 		}
 	}
-	return list
 }
 
-func (d *Daemon) countEntries() int { return len(d.entriesNow()) }
+func (d *Daemon) stopWatch() {
+	d.ended.Do(func() { close(d.stopped) })
+}
 
-// entriesFor answers the directory's question: entry hosts of the caller's
+// doorsFor answers the directory's question: entry hosts of the caller's
 // failure domain stand first where not all fit.
-func (d *Daemon) entriesFor(domain string, most int) ([]string, time.Duration) {
-	if time.Since(d.began) < settleTime {
-		return nil, 0
+func (d *Daemon) doorsFor(domain string, most int) ([]string, time.Duration) {
+	var list []kqfeed.Door
+	if d.follower != nil {
+		list = slices.Clone(d.follower.Doors())
+	} else {
+		list = d.hub.Doors()
 	}
-	list := d.entriesNow()
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	if len(list) > most {
-		slices.SortStableFunc(list, func(a, b kqfeed.Presence) int { return far(a, domain) - far(b, domain) })
+		slices.SortStableFunc(list, func(a, b kqfeed.Door) int { return far(a, domain) - far(b, domain) })
 		list = list[:most]
 	}
 	addrs := make([]string, len(list))
-	for i, p := range list {
-		addrs[i] = p.Host.Calls
+	for i, door := range list {
+		addrs[i] = door.Addr
 	}
 	return addrs, directoryHold
 }
 
-func far(p kqfeed.Presence, domain string) int {
-	if p.Host.Domain == domain {
+func far(door kqfeed.Door, domain string) int {
+	if door.Domain == domain {
 		return 0
 	}
 	return 1
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -46,7 +46,7 @@
 	d.tuneMemory()
 	d.SetSeeds(d.settings.Seeds)
 	mesh, err := kqlink.Listen(kqlink.Config{
-		Host: d.settings.Host, Listen: d.settings.Listen.Peers, Secret: d.settings.Secret, Beat: linkBeat,
+		Host: d.settings.Host, Listen: d.settings.Listen.Peers, Secret: d.settings.Secret, Beat: linkBeat, Eager: !d.settings.Has(kqsettings.RoleControl),
 		Clock: d.events.Clock(), Log: d.log.Part("link"), Metrics: d.metrics, Receiver: receiver{d},
 	})
 	if err != nil {
@@ -65,6 +65,7 @@
 	d.dialPeers()
 	if d.control != nil {
 		d.hub.Run(d.control)
+		d.wait.Go(d.watchDoors)
 	}
 	if d.follower != nil {
 		d.follower.Run()
@@ -88,7 +89,7 @@
 	d.presence = map[string]present{}
 	d.hub = kqfeed.NewHub(kqfeed.HubConfig{
 		Link: d.mesh, Clock: kqclock.System{}, Log: d.log.Part("hub"), Controls: func() []string { return nil },
-		Fresh: freshEvery, Unlisted: true, Entries: d.countEntries,
+		Fresh: freshEvery, Unlisted: true,
 	})
 	var founders []kqreplica.Want
 	for _, ip := range d.seedIPs() {
@@ -109,7 +110,7 @@
 	shared := d.settings.Shared
 	d.passer = kqpass.New(kqpass.Config{
 		Names: platform.Names, Domain: d.settings.Domain, Clock: kqclock.System{}, Rand: seeded(), Log: d.log.Part("request"),
-		Metrics: d.metrics, Hosts: func() int { return d.follower.Entries() },
+		Metrics: d.metrics, Hosts: func() int { return max(len(d.follower.Doors()), 1) },
 		Limits: kqpass.Limits{
 			SecondRatio: shared.SecondRatio, SecondSlack: shared.SecondSlack,
 			SecondWindow: shared.SecondWindow.Or(defaultWindow), Questions: shared.Questions,
@@ -148,7 +149,7 @@
 	}{
 		{d.settings.Listen.Ready, func(e *echo.Echo) { platform.RegisterReady(e, d.takes) }},
 		{d.settings.Listen.Control, func(e *echo.Echo) { platform.RegisterControl(e, d.local) }},
-		{d.settings.Listen.Directory, func(e *echo.Echo) { platform.RegisterDirectory(e, d.entriesFor) }},
+		{d.settings.Listen.Directory, func(e *echo.Echo) { platform.RegisterDirectory(e, d.doorsFor) }},
 	}
 	if err := d.serve(d.settings.Listen.Admin, admin); err != nil {
 		return err
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -51,7 +51,7 @@
 	view atomic.Pointer[View]
 	poke chan struct{}
 
-	entries atomic.Int64
+	doors atomic.Pointer[[]Door]
 
 	mu      sync.Mutex
 	hub     string // control host that this host subscribes to
@@ -92,9 +92,24 @@
 	return f.view.Load()
 }
 
-// Entries returns how many entry hosts take callers, as last told; at least 1.
-func (f *Follower) Entries() int {
-	return int(max(f.entries.Load(), 1))
+// Doors returns the entry hosts that take callers, as last told: it must not be
+// changed.
+func (f *Follower) Doors() []Door {
+	if p := f.doors.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// moved takes which doors opened and closed.
+func (f *Follower) moved(peer string, m doors) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if peer != f.hub {
+		return
+	}
+	list := append(lacking(f.Doors(), m.Closed), lacking(m.Opened, f.Doors())...)
+	f.doors.Store(&list)
 }
 
 // New reports whether this host was in no host list before it started.
@@ -209,6 +224,9 @@
 	f.lease.confirm(asked)
 	f.heard = f.cfg.Clock.Now()
 	f.joined = true
+	if len(s.Entries) > 0 {
+		f.doors.Store(&s.Entries) // a hub that knows none yet will tell as they come
+	}
 	f.cfg.Log.Infof("follows control host %s from revision %d", control, f.revision())
 	if f.cfg.Learned != nil && len(s.Controls) > 0 {
 		f.cfg.Learned(s.Controls)
@@ -293,7 +311,4 @@
 	}
 	f.heard = f.cfg.Clock.Now()
 	f.lease.confirm(f.heard)
-	if m.Entries > 0 {
-		f.entries.Store(int64(m.Entries))
-	}
 }
--- a/internal/state/kqfeed/hub.go
+++ b/internal/state/kqfeed/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,8 +45,6 @@
 	// Unlisted keeps entry hosts out of the replicated host list: they are
 	// known by their Presence alone.
 	Unlisted bool
-	// Entries returns how many entry hosts take callers; nil: not told.
-	Entries func() int
 }
 
 // Hub pushes changes from one control host to its subscribers.
@@ -59,6 +58,7 @@
 	mu       sync.Mutex
 	subs     map[string]bool
 	controls []Neighbour
+	doors    []Door              // of entry hosts that take callers
 	changes  []kqcontract.Change // the newest, ascending without gaps
 	acked    map[string]uint64   // revision in force on each entry host
 	unsent   map[string]uint64   // acknowledgements not yet passed on
@@ -138,7 +138,7 @@
 		h.subs[peer] = true
 		out = h.startFor(s.Revision, state)
 		out.New = added
-		out.Controls = h.controls
+		out.Controls, out.Entries = h.controls, h.doors
 	})
 	return out, err
 }
@@ -206,15 +206,11 @@
 		h.cfg.Log.Debugf("not confirmed: %v", err)
 		return
 	}
-	entries := 0
-	if h.cfg.Entries != nil {
-		entries = h.cfg.Entries()
-	}
 	h.source.View(func(s *kqcontract.State) { // stopping
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		for peer := range h.subs {
-			h.cfg.Link.Send(peer, MethodFresh, fresh{Revision: s.Revision, Entries: entries})
+			h.cfg.Link.Send(peer, MethodFresh, fresh{Revision: s.Revision})
 		}
 	})
 }
@@ -229,6 +225,33 @@
 	}
 }
 
+// SetDoors tells the subscribers which entry hosts take callers, as far as that
+// changes.
+func (h *Hub) SetDoors(list []Door) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m := doors{Opened: lacking(list, h.doors), Closed: lacking(h.doors, list)}
+	h.doors = list
+	if len(m.Opened)+len(m.Closed) == 0 {
+		return
+	}
+	for peer := range h.subs {
+		h.cfg.Link.Send(peer, MethodEntries, m)
+	}
+}
+
+// Doors returns a copy of the entry hosts that take callers.
+func (h *Hub) Doors() []Door {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.doors)
+}
+
+// lacking returns those of list that other lacks.
+func lacking(list, other []Door) []Door {
+	return slices.DeleteFunc(slices.Clone(list), func(d Door) bool { return slices.Contains(other, d) })
+}
+
 // Acknowledge takes what a peer says of revisions in force. What an entry
 // host says of itself is passed on to the other control hosts.
 func (h *Hub) Acknowledge(peer string, a inForce) {
--- a/internal/state/kqfeed/message.go
+++ b/internal/state/kqfeed/message.go
@@ -16,6 +16,7 @@
 	MethodView      = "view"      // entry to entry, request
 	MethodControls  = "controls"  // control to entry
 	MethodPresence  = "presence"  // entry to control
+	MethodEntries   = "entries"   // control to entry
 )
 
 // subscription asks for all changes after a revision.
@@ -31,6 +32,19 @@
 	New     bool                `json:"new,omitempty"` // the host was never listed before
 
 	Controls []Neighbour `json:"controls,omitempty"` // the control hosts now
+	Entries  []Door      `json:"entries,omitempty"`  // the entry hosts that take callers
+}
+
+// Door is where an entry host takes callers.
+type Door struct {
+	Addr   string `json:"a"` // IP:port
+	Domain string `json:"d"`
+}
+
+// doors tells entry hosts which doors opened and which closed.
+type doors struct {
+	Opened []Door `json:"opened,omitempty"`
+	Closed []Door `json:"closed,omitempty"`
 }
 
 // Neighbour is a control host as entry hosts learn of it.
@@ -54,7 +68,6 @@
 // fresh says that the revision was confirmed by a quorum just now.
 type fresh struct {
 	Revision uint64 `json:"rev"`
-	Entries  int    `json:"entries,omitempty"` // entry hosts that take callers
 }
 
 // inForce says up to which revision hosts act.
--- a/internal/state/kqfeed/serve.go
+++ b/internal/state/kqfeed/serve.go
@@ -42,6 +42,11 @@
 		if err = json.Unmarshal(body, &m); err == nil {
 			f.Fresh(peer, m)
 		}
+	case MethodEntries:
+		var m doors
+		if err = json.Unmarshal(body, &m); err == nil {
+			f.moved(peer, m)
+		}
 	case MethodControls:
 		var m controls
 		if err = json.Unmarshal(body, &m); err == nil && f.cfg.Learned != nil {
--- a/internal/state/kqreplica/elect.go
+++ b/internal/state/kqreplica/elect.go
@@ -38,9 +38,16 @@
 	return ok && m.Voter && m.Incarnation == incarnation
 }
 
+// hasten shortens the time until the next pre-vote: a host that knows no leader
+// disturbs none by asking, since those that hear one refuse.
+func (r *Replica) hasten() {
+	r.timeout = r.elapsed + hasteTicks + r.rng.IntN(hasteSpread)
+}
+
 // campaign begins a pre-vote, if this host is a voter.
 func (r *Replica) campaign() {
 	r.resetTimeout()
+	r.hasten()
 	if !r.isVoter(r.cfg.Host, r.run.Incarnation) {
 		return
 	}
