Replica: hosts without a vote forget a fallen leader; who asks to join proves to be there now

Change: a time-out clears the leader also on a host that may not vote; the leader asks a host that wants to join who it is, and acts only on the answer to the question that is open.

--- a/internal/state/kqreplica/elect.go
+++ b/internal/state/kqreplica/elect.go
@@ -48,6 +48,9 @@
 func (r *Replica) campaign() {
 	r.resetTimeout()
 	r.hasten()
+	// Also a host that may not vote has lost its leader: it asks to join again,
+	// and holds no candidate up for having heard one.
+	r.leader = ""
 	if !r.isVoter(r.cfg.Host, r.run.Incarnation) {
 		return
 	}
@@ -206,7 +209,7 @@
 func (r *Replica) lead() {
 	r.role, r.leader = Leader, r.cfg.Host
 	r.peers = map[string]*progress{}
-	r.joiners = map[string]Member{}
+	r.joiners, r.proofs = map[string]Member{}, map[string]string{}
 	r.beat, r.elapsed = 0, 0
 	r.trackPeers()
 	r.appendOwn(kindNoop, "", nil)
--- a/internal/state/kqreplica/follow.go
+++ b/internal/state/kqreplica/follow.go
@@ -27,6 +27,12 @@
 	case kindPresent:
 		r.onPresent(from, m)
 		return
+	case kindWho:
+		r.send(from, Message{Kind: kindIam, ID: m.ID, Members: []Member{r.self()}})
+		return
+	case kindIam:
+		r.onIam(from, run, m)
+		return
 	case kindFound:
 		r.onFound(m)
 		return
@@ -59,9 +65,7 @@
 		// The host takes entries with a folder that the list does not name, and
 		// may believe by an older list that it does: it asks for nothing itself.
 		if _, ok := find(r.members, from); ok && r.role == Leader {
-			old, _ := find(r.members, from)
-			old.Incarnation = run.Incarnation
-			r.joiners[from] = old
+			r.prove(from)
 		}
 	case kindPreVote, kindVote:
 		r.onCandidate(from, run, m)
--- a/internal/state/kqreplica/form.go
+++ b/internal/state/kqreplica/form.go
@@ -1,6 +1,7 @@
 package kqreplica
 
 import (
+	"fmt"
 	"slices"
 
 	"kumquatglade/internal/state/kqjournal"
@@ -56,19 +57,16 @@
 		r.send(from, Message{Kind: kindPresent, OK: !r.cfg.NeverFound, Members: []Member{r.self()}})
 		return
 	}
-	asks := Member{Host: from, Incarnation: run.Incarnation}
-	if len(m.Members) == 1 && m.Members[0].Host == from {
-		asks.Domain, asks.Peers = m.Members[0].Domain, m.Members[0].Peers
-	}
 	if known, ok := find(r.members, from); ok && known.Incarnation == run.Incarnation {
 		r.sendFound(from)
 		return
 	}
 	switch {
 	case r.role == Leader:
-		r.joiners[from] = asks
+		r.prove(from)
 	case r.leader != "":
 		// The host may not know the leader, whom the settings need not name.
+		asks := Member{Host: from, Incarnation: run.Incarnation}
 		r.send(r.leader, Message{Kind: kindJoin, Cluster: r.meta.Cluster, Members: []Member{asks}})
 	}
 	r.send(from, Message{Kind: kindPresent, Cluster: r.meta.Cluster})
@@ -81,8 +79,30 @@
 	}
 	asks := m.Members[0]
 	if !r.counts(asks.Host, asks.Incarnation) {
-		r.joiners[asks.Host] = asks
+		r.prove(asks.Host)
+	}
+}
+
+// prove asks a host who it is now. What it said before may be late: acted on, an
+// earlier data folder of the host could take the place of the one that counts.
+func (r *Replica) prove(host string) {
+	if r.proofs[host] == "" {
+		r.proofNo++
+		r.proofs[host] = fmt.Sprintf("%d.%d", r.meta.Term, r.proofNo)
+	}
+	r.send(host, Message{Kind: kindWho, Cluster: r.meta.Cluster, ID: r.proofs[host]})
+}
+
+// onIam takes a host that answered the question that is open now.
+func (r *Replica) onIam(from string, run kqjournal.Run, m Message) {
+	if r.role != Leader || m.ID == "" || m.ID != r.proofs[from] || len(m.Members) != 1 {
+		return
+	}
+	delete(r.proofs, from)
+	if r.counts(from, run.Incarnation) {
+		return
 	}
+	r.joiners[from] = Member{Host: from, Domain: m.Members[0].Domain, Peers: m.Members[0].Peers, Incarnation: run.Incarnation}
 }
 
 // sendFound tells a founding member, or one admitted later, its cluster. The
--- a/internal/state/kqreplica/message.go
+++ b/internal/state/kqreplica/message.go
@@ -7,6 +7,8 @@
 	kindHello    = "hello"    // a host without a cluster asks who is there
 	kindPresent  = "present"  // answer to hello
 	kindJoin     = "join"     // a member passes a hello on to the leader
+	kindWho      = "who"      // the leader asks a host that wants to join who it is now
+	kindIam      = "iam"      // answer to who
 	kindFound    = "found"    // the first member list of a new cluster
 	kindExpired  = "expired"  // the sender's data folder is an old copy
 	kindPreVote  = "prevote"  // would you vote for me
--- a/internal/state/kqreplica/mutation_test.go
+++ b/internal/state/kqreplica/mutation_test.go
@@ -13,9 +13,9 @@
 		mutant mutation
 		first  uint64 // seed to begin with, so that CI need not search
 	}{
-		{voteUnsynced, 711},
+		{voteUnsynced, 864},
 		{lostVotes, 6},
-		{earlierTerm, 556},
+		{earlierTerm, 562},
 	}
 	for _, c := range cases {
 		t.Run(string(c.mutant), func(t *testing.T) {
--- a/internal/state/kqreplica/replica.go
+++ b/internal/state/kqreplica/replica.go
@@ -114,7 +114,9 @@
 	asked    map[string]int // reads asked of the leader, ticks waited
 	mine     map[uint64]string
 	present  map[string]Message // answers to hello
-	joiners  map[string]Member  // hosts that asked to join
+	joiners  map[string]Member  // hosts that ask to join, and proved to be there now
+	proofs   map[string]string  // question by which a host that asks proves that
+	proofNo  int
 	effects  []Effect
 	reported Changed
 
