--- /dev/null
+++ b/internal/call/kqpass/engine_test.go
@@ -0,0 +1,349 @@
+package kqpass
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"kumquatglade/internal/host/kqclock"
+	"kumquatglade/internal/host/kqlog"
+	"kumquatglade/internal/state/kqroutes"
+	"kumquatglade/internal/state/kqtargets"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	// The metrics library keeps one goroutine for all meters of a process.
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
+}
+
+// target answers by hand: one function for each request that is no question.
+type target struct {
+	l        net.Listener
+	arrivals atomic.Int64
+	closed   chan struct{} // closed when a connection with a request ends
+	last     atomic.Pointer[http.Request]
+	body     atomic.Pointer[string]
+}
+
+// answer writes what it likes; false ends the connection in order.
+type answer func(c net.Conn, r *http.Request) bool
+
+func startTarget(t *testing.T, do answer) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &target{l: l, closed: make(chan struct{}, 16)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go x.serve(c, do)
+		}
+	}()
+	return x
+}
+
+func (x *target) serve(c net.Conn, do answer) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if req.URL.Path == "/health" {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: 0,0,4,100\r\nContent-Length: 0\r\n\r\n", OwnNames.Load)
+			continue
+		}
+		x.arrivals.Add(1)
+		x.last.Store(req)
+		if req.Header.Get("Early") == "" {
+			p, _ := io.ReadAll(req.Body)
+			s := string(p)
+			x.body.Store(&s)
+		}
+		if !do(c, req) {
+			// What the other end does with the connection shows in a read.
+			c.SetReadDeadline(time.Now().Add(2 * time.Second))
+			io.Copy(io.Discard, r)
+			x.closed <- struct{}{}
+			return
+		}
+	}
+}
+
+// head is the head of a good answer to the request.
+func head(r *http.Request, status, more string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\n%s: s1\r\n%s", status, OwnNames.ID, r.Header.Get(OwnNames.ID), OwnNames.Seal, more)
+}
+
+func good(c net.Conn, r *http.Request) bool {
+	io.WriteString(c, head(r, "200 OK", "Content-Length: 5\r\n\r\nwhole"))
+	return true
+}
+
+func reset(c net.Conn, _ *http.Request) bool {
+	c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+	return true
+}
+
+func shed(c net.Conn, r *http.Request) bool {
+	io.WriteString(c, "HTTP/1.1 503 Full\r\n"+OwnNames.NotRun+": 1\r\nContent-Length: 0\r\n\r\n")
+	return true
+}
+
+func writes(format func(r *http.Request) string, keep bool) answer {
+	return func(c net.Conn, r *http.Request) bool {
+		io.WriteString(c, format(r))
+		if !keep {
+			c.(*net.TCPConn).CloseWrite()
+		}
+		return keep
+	}
+}
+
+// world is an engine before targets.
+type world struct {
+	engine *Engine
+	front  *httptest.Server
+	list   []*target
+}
+
+func newWorld(t *testing.T, kind kqroutes.Kind, timeout time.Duration, targets ...answer) *world {
+	t.Helper()
+	w := &world{engine: New(Config{
+		Names: OwnNames, Clock: kqclock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: kqlog.Discard(),
+		Metrics: metrics.NewRegistry(), Hosts: func() int { return 1 },
+		Limits: Limits{SecondRatio: 1, SecondWindow: 10 * time.Second},
+	})}
+	var list []kqtargets.Target
+	for i, do := range targets {
+		x := startTarget(t, do)
+		w.list = append(w.list, x)
+		list = append(list, kqtargets.Target{
+			ID: "t" + strconv.Itoa(i), Service: "kekhai", Addr: x.l.Addr().String(), Slots: 4, State: kqtargets.Ready,
+		})
+	}
+	w.engine.Enforce(1, &kqroutes.Document{
+		Version: 1, Services: []kqroutes.Service{{Name: "kekhai", Health: "/health", Connections: 100}},
+		Hosts: []kqroutes.Host{{Name: "index.example", Routes: []kqroutes.Route{{
+			Name: "r1", Prefix: "/filings/", Service: "kekhai", Kind: kind, Attempts: 2, Timeout: timeout, Objective: 400 * time.Millisecond,
+		}}}},
+	}, list)
+	w.front = httptest.NewServer(w.engine)
+	t.Cleanup(func() {
+		w.front.Close()
+		w.engine.Close()
+		http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	})
+	return w
+}
+
+func (w *world) arrivals() int {
+	n := 0
+	for _, x := range w.list {
+		n += int(x.arrivals.Load())
+	}
+	return n
+}
+
+// call sends one request and returns the whole answer; err says that it broke off.
+func (w *world) call(path, body string, more ...string) (*http.Response, string, error) {
+	req, err := http.NewRequest(http.MethodPost, w.front.URL+path, strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	req.Host = "index.example"
+	req.Header.Set(OwnNames.ID, "id-1")
+	req.Header.Set(OwnNames.Deadline, "2000")
+	for i := 0; i+1 < len(more); i += 2 {
+		req.Header.Set(more[i], more[i+1])
+	}
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer res.Body.Close()
+	p, err := io.ReadAll(res.Body)
+	return res, string(p), err
+}
+
+// TestOneTarget holds what a caller gets for each thing that a target may do,
+// and that a request that may have run is not sent again.
+func TestOneTarget(t *testing.T) {
+	cases := []struct {
+		name   string
+		kind   kqroutes.Kind
+		do     answer
+		status int
+		body   string // of a target's own answer
+	}{
+		{"whole answer", kqroutes.Unsafe, good, 200, "whole"},
+		{"the target's own failure", kqroutes.Unsafe, writes(func(r *http.Request) string { return head(r, "500 Bad", "Content-Length: 3\r\n\r\nbad") }, true), 500, "bad"},
+		{"reset after the request", kqroutes.Unsafe, reset, 502, ""},
+		{"not run, and nobody else", kqroutes.Unsafe, shed, 503, ""},
+		{"the answer of another request", kqroutes.Unsafe, writes(func(*http.Request) string {
+			return "HTTP/1.1 200 OK\r\n" + OwnNames.ID + ": id-0\r\n" + OwnNames.Seal + ": s1\r\nContent-Length: 5\r\n\r\nwhole"
+		}, true), 502, ""},
+		{"success without a seal", kqroutes.Unsafe, writes(func(r *http.Request) string {
+			return "HTTP/1.1 200 OK\r\n" + OwnNames.ID + ": id-1\r\nContent-Length: 2\r\n\r\nok"
+		}, true), 502, ""},
+		{"encoded answer", kqroutes.Unsafe, writes(func(r *http.Request) string {
+			return head(r, "200 OK", "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok")
+		}, true), 502, ""},
+		{"bytes that are no answer", kqroutes.Unsafe, writes(func(*http.Request) string { return "\x00\x01garbage\r\n\r\n" }, false), 502, ""},
+		{"broken off", kqroutes.Unsafe, writes(func(r *http.Request) string { return head(r, "200 OK", "Content-Length: 50\r\n\r\nshort") }, false), 502, ""},
+		{"no length, ended in order", kqroutes.Unsafe, writes(func(r *http.Request) string { return head(r, "200 OK", "\r\nall of it") }, false), 200, "all of it"},
+		{"no length, reset", kqroutes.Unsafe, func(c net.Conn, r *http.Request) bool {
+			io.WriteString(c, head(r, "200 OK", "\r\nnot all"))
+			time.Sleep(20 * time.Millisecond)
+			return reset(c, r)
+		}, 502, ""},
+		{"another target at the address", kqroutes.Unsafe, writes(func(*http.Request) string { return "HTTP/1.1 421 Wrong\r\nContent-Length: 0\r\n\r\n" }, true), 503, ""},
+		{"no answer in time", kqroutes.Unsafe, func(net.Conn, *http.Request) bool { return false }, 504, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, c.kind, 300*time.Millisecond, c.do)
+			res, body, err := w.call("/filings/7", "filing")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if res.StatusCode != c.status || c.body != "" && body != c.body || w.arrivals() != 1 {
+				t.Fatalf("%d %q after %d arrivals", res.StatusCode, body, w.arrivals())
+			}
+			if own := c.body == ""; own != (res.Header.Get(OwnNames.Seal) == "") {
+				t.Fatalf("seal %q on the answer of %v", res.Header.Get(OwnNames.Seal), own)
+			}
+			if back := res.Header.Get("Retry-After") != ""; back != (c.status == 503) {
+				t.Fatalf("Retry-After %q with %d", res.Header.Get("Retry-After"), c.status)
+			}
+		})
+	}
+}
+
+// first does one thing at its first request, wherever that arrives, and is good after.
+func first(do answer) (answer, answer) {
+	var n atomic.Int64
+	both := func(c net.Conn, r *http.Request) bool {
+		if n.Add(1) == 1 {
+			return do(c, r)
+		}
+		return good(c, r)
+	}
+	return both, both
+}
+
+// TestSecondTarget holds when a request goes to another target.
+func TestSecondTarget(t *testing.T) {
+	cases := []struct {
+		name     string
+		kind     kqroutes.Kind
+		do       answer
+		status   int
+		arrivals int
+	}{
+		{"safe, reset", kqroutes.Safe, reset, 200, 2},
+		{"safe, broken off", kqroutes.Safe, writes(func(r *http.Request) string { return head(r, "200 OK", "Content-Length: 50\r\n\r\nshort") }, false), 200, 2},
+		{"unsafe, reset", kqroutes.Unsafe, reset, 502, 1},
+		{"upload, reset", kqroutes.Upload, reset, 502, 1},
+		{"unsafe, not run", kqroutes.Unsafe, shed, 200, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a, b := first(c.do)
+			w := newWorld(t, c.kind, time.Second, a, b)
+			res, _, err := w.call("/filings/7", "filing")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if res.StatusCode != c.status || w.arrivals() != c.arrivals {
+				t.Fatalf("%d after %d arrivals", res.StatusCode, w.arrivals())
+			}
+		})
+	}
+}
+
+func TestWhatTheTargetGets(t *testing.T) {
+	w := newWorld(t, kqroutes.Unsafe, 700*time.Millisecond, good)
+	body := strings.Repeat("x", keptBody+keptBody/2) // longer than what is kept
+	if _, _, err := w.call("/filings/a%2Fb//c?q=1&q=2", body, "X-Own", "1", "Connection", "X-Hop", "X-Hop", "1"); err != nil {
+		t.Fatal(err)
+	}
+	r := w.list[0].last.Load()
+	if got := *w.list[0].body.Load(); got != body {
+		t.Errorf("body of %d bytes", len(got))
+	}
+	if r.URL.RequestURI() != "/filings/a%2Fb//c?q=1&q=2" || r.Host != "index.example" {
+		t.Errorf("%s %s", r.Host, r.URL.RequestURI())
+	}
+	left, err := strconv.Atoi(r.Header.Get(OwnNames.Deadline))
+	if err != nil || left > 700 || left < 300 {
+		t.Errorf("deadline %q: want what the route leaves", r.Header.Get(OwnNames.Deadline))
+	}
+	if r.Header.Get(OwnNames.Target) != "t0" || r.Header.Get(OwnNames.ID) != "id-1" || r.Header.Get("X-Own") != "1" || r.Header.Get("X-Hop") != "" {
+		t.Errorf("header %v", r.Header)
+	}
+}
+
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	w := newWorld(t, kqroutes.Upload, time.Second, func(c net.Conn, r *http.Request) bool {
+		io.WriteString(c, head(r, "200 OK", "Content-Length: 5\r\n\r\nwhole"))
+		return false
+	})
+	res, body, err := w.call("/filings/7", strings.Repeat("x", 512<<10), "Early", "1")
+	if err != nil || res.StatusCode != 200 || body != "whole" {
+		t.Fatalf("%v %q %v", res, body, err)
+	}
+}
+
+func TestNoRouteAndNoState(t *testing.T) {
+	w := newWorld(t, kqroutes.Safe, time.Second, good)
+	if res, _, err := w.call("/other/", ""); err != nil || res.StatusCode != 404 {
+		t.Fatalf("no route: %v %v", res, err)
+	}
+	empty := New(Config{Names: OwnNames, Clock: kqclock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: kqlog.Discard(), Metrics: metrics.NewRegistry(), Hosts: func() int { return 1 }})
+	defer empty.Close()
+	rec := httptest.NewRecorder()
+	empty.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/filings/", nil))
+	if rec.Code != 503 || rec.Header().Get("Retry-After") == "" {
+		t.Fatalf("no state: %d", rec.Code)
+	}
+}
+
+// TestCallerLeaves holds that the target's connection closes soon after the caller's.
+func TestCallerLeaves(t *testing.T) {
+	w := newWorld(t, kqroutes.Unsafe, 5*time.Second, func(net.Conn, *http.Request) bool { return false })
+	c, err := net.Dial("tcp", strings.TrimPrefix(w.front.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(c, "POST /filings/7 HTTP/1.1\r\nHost: index.example\r\n%s: id-1\r\nContent-Length: 2\r\n\r\nok", OwnNames.ID)
+	for w.arrivals() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Close()
+	select {
+	case <-w.list[0].closed:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the target works on for a caller that has left")
+	}
+}
