Ask near targets among others; search for a control host and a leader sooner

Change: half of the targets asked are of the own failure domain, if it has so many; a host that follows no control host looks every 50 ms; a pre-vote in vain is followed by the next after 150 to 350 ms.

--- a/internal/call/kqpass/ask.go
+++ b/internal/call/kqpass/ask.go
@@ -54,7 +54,7 @@
 	began := e.cfg.Clock.Now()
 	f.fresh = map[*kqfresh.Target]bool{}
 	e.mu.Lock()
-	list = kqfresh.Candidates(s.service(service, tried), n, began, e.cfg.Rand)
+	list = kqfresh.Candidates(s.service(service, tried), n, e.cfg.Domain, began, e.cfg.Rand)
 	var ask []*kqfresh.Target
 	for _, t := range list {
 		if !t.Last.At.IsZero() && began.Sub(t.Last.At) <= askAgain {
--- a/internal/route/kqfresh/fresh_test.go
+++ b/internal/route/kqfresh/fresh_test.go
@@ -51,7 +51,7 @@
 	}
 	asked := func(*Target) bool { return true }
 	for range 100 {
-		if Best(Candidates(list, 4, epoch, rng), asked, epoch, "") == bad {
+		if Best(Candidates(list, 4, "", epoch, rng), asked, epoch, "") == bad {
 			t.Fatal("the failing target is chosen")
 		}
 	}
@@ -60,7 +60,7 @@
 		x.Last.At = later
 	}
 	for range 100 {
-		if Best(Candidates(list, 4, later, rng), asked, later, "") == bad {
+		if Best(Candidates(list, 4, "", later, rng), asked, later, "") == bad {
 			return
 		}
 	}
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -19,6 +19,7 @@
 const (
 	subscribeLimit = 3 * time.Second
 	followPause    = 250 * time.Millisecond
+	searchPause    = 50 * time.Millisecond // while no control host is followed
 	askLimit       = time.Second
 )
 
@@ -146,6 +147,7 @@
 	for {
 		f.keepHub()
 		f.keepLease()
+		tick.Reset(f.pause())
 		select {
 		case <-f.ctx.Done():
 			return
@@ -155,6 +157,16 @@
 	}
 }
 
+// pause is the time until the next look at the control host.
+func (f *Follower) pause() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.joined && f.cfg.Stale > 0 {
+		return searchPause
+	}
+	return followPause
+}
+
 // keepHub subscribes to the first control host that answers, in an order that
 // differs from host to host so that the load spreads.
 func (f *Follower) keepHub() {
--- a/internal/state/kqreplica/replica.go
+++ b/internal/state/kqreplica/replica.go
@@ -26,8 +26,8 @@
 	electionTicks  = 24  // 1.2 s at the least
 	electionSpread = 12  // up to 600 ms more, at random
 	restRounds     = 10  // heartbeats of which a non-voter gets one
-	hasteTicks     = 6   // 300 ms from the start, or from a pre-vote in vain
-	hasteSpread    = 7   // up to 300 ms more, at random
+	hasteTicks     = 3   // 150 ms from the start, or from a pre-vote in vain
+	hasteSpread    = 5   // up to 200 ms more, at random
 	helloTicks     = 6   // 300 ms
 	snapshotTicks  = 100 // 5 s until a snapshot is sent again
 	readTicks      = 20  // 1 s until a read is given up
