--- a/internal/call/kqpass/answer.go
+++ b/internal/call/kqpass/answer.go
@@ -39,16 +39,21 @@
 }
 
 const (
+	backSoon  = 20 * time.Millisecond // within which a caller returns for whom there is room
 	backLeast = 60 * time.Millisecond // before which a refused caller should not return
 	backShare = 0.25                  // of the time left over which returns are spread
 )
 
 // retryAfter spreads the return of refused callers over a part of the time that
-// they have left.
-func (p *passage) retryAfter() time.Duration {
+// they have left. Who was refused by targets only, while there was room, may
+// come back at once.
+func (p *passage) retryAfter(room bool) time.Duration {
 	left := time.Until(p.until)
 	p.engine.mu.Lock()
 	defer p.engine.mu.Unlock()
+	if room {
+		return time.Duration(p.engine.cfg.Rand.Float64() * float64(backSoon))
+	}
 	return backLeast + time.Duration(p.engine.cfg.Rand.Float64()*backShare*float64(max(left, 0)))
 }
 
--- a/internal/call/kqpass/ask.go
+++ b/internal/call/kqpass/ask.go
@@ -18,34 +18,19 @@
 	askTime  = 12 * time.Millisecond // that the first send waits for answers: a few round trips between failure domains
 	askLimit = 60 * time.Millisecond // after which a question is given up and its connection closed
 	askAgain = 4 * time.Millisecond  // age up to which an answer serves another request
-	askFirst = 8                     // questions to one target that a host may ask at its start
-	askSaved = 20 * time.Second      // over which questions that were not asked are saved for a busy time
+	askSaved = 10 * time.Second      // over which questions that were not asked are saved for a busy time
+	askPart  = 0.85                  // of the questions allowed: hosts may count fewer of each other than there are
 )
 
-// allowance is a bucket of questions to one target.
-type allowance struct {
-	left float64
-	at   time.Time
-}
-
-// mayAsk takes one question to the target from its bucket.
-func (e *Engine) mayAsk(id string, now time.Time) bool {
+// mayAsk takes one question from what this host may ask: its part of what all
+// targets may be asked together; the lock is held.
+func (e *Engine) mayAsk(now time.Time) bool {
 	if e.cfg.Limits.Questions <= 0 {
 		return true
 	}
-	a := e.asked[id]
-	if a == nil {
-		a = &allowance{left: askFirst, at: now}
-		e.asked[id] = a
-	}
-	rate := e.cfg.Limits.Questions / float64(max(e.cfg.Hosts(), 1))
-	a.left = min(max(askFirst, rate*askSaved.Seconds()), a.left+rate*now.Sub(a.at).Seconds())
-	a.at = now
-	if a.left < 1 {
-		return false
-	}
-	a.left--
-	return true
+	rate := askPart * e.cfg.Limits.Questions * float64(max(len(e.known), 1)) / float64(max(e.cfg.Hosts(), 1))
+	e.asks.Refill(rate, rate*askSaved.Seconds(), now)
+	return e.asks.Take()
 }
 
 // look asks up to n of the targets that were not tried and returns those worth a
@@ -59,7 +44,7 @@
 	for _, t := range list {
 		if !t.Last.At.IsZero() && began.Sub(t.Last.At) <= askAgain {
 			f.fresh[t] = true
-		} else if e.mayAsk(t.ID, began) {
+		} else if e.mayAsk(began) {
 			ask = append(ask, t)
 		}
 	}
--- a/internal/call/kqpass/engine.go
+++ b/internal/call/kqpass/engine.go
@@ -50,8 +50,8 @@
 	doc     *kqroutes.Document
 	known   map[string]*kqfresh.Target
 	budgets map[string]*kqfresh.Budget
-	asked   map[string]*allowance // questions by target
-	lines   map[string]*line      // requests that wait, by service
+	asks    kqfresh.Allowance // questions that this host may ask
+	lines   map[string]*line  // requests that wait, by service
 	units   map[string]*kqfresh.Unit
 	longest map[string]time.Duration // that callers of a route were seen to wait
 }
@@ -66,8 +66,8 @@
 func New(cfg Config) *Engine {
 	e := &Engine{
 		cfg: cfg, pool: kqforward.NewPool(), done: make(chan struct{}), known: map[string]*kqfresh.Target{},
-		budgets: map[string]*kqfresh.Budget{}, asked: map[string]*allowance{},
-		lines: map[string]*line{}, units: map[string]*kqfresh.Unit{}, longest: map[string]time.Duration{},
+		budgets: map[string]*kqfresh.Budget{},
+		lines:   map[string]*line{}, units: map[string]*kqfresh.Unit{}, longest: map[string]time.Duration{},
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("routes."+name, cfg.Metrics) }
 	e.counts = counters{
--- a/internal/call/kqpass/passage.go
+++ b/internal/call/kqpass/passage.go
@@ -197,7 +197,7 @@
 	late := ctx.Err() != nil || time.Until(p.until) < leastTime
 	switch {
 	case !mayRun:
-		p.refuse(http.StatusServiceUnavailable, last.word, p.retryAfter())
+		p.refuse(http.StatusServiceUnavailable, last.word, p.retryAfter(p.sends > 0))
 	case late:
 		p.fail(http.StatusGatewayTimeout, last.word)
 	default:
--- a/internal/route/kqfresh/fresh_test.go
+++ b/internal/route/kqfresh/fresh_test.go
@@ -214,3 +214,20 @@
 		}
 	}
 }
+
+// TestAllowance holds that what is saved in a quiet time can be taken in a busy
+// one, and no more than the rate over all.
+func TestAllowance(t *testing.T) {
+	var a Allowance
+	taken := 0
+	const rate, most, seconds = 50.0, 300.0, 60
+	for ms := range seconds * 1000 {
+		a.Refill(rate, most, epoch.Add(time.Duration(ms)*time.Millisecond))
+		if ms%1000 < 500 && ms > 20000 && a.Take() { // only half of the time, and not at first
+			taken++
+		}
+	}
+	if taken < 40*rate || float64(taken) > rate*seconds+firstAllowed {
+		t.Fatalf("%d taken", taken)
+	}
+}
