--- a/internal/call/kqpass/ask.go
+++ b/internal/call/kqpass/ask.go
@@ -44,7 +44,7 @@
 	for _, t := range list {
 		if !t.Last.At.IsZero() && began.Sub(t.Last.At) <= askAgain {
 			f.fresh[t] = true
-		} else if e.mayAsk(began) {
+		} else if !t.Rests(began) && e.mayAsk(began) {
 			ask = append(ask, t)
 		}
 	}
--- a/internal/route/kqfresh/book.go
+++ b/internal/route/kqfresh/book.go
@@ -17,6 +17,8 @@
 	farCost   = 1.03                   // times longer that a target of another failure domain counts
 	coldSlow  = 2.0                    // times slower while a target is cold
 	errorSlow = 20.0                   // times longer that a target counts that did not answer the question
+	slowPause = 60 * time.Millisecond  // before a slow target is asked again: slowness changes each 150 ms
+	fullPause = 20 * time.Millisecond  // before a full one is: about a slot's share of a request's time
 	wrongTime = 5 * time.Second        // for which a target that is another one is left alone
 )
 
@@ -35,6 +37,7 @@
 	riskAt  time.Time
 	down    time.Time // until when it is left alone
 	downFor time.Duration
+	later   time.Time // before which there is no use in asking it
 }
 
 // Risk returns the smoothed share of failures, fading with time.
@@ -71,9 +74,23 @@
 	return now.Before(t.down)
 }
 
-// Told takes what the target said of its load.
+// Told takes what the target said of its load. One without room is not asked
+// again before that can have changed.
 func (t *Target) Told(s Sample) {
 	t.Last = s
+	switch {
+	case s.Slow > slowMost:
+		t.later = s.At.Add(slowPause)
+	case t.Room(s.At, true) <= 0:
+		t.later = s.At.Add(fullPause)
+	default:
+		t.later = time.Time{}
+	}
+}
+
+// Rests reports whether the target said a moment ago that it has no room.
+func (t *Target) Rests(now time.Time) bool {
+	return now.Before(t.later)
 }
 
 // Score is how long a request is expected to take on the target, failures and
@@ -102,19 +119,19 @@
 	order := rng.Perm(len(list))
 	near := 0
 	for i, k := range order {
-		if list[k].Domain == domain && float64(near) < nearShare*float64(n) {
+		if list[k].Domain == domain && !now.Before(list[k].later) && float64(near) < nearShare*float64(n) {
 			order[near], order[i] = order[i], order[near]
 			near++
 		}
 	}
-	var good, full, bad []*Target
+	var good, full, bad []*Target // full: busy with own requests, or said to be without room
 	for _, i := range order {
 		t := list[i]
 		switch {
 		case t.Down(now):
 		case t.Risk(now) > riskAvoid:
 			bad = append(bad, t)
-		case t.Own >= t.Slots:
+		case t.Own >= t.Slots || now.Before(t.later):
 			full = append(full, t)
 		default:
 			good = append(good, t)
