--- a/internal/admin/kqcommand/command.go
+++ b/internal/admin/kqcommand/command.go
@@ -57,6 +57,7 @@
 	p.String(&a.key, "k", "key", "operator key ("+EnvOperator+")")
 	p.Bool(&a.json, "j", "json", "print the answer as JSON")
 	a.addContract()
+	a.addRoutes()
 	a.addHosts()
 	a.addSeeing()
 	return a
--- /dev/null
+++ b/internal/route/kqdoor/door.go
@@ -0,0 +1,122 @@
+package kqdoor
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"kumquatglade/internal/state/kqcheck"
+	"kumquatglade/internal/state/kqtargets"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+)
+
+const (
+	maxAnnouncement = 4 << 10 // bytes
+	renewEvery      = time.Second
+	answerLimit     = 2 * time.Second // until an announcement is decided
+)
+
+// Announcer takes announcements of targets.
+type Announcer interface {
+	// Announce returns nil once all entry hosts in touch will learn of it.
+	Announce(ctx context.Context, t kqtargets.Target) error
+}
+
+// announcement is what a target posts.
+type announcement struct {
+	Service string          `json:"service" validate:"required,word"`
+	ID      string          `json:"id" validate:"required,word"`
+	Addr    string          `json:"addr" validate:"required,ipport"`
+	Domain  string          `json:"domain" validate:"required,word"`
+	Slots   int             `json:"slots" validate:"min=1,max=65536"`
+	State   kqtargets.State `json:"state" validate:"oneof=ready draining gone"`
+	Boot    int64           `json:"boot" validate:"min=1"` // start of the target, milliseconds since 1970
+	Seq     uint64          `json:"seq" validate:"min=1"`  // of its announcements since then
+}
+
+type renewal struct {
+	Renew string `json:"renew"`
+}
+
+type refusal struct {
+	Error  string `json:"error"`
+	Detail string `json:"detail"`
+}
+
+// RegisterTargets adds POST /v1/targets.
+func RegisterTargets(e *echo.Echo, a Announcer) {
+	e.POST("/v1/targets", func(c echo.Context) error {
+		t, err := decode(c.Request().Body)
+		if err != nil {
+			return c.JSON(http.StatusBadRequest, refusal{"malformed", err.Error()})
+		}
+		ctx, cancel := context.WithTimeout(c.Request().Context(), answerLimit)
+		defer cancel()
+		if err := a.Announce(ctx, t); err != nil {
+			return c.JSON(http.StatusServiceUnavailable, refusal{"undecided", err.Error()})
+		}
+		return c.JSON(http.StatusOK, renewal{renewEvery.String()})
+	})
+}
+
+func decode(r io.Reader) (kqtargets.Target, error) {
+	p, err := io.ReadAll(io.LimitReader(r, maxAnnouncement+1))
+	if err != nil {
+		return kqtargets.Target{}, err
+	}
+	if len(p) > maxAnnouncement {
+		return kqtargets.Target{}, errors.Newf("more than %d bytes", maxAnnouncement)
+	}
+	var a announcement
+	if err := json.Unmarshal(p, &a); err != nil {
+		return kqtargets.Target{}, err
+	}
+	if err := kqcheck.Struct(&a); err != nil {
+		return kqtargets.Target{}, err
+	}
+	return kqtargets.Target{
+		ID: a.ID, Boot: a.Boot, Seq: a.Seq, Service: a.Service, Addr: a.Addr, Domain: a.Domain, Slots: a.Slots, State: a.State,
+	}, nil
+}
+
+// entryItem is one entry host in an answer.
+type entryItem struct {
+	Addr string `json:"addr"`
+}
+
+type resolution struct {
+	Entries []entryItem `json:"entries"`
+	Hold    string      `json:"hold"`
+}
+
+// mostEntries bounds an answer of the directory.
+const mostEntries = 64
+
+// RegisterDirectory adds GET /v1/entries; near is the caller's failure domain.
+func RegisterDirectory(e *echo.Echo, entries func(domain string, most int) ([]string, time.Duration)) {
+	e.GET("/v1/entries", func(c echo.Context) error {
+		list, hold := entries(c.QueryParam("domain"), mostEntries)
+		if len(list) == 0 {
+			return c.JSON(http.StatusServiceUnavailable, refusal{"entries", "no entry host is known yet"})
+		}
+		out := resolution{Hold: hold.String()}
+		for _, addr := range list {
+			out.Entries = append(out.Entries, entryItem{addr})
+		}
+		return c.JSON(http.StatusOK, out)
+	})
+}
+
+// RegisterReady adds GET /v1/ready.
+func RegisterReady(e *echo.Echo, ready func() bool) {
+	e.GET("/v1/ready", func(c echo.Context) error {
+		if !ready() {
+			return c.String(http.StatusServiceUnavailable, "not ready\n")
+		}
+		return c.String(http.StatusOK, "ready\n")
+	})
+}
--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -86,6 +86,7 @@
 	Policy string // routing policy, kqpolicy.NameExpected if empty
 	Plain  bool   // the policy alone decides: no free slots, ramps, ejections or hedges
 	Wide   bool   // resolve answers name all entry hosts
+	Doors  *Doors // of a host with seeds, the product's own if nil
 }
 
 // Start wires and starts the host.
@@ -98,6 +99,9 @@
 	if opts.Policy == "" {
 		opts.Policy = kqpolicy.NameExpected
 	}
+	if opts.Doors == nil {
+		opts.Doors = OwnDoors()
+	}
 	d := &Daemon{
 		opts:     opts,
 		settings: s, log: log, events: kqevent.NewRecorder(s.Host, time.Now),
--- /dev/null
+++ b/internal/run/kqdaemon/doors.go
@@ -0,0 +1,28 @@
+package kqdaemon
+
+import (
+	"time"
+
+	"kumquatglade/internal/call/kqpass"
+	"kumquatglade/internal/route/kqdoor"
+	"kumquatglade/internal/state/kqcontrol"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Doors is how callers, targets and operators speak to a system whose hosts
+// find each other by seeds.
+type Doors struct {
+	Names     kqpass.Names // header fields on routes
+	Ready     func(e *echo.Echo, ready func() bool)
+	Control   func(e *echo.Echo, store kqcontrol.Local)
+	Directory func(e *echo.Echo, entries func(domain string, most int) ([]string, time.Duration))
+}
+
+// OwnDoors is the product's own interface.
+func OwnDoors() *Doors {
+	return &Doors{
+		Names: kqpass.OwnNames, Ready: kqdoor.RegisterReady, Directory: kqdoor.RegisterDirectory,
+		Control: func(e *echo.Echo, store kqcontrol.Local) { kqdoor.RegisterTargets(e, store) },
+	}
+}
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -16,7 +16,6 @@
 	"kumquatglade/internal/state/kqcontrol"
 	"kumquatglade/internal/state/kqfeed"
 	"kumquatglade/internal/state/kqreplica"
-	"kumquatglade/platform"
 
 	"github.com/labstack/echo/v4"
 	"github.com/rcrowley/go-metrics"
@@ -109,7 +108,7 @@
 func (d *Daemon) startSeededEntry() {
 	shared := d.settings.Shared
 	d.passer = kqpass.New(kqpass.Config{
-		Names: platform.Names, Domain: d.settings.Domain, Clock: kqclock.System{}, Rand: seeded(), Log: d.log.Part("request"),
+		Names: d.opts.Doors.Names, Domain: d.settings.Domain, Clock: kqclock.System{}, Rand: seeded(), Log: d.log.Part("request"),
 		Metrics: d.metrics, Hosts: func() int { return max(len(d.follower.Doors()), 1) },
 		Limits: kqpass.Limits{
 			SecondRatio: shared.SecondRatio, SecondSlack: shared.SecondSlack,
@@ -147,9 +146,9 @@
 		addr     string
 		register func(*echo.Echo)
 	}{
-		{d.settings.Listen.Ready, func(e *echo.Echo) { platform.RegisterReady(e, d.takes) }},
-		{d.settings.Listen.Control, func(e *echo.Echo) { platform.RegisterControl(e, d.local) }},
-		{d.settings.Listen.Directory, func(e *echo.Echo) { platform.RegisterDirectory(e, d.doorsFor) }},
+		{d.settings.Listen.Ready, func(e *echo.Echo) { d.opts.Doors.Ready(e, d.takes) }},
+		{d.settings.Listen.Control, func(e *echo.Echo) { d.opts.Doors.Control(e, d.local) }},
+		{d.settings.Listen.Directory, func(e *echo.Echo) { d.opts.Doors.Directory(e, d.doorsFor) }},
 	}
 	if err := d.serve(d.settings.Listen.Admin, admin); err != nil {
 		return err
--- a/internal/run/kqmain/adapted.go
+++ b/internal/run/kqmain/adapted.go
@@ -10,7 +10,10 @@
 
 	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/run/kqdaemon"
+	"kumquatglade/internal/state/kqcontrol"
 	"kumquatglade/platform"
+
+	"github.com/labstack/echo/v4"
 )
 
 const (
@@ -33,7 +36,10 @@
 	}
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	log, d, err := start(s)
+	log, d, err := start(s, kqdaemon.Options{Doors: &kqdaemon.Doors{
+		Names: platform.Names, Ready: platform.RegisterReady, Directory: platform.RegisterDirectory,
+		Control: func(e *echo.Echo, store kqcontrol.Local) { platform.RegisterControl(e, store) },
+	}})
 	if err != nil {
 		fmt.Fprintln(stderr, "kumquatd:", err)
 		return exitFatal
--- a/internal/run/kqmain/main.go
+++ b/internal/run/kqmain/main.go
@@ -74,7 +74,7 @@
 		fmt.Fprintln(stderr, "kumquatd:", err)
 		return exitUsage
 	}
-	log, d, err := start(s)
+	log, d, err := start(s, kqdaemon.Options{})
 	if err != nil {
 		fmt.Fprintln(stderr, "kumquatd:", err)
 		return exitFatal
@@ -83,12 +83,12 @@
 	return serve(d, stderr)
 }
 
-func start(s kqsettings.Settings) (*kqlog.Log, *kqdaemon.Daemon, error) {
+func start(s kqsettings.Settings, opts kqdaemon.Options) (*kqlog.Log, *kqdaemon.Daemon, error) {
 	log, err := kqlog.Open(s.Name(), s.Log.Level, s.Log.Path)
 	if err != nil {
 		return nil, nil, err
 	}
-	d, err := kqdaemon.Start(s, log.Part("daemon"))
+	d, err := kqdaemon.StartWith(s, log.Part("daemon"), opts)
 	if err != nil {
 		log.Errorf("does not start: %v", err)
 		log.Flush()
--- a/internal/state/kqcontrol/store.go
+++ b/internal/state/kqcontrol/store.go
@@ -25,6 +25,7 @@
 type Query struct {
 	Owner   string `json:"owner,omitempty"` // empty: all owners
 	History bool   `json:"history,omitempty"`
+	Routes  bool   `json:"routes,omitempty"` // also the routes and their history
 }
 
 // Document is what a Query found, confirmed by a quorum.
@@ -34,6 +35,9 @@
 	History   []kqcontract.Accepted           `json:"history,omitempty"`
 	Hosts     kqcontract.Hosts                `json:"hosts"`
 	Digest    string                          `json:"digest"`
+
+	Routes   *kqroutes.Proposal  `json:"routes,omitempty"`
+	RouteLog []kqroutes.Accepted `json:"routeLog,omitempty"`
 }
 
 // Reach says where a revision is in force.
@@ -78,6 +82,9 @@
 				doc.Contracts[owner] = rec.Current
 			}
 		}
+		if q.Routes {
+			doc.Routes, doc.RouteLog = s.Routes.Current, slices.Clone(s.Routes.History)
+		}
 		if q.History {
 			doc.History = s.History(q.Owner)
 		}
--- a/internal/state/kqroutes/routes_test.go
+++ b/internal/state/kqroutes/routes_test.go
@@ -3,13 +3,14 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
 
-func document(version uint64) *Document {
+func sample(version uint64) *Document {
 	return &Document{
 		Version:  version,
 		Services: []Service{{Name: "chiso", Health: "/health", Connections: 220}, {Name: "kekhai"}},
@@ -47,7 +48,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			d := document(1)
+			d := sample(1)
 			c.spoil(d)
 			if err := d.Validate(); (err == nil) != c.valid {
 				t.Fatalf("got %v", err)
@@ -57,7 +58,7 @@
 }
 
 func TestFind(t *testing.T) {
-	table := NewTable(document(1))
+	table := NewTable(sample(1))
 	cases := []struct{ host, path, route string }{
 		{"index.example", "/x", "r1"},
 		{"INDEX.example:8080", "/filings/7", "r2"},
@@ -75,7 +76,7 @@
 
 // TestSplitKeepsShares holds that each part of a split gets its weight's share.
 func TestSplitKeepsShares(t *testing.T) {
-	r := document(1).Hosts[0].Routes[1]
+	r := sample(1).Hosts[0].Routes[1]
 	rng := rand.New(rand.NewPCG(1, 2))
 	const n = 20000
 	count := map[string]int{}
@@ -94,7 +95,7 @@
 	var have *Document
 	var last *Document
 	for v := uint64(1); v < 300; v += 1 + rng.Uint64N(3) {
-		d := document(v)
+		d := sample(v)
 		for i := range d.Hosts[0].Routes {
 			d.Hosts[0].Routes[i].Timeout += time.Duration(rng.IntN(3)) * time.Second
 		}
@@ -114,7 +115,7 @@
 		}
 		have, last = next, d
 	}
-	if _, ok := document(5).With(Delta{From: 4, Version: 6}); ok {
+	if _, ok := sample(5).With(Delta{From: 4, Version: 6}); ok {
 		t.Fatal("a delta of another version is taken")
 	}
 }
@@ -127,7 +128,7 @@
 		taken   bool
 	}{{7, "a", true}, {7, "a", false}, {7, "other", false}, {3, "older", false}, {40, "b", true}}
 	for _, s := range steps {
-		if got := b.Accept(&Proposal{Document: *document(s.version), Source: []byte(s.source)}, time.Time{}, 1); got != s.taken {
+		if got := b.Accept(&Proposal{Document: *sample(s.version), Source: []byte(s.source)}, time.Time{}, 1); got != s.taken {
 			t.Errorf("version %d %q: taken %v", s.version, s.source, got)
 		}
 	}
@@ -135,3 +136,24 @@
 		t.Fatalf("%+v", b)
 	}
 }
+
+func TestParse(t *testing.T) {
+	good := `{"version": 1, "services": [{"name": "chiso", "health": "/health", "connections": 1}], "limits": {}, "hosts": [
+		{"name": "rent.example", "routes": [{"name": "r", "prefix": "/", "service": "chiso", "kind": "safe", "attempts": 2, "timeout": "1s", "objective": "300ms", "priority": 0}]}]}`
+	if _, err := Parse([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ name, from, to string }{
+		{"unknown key", `"limits"`, `"limit"`},
+		{"no version", `"version": 1,`, ``},
+		{"no attempts", `"attempts": 2,`, ``},
+		{"timeout without unit", `"1s"`, `"1"`},
+		{"no timeout", `"timeout": "1s",`, ``},
+		{"unknown service", `"service": "chiso"`, `"service": "kekhai"`},
+	} {
+		bad := strings.Replace(good, c.from, c.to, 1)
+		if _, err := Parse([]byte(bad)); err == nil || bad == good {
+			t.Errorf("%s is accepted", c.name)
+		}
+	}
+}
