--- a/internal/call/kqforward/conn.go
+++ b/internal/call/kqforward/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -12,7 +13,7 @@
 )
 
 const (
-	bufferSize  = 8 << 10
+	bufferSize  = 4 << 10
 	unackedTime = 3 * time.Second // unacknowledged data breaks a connection after this
 )
 
@@ -27,11 +28,29 @@
 	wrote int64         // bytes given to the kernel for the request under way
 }
 
-func newConn(raw net.Conn, addr string) *conn {
-	c := &conn{Conn: raw, addr: addr}
-	c.r = bufio.NewReaderSize(raw, bufferSize)
-	c.w = bufio.NewWriterSize(counting{c}, bufferSize)
-	return c
+// Buffers belong to requests under way: a host keeps hundreds of idle connections.
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }}
+)
+
+// attach gives the connection its buffers.
+func (c *conn) attach() {
+	c.r = readers.Get().(*bufio.Reader)
+	c.r.Reset(c.Conn)
+	c.w = writers.Get().(*bufio.Writer)
+	c.w.Reset(counting{c})
+}
+
+// detach takes the buffers back; false says that bytes are left over in them.
+func (c *conn) detach() bool {
+	whole := c.r.Buffered() == 0 && c.w.Buffered() == 0
+	c.r.Reset(nil)
+	c.w.Reset(nil)
+	readers.Put(c.r)
+	writers.Put(c.w)
+	c.r, c.w = nil, nil
+	return whole
 }
 
 // keepMargin is how much sooner than the target an idle connection is closed
@@ -64,9 +83,6 @@
 // quiet reports whether the other end has neither closed the connection nor
 // sent anything that belongs to no request.
 func (c *conn) quiet() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
 	sys, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/call/kqforward/pool.go
+++ b/internal/call/kqforward/pool.go
@@ -60,7 +60,9 @@
 		return nil, err
 	}
 	kqsocket.BoundUnacked(raw, unackedTime)
-	return newConn(raw, addr), nil
+	c := &conn{Conn: raw, addr: addr}
+	c.attach()
+	return c, nil
 }
 
 // reuse takes the newest idle connection that is still quiet.
@@ -75,6 +77,7 @@
 			limit = min(limit, c.most)
 		}
 		if time.Since(c.idle) <= limit && c.quiet() {
+			c.attach()
 			return c
 		}
 		p.drop(c)
@@ -124,8 +127,12 @@
 	p.release(c.addr)
 }
 
-// put gives a connection back for reuse.
+// put gives a connection back for reuse; bytes that belong to no request end it.
 func (p *Pool) put(c *conn) {
+	if !c.detach() {
+		p.drop(c)
+		return
+	}
 	c.idle = time.Now()
 	p.mu.Lock()
 	if !p.closed {
--- a/internal/call/kqpass/engine_test.go
+++ b/internal/call/kqpass/engine_test.go
@@ -105,12 +105,12 @@
 	return true
 }
 
-func shed(c net.Conn, r *http.Request) bool {
+func shed(c net.Conn, _ *http.Request) bool {
 	io.WriteString(c, "HTTP/1.1 503 Full\r\n"+OwnNames.NotRun+": 1\r\nContent-Length: 0\r\n\r\n")
 	return true
 }
 
-func writes(format func(r *http.Request) string, keep bool) answer {
+func writes(format func(*http.Request) string, keep bool) answer {
 	return func(c net.Conn, r *http.Request) bool {
 		io.WriteString(c, format(r))
 		if !keep {
@@ -203,7 +203,7 @@
 		{"the answer of another request", kqroutes.Unsafe, writes(func(*http.Request) string {
 			return "HTTP/1.1 200 OK\r\n" + OwnNames.ID + ": id-0\r\n" + OwnNames.Seal + ": s1\r\nContent-Length: 5\r\n\r\nwhole"
 		}, true), 502, ""},
-		{"success without a seal", kqroutes.Unsafe, writes(func(r *http.Request) string {
+		{"success without a seal", kqroutes.Unsafe, writes(func(*http.Request) string {
 			return "HTTP/1.1 200 OK\r\n" + OwnNames.ID + ": id-1\r\nContent-Length: 2\r\n\r\nok"
 		}, true), 502, ""},
 		{"encoded answer", kqroutes.Unsafe, writes(func(r *http.Request) string {
--- a/internal/call/kqpass/wait.go
+++ b/internal/call/kqpass/wait.go
@@ -62,7 +62,7 @@
 			return c, ""
 		}
 	}
-	c.target, word = p.wait(ctx, ln, tried)
+	c.target, word = p.wait(ctx, ln)
 	c.waited = e.cfg.Clock.Now().Sub(began)
 	if c.target != nil {
 		e.mu.Lock()
@@ -109,7 +109,7 @@
 }
 
 // wait joins the line and returns the target that it was given.
-func (p *passage) wait(ctx context.Context, ln *line, tried []*kqfresh.Target) (*kqfresh.Target, string) {
+func (p *passage) wait(ctx context.Context, ln *line) (*kqfresh.Target, string) {
 	e := p.engine
 	now := e.cfg.Clock.Now()
 	given := make(chan *kqfresh.Target, 1)
--- a/internal/state/kqreplica/form.go
+++ b/internal/state/kqreplica/form.go
@@ -52,7 +52,7 @@
 	return Member{Host: r.cfg.Host, Domain: s.Domain, Peers: s.Peers, Incarnation: r.run.Incarnation}
 }
 
-func (r *Replica) onHello(from string, run kqjournal.Run, m Message) {
+func (r *Replica) onHello(from string, run kqjournal.Run) {
 	if r.role == Blank {
 		r.send(from, Message{Kind: kindPresent, OK: !r.cfg.NeverFound, Members: []Member{r.self()}})
 		return
