--- a/internal/state/kqreplica/faults_test.go
+++ b/internal/state/kqreplica/faults_test.go
@@ -10,6 +10,10 @@
 
 // faults brings about what the brief says that fails.
 func (r *run) faults() {
+	if r.open {
+		r.openFaults()
+		return
+	}
 	switch r.rng.IntN(r.rate) {
 	case 0:
 		if n := r.pick(); n.up {
--- a/internal/state/kqreplica/follow.go
+++ b/internal/state/kqreplica/follow.go
@@ -37,7 +37,13 @@
 		r.onFound(m)
 		return
 	}
-	if r.role == Blank || m.Cluster != r.meta.Cluster {
+	if r.role == Blank {
+		// A member still takes this host for one that it was: the seeds may all
+		// be gone, or as empty as this host.
+		r.send(from, Message{Kind: kindHello})
+		return
+	}
+	if m.Cluster != r.meta.Cluster {
 		return
 	}
 	r.receiveMember(from, run, m)
--- /dev/null
+++ b/internal/state/kqreplica/join_test.go
@@ -0,0 +1,120 @@
+package kqreplica
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"kumquatglade/internal/state/kqcontract"
+	"kumquatglade/internal/state/kqjournal"
+)
+
+// lone returns one replica without a world around it.
+func lone(t *testing.T, host string, loaded kqjournal.Loaded) *Replica {
+	t.Helper()
+	r, _, err := New(Config{
+		Host: host, Hosts: []Want{want("a"), want("b"), want("c")}, Token: "t", Cluster: "k", Loaded: loaded,
+		Machine: &testMachine{state: kqcontract.NewState()}, Rand: rand.New(rand.NewPCG(1, 1)), Open: true, Tolerance: 2, NeverFound: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func from(host, incarnation string) string {
+	return EncodeRun(kqjournal.Run{Incarnation: incarnation, Boot: 1, Token: "x"})
+}
+
+// sent returns the kinds of messages to the host among the effects.
+func sent(effects []Effect, to string) []string {
+	var kinds []string
+	for _, e := range effects {
+		if s, ok := e.(Send); ok && s.To == to {
+			kinds = append(kinds, s.Message.Kind)
+		}
+	}
+	return kinds
+}
+
+// withMembers is a folder whose log holds only a member list.
+func withMembers(list ...Member) kqjournal.Loaded {
+	return kqjournal.Loaded{
+		Meta:    kqjournal.Meta{Cluster: "k", Incarnation: "i-d", Term: 3},
+		Entries: []kqjournal.Entry{{Index: 1, Term: 3, Kind: kindMembers, Data: encodeMembers(list)}},
+	}
+}
+
+func member(host string, voter bool) Member {
+	return Member{Host: host, Domain: host, Peers: "127.0.0.1:1", Incarnation: "i-" + host, Voter: voter}
+}
+
+// TestBlankHostTellsWhoTakesItForAMember: all seeds may be gone or as empty, and
+// only a member that still counts the lost folder knows this host.
+func TestBlankHostTellsWhoTakesItForAMember(t *testing.T) {
+	r := lone(t, "d", kqjournal.Loaded{})
+	effects := r.Reduce(time.Time{}, Received{From: "n09", Message: Message{Kind: kindAppend, Run: from("n09", "i"), Cluster: "k", Term: 4}})
+	if kinds := sent(effects, "n09"); !slices.Contains(kinds, kindHello) {
+		t.Fatalf("answers %v", kinds)
+	}
+}
+
+// TestNonVoterForgetsItsLeader: it must ask to join again, and must not hold up
+// the only candidate by having heard a leader long ago.
+func TestNonVoterForgetsItsLeader(t *testing.T) {
+	r := lone(t, "d", withMembers(member("a", true), member("b", true), member("d", false)))
+	r.Reduce(time.Time{}, Received{From: "b", Message: Message{
+		Kind: kindAppend, Run: from("b", "i-b"), Cluster: "k", Term: 3, Index: 1, LogTerm: 3,
+	}})
+	ask := Received{From: "a", Message: Message{Kind: kindPreVote, Run: from("a", "i-a"), Cluster: "k", Term: 4, Index: 2, LogTerm: 3}}
+	granted := func() bool {
+		for _, e := range r.Reduce(time.Time{}, ask) {
+			if s, ok := e.(Send); ok && s.Message.Kind == kindPreVoted {
+				return s.Message.OK
+			}
+		}
+		return false
+	}
+	if granted() {
+		t.Fatal("votes against a leader that it has just heard")
+	}
+	asked := false
+	for range 2 * (electionTicks + electionSpread) {
+		asked = asked || slices.Contains(sent(r.Reduce(time.Time{}, Tick{}), "a"), kindHello)
+	}
+	if !asked || !granted() {
+		t.Fatalf("asks to join: %v, votes: %v", asked, granted())
+	}
+}
+
+// TestLateFolderTakesNoPlace: only the answer to the question that is open now
+// makes a host a joiner.
+func TestLateFolderTakesNoPlace(t *testing.T) {
+	r := lone(t, "d", withMembers(member("d", true)))
+	for range 2 * (electionTicks + electionSpread) {
+		r.Reduce(time.Time{}, Tick{})
+	}
+	if r.role != Leader {
+		t.Fatalf("role %s", r.role)
+	}
+	effects := r.Reduce(time.Time{}, Received{From: "n1", Message: Message{Kind: kindHello, Run: from("n1", "old")}})
+	if !slices.Contains(sent(effects, "n1"), kindWho) || len(r.joiners) != 0 {
+		t.Fatalf("a hello alone makes a joiner: %v", r.joiners)
+	}
+	id := r.proofs["n1"]
+	answer := func(incarnation, id string) {
+		r.Reduce(time.Time{}, Received{From: "n1", Message: Message{
+			Kind: kindIam, Run: from("n1", incarnation), ID: id, Members: []Member{{Host: "n1", Domain: "a", Peers: "127.0.0.1:9"}},
+		}})
+	}
+	answer("old", "0.0")
+	if len(r.joiners) != 0 {
+		t.Fatal("an answer to another question makes a joiner")
+	}
+	answer("new", id)
+	answer("old", id) // late
+	if j := r.joiners["n1"]; j.Incarnation != "new" {
+		t.Fatalf("joiner %+v", j)
+	}
+}
