A control host that knows only seeds joins under a leader that is none of them

The leader's question who asks to join went to a host that it had no link to; the fake links of the histories reach everybody. Change: only a host that is a member by another folder must prove that it is there; an unknown one takes nobody's place.

--- a/internal/run/kqdaemon/doors.go
+++ b/internal/run/kqdaemon/doors.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"kumquatglade/internal/call/kqpass"
+	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/route/kqdoor"
 	"kumquatglade/internal/state/kqcontrol"
 
@@ -15,7 +16,7 @@
 type Doors struct {
 	Names     kqpass.Names // header fields on routes
 	Ready     func(e *echo.Echo, ready func() bool)
-	Control   func(e *echo.Echo, store kqcontrol.Local)
+	Control   func(e *echo.Echo, store kqcontrol.Local, log *kqlog.Log)
 	Directory func(e *echo.Echo, entries func(domain string, most int) ([]string, time.Duration))
 }
 
@@ -23,6 +24,6 @@
 func OwnDoors() *Doors {
 	return &Doors{
 		Names: kqpass.OwnNames, Ready: kqdoor.RegisterReady, Directory: kqdoor.RegisterDirectory,
-		Control: func(e *echo.Echo, store kqcontrol.Local) { kqdoor.RegisterTargets(e, store) },
+		Control: func(e *echo.Echo, store kqcontrol.Local, _ *kqlog.Log) { kqdoor.RegisterTargets(e, store) },
 	}
 }
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -147,7 +147,7 @@
 		register func(*echo.Echo)
 	}{
 		{d.settings.Listen.Ready, func(e *echo.Echo) { d.opts.Doors.Ready(e, d.takes) }},
-		{d.settings.Listen.Control, func(e *echo.Echo) { d.opts.Doors.Control(e, d.local) }},
+		{d.settings.Listen.Control, func(e *echo.Echo) { d.opts.Doors.Control(e, d.local, d.log.Part("control")) }},
 		{d.settings.Listen.Directory, func(e *echo.Echo) { d.opts.Doors.Directory(e, d.doorsFor) }},
 	}
 	if err := d.serve(d.settings.Listen.Admin, admin); err != nil {
--- a/internal/run/kqmain/adapted.go
+++ b/internal/run/kqmain/adapted.go
@@ -38,10 +38,13 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	log, d, err := start(s, kqdaemon.Options{Doors: &kqdaemon.Doors{
 		Names: platform.Names, Ready: platform.RegisterReady, Directory: platform.RegisterDirectory,
-		Control: func(e *echo.Echo, store kqcontrol.Local) { platform.RegisterControl(e, store) },
+		Control: func(e *echo.Echo, store kqcontrol.Local, log *kqlog.Log) {
+			platform.RegisterControl(e, store, log)
+		},
 	}})
 	if err != nil {
 		fmt.Fprintln(stderr, "kumquatd:", err)
+		restBeforeEnd()
 		return exitFatal
 	}
 	defer log.Flush()
--- a/internal/run/kqmain/main.go
+++ b/internal/run/kqmain/main.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/host/kqsettings"
@@ -96,6 +97,12 @@
 	return log, d, err
 }
 
+// endRest keeps a process whose disk takes no bytes from being started again
+// and again: its peers have long gone on without it.
+const endRest = 3 * time.Second
+
+func restBeforeEnd() { time.Sleep(endRest) }
+
 // serve runs until a signal or a fatal error; a second signal hurries.
 func serve(d *kqdaemon.Daemon, stderr io.Writer) int {
 	signals := make(chan os.Signal, 2)
@@ -104,6 +111,7 @@
 	case err := <-d.Fatal():
 		fmt.Fprintln(stderr, "kumquatd:", err)
 		d.Close()
+		restBeforeEnd()
 		return exitFatal
 	case <-signals:
 	}
--- a/internal/state/kqcontrol/perform.go
+++ b/internal/state/kqcontrol/perform.go
@@ -65,6 +65,7 @@
 	out := e.Result.(outcome)
 	if out.change != nil {
 		c.event("accepted", out.change.Revision, fmt.Sprintf("%s version %d", out.result.Accepted.Owner, out.result.Accepted.Version))
+		c.note(e.Index, out)
 		c.cfg.Changed(*out.change)
 	}
 	if e.ID != "" {
--- a/internal/state/kqreplica/follow.go
+++ b/internal/state/kqreplica/follow.go
@@ -22,7 +22,7 @@
 	}
 	switch m.Kind {
 	case kindHello:
-		r.onHello(from, run)
+		r.onHello(from, run, m)
 		return
 	case kindPresent:
 		r.onPresent(from, m)
--- a/internal/state/kqreplica/form.go
+++ b/internal/state/kqreplica/form.go
@@ -52,7 +52,7 @@
 	return Member{Host: r.cfg.Host, Domain: s.Domain, Peers: s.Peers, Incarnation: r.run.Incarnation}
 }
 
-func (r *Replica) onHello(from string, run kqjournal.Run) {
+func (r *Replica) onHello(from string, run kqjournal.Run, m Message) {
 	if r.role == Blank {
 		r.send(from, Message{Kind: kindPresent, OK: !r.cfg.NeverFound, Members: []Member{r.self()}})
 		return
@@ -61,12 +61,15 @@
 		r.sendFound(from)
 		return
 	}
+	asks := Member{Host: from, Incarnation: run.Incarnation}
+	if len(m.Members) == 1 && m.Members[0].Host == from {
+		asks.Domain, asks.Peers = m.Members[0].Domain, m.Members[0].Peers
+	}
 	switch {
 	case r.role == Leader:
-		r.prove(from)
+		r.noteJoiner(asks)
 	case r.leader != "":
 		// The host may not know the leader, whom the settings need not name.
-		asks := Member{Host: from, Incarnation: run.Incarnation}
 		r.send(r.leader, Message{Kind: kindJoin, Cluster: r.meta.Cluster, Members: []Member{asks}})
 	}
 	r.send(from, Message{Kind: kindPresent, Cluster: r.meta.Cluster})
@@ -79,8 +82,19 @@
 	}
 	asks := m.Members[0]
 	if !r.counts(asks.Host, asks.Incarnation) {
+		r.noteJoiner(asks)
+	}
+}
+
+// noteJoiner takes a host that wants to join. One that is a member by another data
+// folder must prove that it is there now; there may be no link to any other one
+// before it is a member, and it takes nobody's place.
+func (r *Replica) noteJoiner(asks Member) {
+	if _, ok := find(r.members, asks.Host); ok {
 		r.prove(asks.Host)
+		return
 	}
+	r.joiners[asks.Host] = asks
 }
 
 // prove asks a host who it is now. What it said before may be late: acted on, an
@@ -102,7 +116,9 @@
 	if r.counts(from, run.Incarnation) {
 		return
 	}
-	r.joiners[from] = Member{Host: from, Domain: m.Members[0].Domain, Peers: m.Members[0].Peers, Incarnation: run.Incarnation}
+	r.joiners[from] = Member{
+		Host: from, Domain: m.Members[0].Domain, Peers: m.Members[0].Peers, Incarnation: run.Incarnation,
+	}
 }
 
 // sendFound tells a founding member, or one admitted later, its cluster. The
