--- a/internal/state/kqreplica/join_test.go
+++ b/internal/state/kqreplica/join_test.go
@@ -23,7 +23,7 @@
 	return r
 }
 
-func from(host, incarnation string) string {
+func from(incarnation string) string {
 	return EncodeRun(kqjournal.Run{Incarnation: incarnation, Boot: 1, Token: "x"})
 }
 
@@ -54,7 +54,7 @@
 // only a member that still counts the lost folder knows this host.
 func TestBlankHostTellsWhoTakesItForAMember(t *testing.T) {
 	r := lone(t, kqjournal.Loaded{})
-	effects := r.Reduce(time.Time{}, Received{From: "n09", Message: Message{Kind: kindAppend, Run: from("n09", "i"), Cluster: "k", Term: 4}})
+	effects := r.Reduce(time.Time{}, Received{From: "n09", Message: Message{Kind: kindAppend, Run: from("i"), Cluster: "k", Term: 4}})
 	if kinds := sent(effects, "n09"); !slices.Contains(kinds, kindHello) {
 		t.Fatalf("answers %v", kinds)
 	}
@@ -65,9 +65,9 @@
 func TestNonVoterForgetsItsLeader(t *testing.T) {
 	r := lone(t, withMembers(member("a", true), member("b", true), member("d", false)))
 	r.Reduce(time.Time{}, Received{From: "b", Message: Message{
-		Kind: kindAppend, Run: from("b", "i-b"), Cluster: "k", Term: 3, Index: 1, LogTerm: 3,
+		Kind: kindAppend, Run: from("i-b"), Cluster: "k", Term: 3, Index: 1, LogTerm: 3,
 	}})
-	ask := Received{From: "a", Message: Message{Kind: kindPreVote, Run: from("a", "i-a"), Cluster: "k", Term: 4, Index: 2, LogTerm: 3}}
+	ask := Received{From: "a", Message: Message{Kind: kindPreVote, Run: from("i-a"), Cluster: "k", Term: 4, Index: 2, LogTerm: 3}}
 	granted := func() bool {
 		for _, e := range r.Reduce(time.Time{}, ask) {
 			if s, ok := e.(Send); ok && s.Message.Kind == kindPreVoted {
@@ -92,14 +92,14 @@
 // puts another folder in a member's place.
 func TestLateFolderTakesNoPlace(t *testing.T) {
 	r := leading(t, member("d", true), member("n1", false))
-	effects := r.Reduce(time.Time{}, Received{From: "n1", Message: Message{Kind: kindHello, Run: from("n1", "old")}})
+	effects := r.Reduce(time.Time{}, Received{From: "n1", Message: Message{Kind: kindHello, Run: from("old")}})
 	if !slices.Contains(sent(effects, "n1"), kindWho) || len(r.joiners) != 0 {
 		t.Fatalf("a hello alone makes a joiner: %v", r.joiners)
 	}
 	id := r.proofs["n1"]
 	answer := func(incarnation, id string) {
 		r.Reduce(time.Time{}, Received{From: "n1", Message: Message{
-			Kind: kindIam, Run: from("n1", incarnation), ID: id, Members: []Member{{Host: "n1", Domain: "a", Peers: "127.0.0.1:9"}},
+			Kind: kindIam, Run: from(incarnation), ID: id, Members: []Member{{Host: "n1", Domain: "a", Peers: "127.0.0.1:9"}},
 		}})
 	}
 	answer("old", "0.0")
@@ -118,7 +118,7 @@
 func TestUnknownHostJoinsThroughAnother(t *testing.T) {
 	r := leading(t, member("d", true), member("a", false))
 	asks := Member{Host: "n1", Domain: "z", Peers: "127.0.0.1:9", Incarnation: "i-n1"}
-	effects := r.Reduce(time.Time{}, Received{From: "a", Message: Message{Kind: kindJoin, Run: from("a", "i-a"), Cluster: "k", Members: []Member{asks}}})
+	effects := r.Reduce(time.Time{}, Received{From: "a", Message: Message{Kind: kindJoin, Run: from("i-a"), Cluster: "k", Members: []Member{asks}}})
 	if len(sent(effects, "n1")) != 0 {
 		t.Fatal("sends to a host that it has no link to")
 	}
