--- a/internal/call/kqpass/answer.go
+++ b/internal/call/kqpass/answer.go
@@ -94,17 +94,18 @@
 		return
 	}
 	now := p.engine.cfg.Clock.Now()
-	l.Str("id", p.id).Str("outcome", outcome).Int("status", status).Dur("took", now.Sub(p.began)).Int("sends", p.sends+1)
+	l.Str("id", p.id).Str("outcome", outcome).Int("status", status).Dur("took", now.Sub(p.began)).Int("sends", p.sends)
 	if p.scene != nil {
 		l.Uint64("revision", p.scene.revision).Uint64("routes", p.scene.table.Version)
 	}
 	if p.route != nil {
-		l.Str("route", p.route.Name).Str("service", p.service).Int64("left", p.until.Sub(now).Milliseconds())
+		c := &p.chosen
+		l.Str("route", p.route.Name).Str("service", p.service).Int64("left", p.until.Sub(now).Milliseconds()).
+			Dur("waited", c.waited).Int("line", c.line).Int("asked", c.asked).Int("told", c.told)
 	}
 	if t := p.chosen.target; t != nil {
 		s := p.chosen.sample
-		l.Str("target", t.ID).Dur("waited", p.chosen.waited).Int("line", p.chosen.line).Int("asked", p.chosen.asked).Int("told", p.chosen.told).
-			Int("running", s.Running).Int("waiting", s.Waiting).Float64("slow", s.Slow).Float64("score", p.chosen.score)
+		l.Str("target", t.ID).Int("running", s.Running).Int("waiting", s.Waiting).Float64("slow", s.Slow).Float64("score", p.chosen.score)
 		if !s.At.IsZero() {
 			l.Dur("age", now.Sub(s.At))
 		}
--- a/internal/call/kqpass/attempt.go
+++ b/internal/call/kqpass/attempt.go
@@ -198,5 +198,6 @@
 		panic(http.ErrAbortHandler)
 	}
 	e.counts.answered.Inc(1)
+	p.sends++
 	p.note("answered", reply.Status, "")
 }
