Replica: count voters in one place; histories share their common faults

Cause: read as a newcomer, quorum and held were the same loop, and both kinds of history began with the same four faults. Change: one count, one commonFault; nothing else.

--- a/internal/state/kqreplica/elect.go
+++ b/internal/state/kqreplica/elect.go
@@ -88,23 +88,19 @@
 
 // quorum reports whether a majority of the voters satisfies ok.
 func (r *Replica) quorum(ok func(host string) bool) bool {
-	voters, yes := 0, 0
-	for _, m := range r.members {
-		if !m.Voter {
-			continue
-		}
-		voters++
-		if ok(m.Host) {
-			yes++
-		}
-	}
+	voters, yes := r.count(ok)
 	return yes > voters/2
 }
 
 // held reports whether enough voters hold what ok says: a majority, and more
 // hosts than may lose their folders at once, or all.
 func (r *Replica) held(ok func(host string) bool) bool {
-	voters, yes := 0, 0
+	voters, yes := r.count(ok)
+	return yes >= max(voters/2+1, min(r.cfg.Tolerance+1, voters))
+}
+
+// count returns how many voters there are, and how many of them satisfy ok.
+func (r *Replica) count(ok func(host string) bool) (voters, yes int) {
 	for _, m := range r.members {
 		if !m.Voter {
 			continue
@@ -114,7 +110,7 @@
 			yes++
 		}
 	}
-	return yes >= max(voters/2+1, min(r.cfg.Tolerance+1, voters))
+	return voters, yes
 }
 
 // upToDate reports whether a log that ends so may lead this one.
--- a/internal/state/kqreplica/faults_test.go
+++ b/internal/state/kqreplica/faults_test.go
@@ -14,7 +14,29 @@
 		r.openFaults()
 		return
 	}
-	switch r.rng.IntN(r.rate) {
+	switch n := r.rng.IntN(r.rate); n {
+	default:
+		r.commonFault(n)
+	case 4:
+		n := r.pick().name
+		for _, o := range r.names {
+			r.cut(n, o, 120)
+			r.cut(o, n, 120)
+		}
+	case 5:
+		r.loseOne()
+	case 6:
+		r.overtake()
+	case 7:
+		r.replace()
+	}
+	r.repaired()
+}
+
+// commonFault brings about the faults of every kind of history: a host or the
+// leader ends, a disk fails, messages from one host to another are lost.
+func (r *run) commonFault(n int) {
+	switch n {
 	case 0:
 		if n := r.pick(); n.up {
 			r.crash(n, 5+r.rng.IntN(80))
@@ -29,20 +51,7 @@
 		}
 	case 3:
 		r.cut(r.pick().name, r.pick().name, 20+r.rng.IntN(100))
-	case 4:
-		n := r.pick().name
-		for _, o := range r.names {
-			r.cut(n, o, 120)
-			r.cut(o, n, 120)
-		}
-	case 5:
-		r.loseOne()
-	case 6:
-		r.overtake()
-	case 7:
-		r.replace()
 	}
-	r.repaired()
 }
 
 // overtake brings about the order in which an entry of an earlier term stands
--- a/internal/state/kqreplica/open_test.go
+++ b/internal/state/kqreplica/open_test.go
@@ -73,21 +73,9 @@
 		}
 		return nil
 	}
-	switch r.rng.IntN(r.rate) {
-	case 0:
-		if n := r.pick(); n.up {
-			r.crash(n, 5+r.rng.IntN(80))
-		}
-	case 1:
-		if n := r.leader(); n != nil {
-			r.crash(n, 5+r.rng.IntN(80))
-		}
-	case 2:
-		if n := r.pick(); n.up {
-			n.disk.CrashIn(r.rng.IntN(12))
-		}
-	case 3:
-		r.cut(r.pick().name, r.pick().name, 20+r.rng.IntN(100))
+	switch n := r.rng.IntN(r.rate); n {
+	default:
+		r.commonFault(n)
 	case 4:
 		r.split(30 + r.rng.IntN(100))
 	case 5: // all at once, their disks stay
