--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -202,6 +202,19 @@
 		Name: d.settings.Host, Domain: d.settings.Domain, Region: d.settings.Region,
 		Calls: d.settings.Listen.Calls, Peers: d.settings.Listen.Peers,
 	}
+	// The parts below begin to ask for the view as soon as they are made.
+	var old *kqfeed.View
+	d.follower = kqfeed.NewFollower(kqfeed.FollowerConfig{
+		Host: self, Controls: d.neighbours, Link: d.mesh, Clock: kqclock.System{},
+		Log: d.log.Part("feed"), Events: d.events,
+		InForce: func(v *kqfeed.View) {
+			d.lender.Enforce(v.Listed, entryNames(v))
+			d.engine.Enforce(old, v)
+			d.keeper.Enforce(v.Listed, v.Hosts.Entry, d.follower.New())
+			old = v
+			d.dialPeers()
+		},
+	})
 	d.keeper = kqkeyed.New(kqkeyed.Config{Link: d.mesh, Clock: kqclock.System{}, Events: d.events})
 	d.lender = kqlend.New(kqlend.Config{
 		Link: d.mesh, Clock: kqclock.System{}, Preferred: d.preferred,
@@ -218,18 +231,6 @@
 		Wide:    d.opts.Wide,
 		Updated: d.engine.TargetUpdated, Reported: d.engine.TargetReported,
 	})
-	var old *kqfeed.View
-	d.follower = kqfeed.NewFollower(kqfeed.FollowerConfig{
-		Host: self, Controls: d.neighbours, Link: d.mesh, Clock: kqclock.System{},
-		Log: d.log.Part("feed"), Events: d.events,
-		InForce: func(v *kqfeed.View) {
-			d.lender.Enforce(v.Listed, entryNames(v))
-			d.engine.Enforce(old, v)
-			d.keeper.Enforce(v.Listed, v.Hosts.Entry, d.follower.New())
-			old = v
-			d.dialPeers()
-		},
-	})
 	return nil
 }
 
