--- a/internal/call/kqpass/passage.go
+++ b/internal/call/kqpass/passage.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	keptBody   = 1 << 20         // bytes of a request body that are read before it is sent on
-	comeBack   = 1 * time.Second // after which a caller may try a host that has no routes yet
-	missSends  = 3               // targets that one attempt may find unreachable
+	keptBody   = 1 << 20              // bytes of a request body that are read before it is sent on
+	comeBack   = 1 * time.Second      // after which a caller may try a host that has no routes yet
+	missSends  = 3                    // targets that one attempt may find unreachable
 	leastTime  = 5 * time.Millisecond // left, below which a send is in vain: some round trips between failure domains
-	defaultMax = time.Minute // for a request whose caller and route name no time
+	defaultMax = time.Minute          // for a request whose caller and route name no time
 )
 
 // passage is one request on its way.
