Votes in vain wait longer; pre-votes of one term add up

Ruled out: links (all were up), lost folders, members. Change: a candidate gives its vote time, doubled after each one in vain (1.2 to 3.6 s at the most); what was granted for the same term counts when a pre-vote is repeated. The story tells what all hosts believe.

--- a/internal/run/kqdaemon/seeded_test.go
+++ b/internal/run/kqdaemon/seeded_test.go
@@ -126,13 +126,32 @@
 				}
 			}
 			if count != n || s.Leader == "" {
-				return fmt.Sprintf("%s counts %d of %+v", host, count, s.Members)
+				return fmt.Sprintf("%s counts %d\n%s", host, count, f.statuses())
 			}
 		}
 		return ""
 	})
 }
 
+// statuses tells what each control host that runs believes, for a failure.
+func (f *fleet) statuses() string {
+	var b strings.Builder
+	for host, d := range f.hosts {
+		if d.control == nil {
+			continue
+		}
+		s, err := d.control.Status()
+		var up []string
+		for peer := range f.hosts {
+			if d.mesh.Up(peer) {
+				up = append(up, peer)
+			}
+		}
+		fmt.Fprintf(&b, "%s: %+v %v, links to %v\n", host, s, err, up)
+	}
+	return b.String()
+}
+
 func (f *fleet) send(method, addr, path, body string, header ...string) (int, string) {
 	req, err := http.NewRequest(method, "http://"+addr+path, bytes.NewReader([]byte(body)))
 	if err != nil {
--- a/internal/state/kqreplica/elect.go
+++ b/internal/state/kqreplica/elect.go
@@ -44,8 +44,20 @@
 	r.timeout = r.elapsed + hasteTicks + r.rng.IntN(hasteSpread)
 }
 
-// campaign begins a pre-vote, if this host is a voter.
+// awaitVotes gives the answers to a vote time to come, twice as much after each
+// vote in vain: where messages or syncs are slow a new vote would only outdate
+// the one under way.
+func (r *Replica) awaitVotes() {
+	r.elapsed = 0
+	wait := (hasteTicks + r.rng.IntN(hasteSpread)) << r.inVain
+	r.timeout = min(2*wait, electionTicks+r.rng.IntN(2*electionTicks))
+	r.inVain = min(r.inVain+1, mostInVain)
+}
+
+// campaign begins a pre-vote, if this host is a voter, or repeats it: what was
+// granted for the same term still counts.
 func (r *Replica) campaign() {
+	again := r.role == Candidate && r.preVote
 	r.resetTimeout()
 	r.hasten()
 	// Also a host that may not vote has lost its leader: it asks to join again,
@@ -55,7 +67,9 @@
 		return
 	}
 	r.role, r.leader, r.preVote = Candidate, "", true
-	r.votes = map[string]bool{r.cfg.Host: true}
+	if !again {
+		r.votes = map[string]bool{r.cfg.Host: true}
+	}
 	r.askVotes(kindPreVote, r.meta.Term+1)
 	r.countVotes()
 }
@@ -78,6 +92,7 @@
 		return
 	}
 	r.preVote = false
+	r.awaitVotes()
 	r.meta.Term++
 	r.meta.Vote = r.cfg.Host
 	r.saveMeta()
@@ -186,6 +201,9 @@
 		r.stopLeading()
 	}
 	r.role, r.leader = Follower, leader
+	if leader != "" {
+		r.inVain = 0
+	}
 	r.resetTimeout()
 }
 
@@ -203,7 +221,7 @@
 // lead begins a term as leader with an entry of its own: only that one may be
 // committed by counting, and with it all before it.
 func (r *Replica) lead() {
-	r.role, r.leader = Leader, r.cfg.Host
+	r.role, r.leader, r.inVain = Leader, r.cfg.Host, 0
 	r.peers = map[string]*progress{}
 	r.joiners, r.proofs = map[string]Member{}, map[string]string{}
 	r.beat, r.elapsed = 0, 0
--- a/internal/state/kqreplica/replica.go
+++ b/internal/state/kqreplica/replica.go
@@ -28,6 +28,7 @@
 	restRounds     = 10  // heartbeats of which a non-voter gets one
 	hasteTicks     = 3   // 150 ms from the start, or from a pre-vote in vain
 	hasteSpread    = 5   // up to 200 ms more, at random
+	mostInVain     = 4   // doublings of the time for a vote: the next one would exceed an election's
 	helloTicks     = 6   // 300 ms
 	snapshotTicks  = 100 // 5 s until a snapshot is sent again
 	readTicks      = 20  // 1 s until a read is given up
@@ -108,6 +109,7 @@
 	beat     int // ticks since the last heartbeat round
 	votes    map[string]bool
 	preVote  bool // votes are answers to a pre-vote
+	inVain   int  // votes of this host since it knew a leader, mostInVain at the most
 	peers    map[string]*progress
 	round    uint64
 	reads    []read
--- /dev/null
+++ b/internal/state/kqreplica/slow_test.go
@@ -0,0 +1,107 @@
+package kqreplica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"kumquatglade/internal/state/kqcontract"
+	"kumquatglade/internal/state/kqjournal"
+)
+
+// slowGroup is five voters whose messages take a while: hosts that share a busy
+// machine, or whose disks are slow.
+type slowGroup struct {
+	names    []string
+	replicas map[string]*Replica
+	queue    []packet
+	tick     int
+	rng      *rand.Rand
+	delay    int // ticks that a message takes at the least
+	spread   int // ticks more, at random
+}
+
+func newSlowGroup(t *testing.T, seed uint64, delay, spread int) *slowGroup {
+	t.Helper()
+	g := &slowGroup{
+		names: []string{"a", "b", "c", "d", "e"}, replicas: map[string]*Replica{},
+		rng: rand.New(rand.NewPCG(seed, 2)), delay: delay, spread: spread,
+	}
+	var list []Member
+	for _, n := range g.names {
+		list = append(list, member(n, true))
+	}
+	for _, n := range g.names {
+		r, effects, err := New(Config{
+			Host: n, Hosts: []Want{want("a"), want("b"), want("c")}, Token: n, Cluster: "k",
+			Machine: &testMachine{state: kqcontract.NewState()}, Rand: g.rng, Open: true, Tolerance: 2,
+			Loaded: kqjournal.Loaded{
+				Meta:    kqjournal.Meta{Cluster: "k", Incarnation: "i-" + n, Term: 3},
+				Entries: []kqjournal.Entry{{Index: 1, Term: 3, Kind: kindMembers, Data: encodeMembers(list)}},
+			},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.replicas[n] = r
+		g.carry(n, effects)
+	}
+	return g
+}
+
+func (g *slowGroup) carry(host string, effects []Effect) {
+	for _, e := range effects {
+		if s, ok := e.(Send); ok {
+			g.queue = append(g.queue, packet{from: host, to: s.To, at: g.tick + g.delay + g.rng.IntN(g.spread+1), m: s.Message})
+		}
+	}
+}
+
+func (g *slowGroup) step() {
+	g.tick++
+	rest := g.queue
+	g.queue = nil
+	for _, p := range rest {
+		if p.at > g.tick {
+			g.queue = append(g.queue, p)
+			continue
+		}
+		g.carry(p.to, g.replicas[p.to].Reduce(time.Time{}, Received{From: p.from, Message: p.m}))
+	}
+	for _, n := range g.names {
+		g.carry(n, g.replicas[n].Reduce(time.Time{}, Tick{}))
+	}
+}
+
+// led reports whether all follow one leader.
+func (g *slowGroup) led() bool {
+	leader := g.replicas["a"].leader
+	for _, r := range g.replicas {
+		if r.leader != leader || leader == "" {
+			return false
+		}
+	}
+	return true
+}
+
+// TestSlowMessagesElectALeader: votes that come later than the first pause
+// between two pre-votes must still make a leader, within ten seconds.
+func TestSlowMessagesElectALeader(t *testing.T) {
+	const limit = 10 * time.Second / TickInterval
+	for _, c := range []struct{ delay, spread int }{{0, 0}, {1, 1}, {3, 3}, {5, 3}, {6, 6}} {
+		t.Run(fmt.Sprintf("%d to %d ticks", c.delay, c.delay+c.spread), func(t *testing.T) {
+			worst := 0
+			for seed := range uint64(50) {
+				g := newSlowGroup(t, seed, c.delay, c.spread)
+				for !g.led() {
+					if g.step(); g.tick > int(limit) {
+						t.Fatalf("seed %d: no leader after %v", seed, limit*TickInterval)
+					}
+				}
+				worst = max(worst, g.tick)
+			}
+			t.Logf("the slowest of 50 took %v", time.Duration(worst)*TickInterval)
+		})
+	}
+}
