Links: told in order; an accept that fails is not the last

Cause, by reading: a link that broke was told after the link that replaced it, so that an entry host that is there stayed out of the directory's answers until its next link; any error of accept made a host deaf to its peers without a line in its log. Change: one link is told at a time, with the change of the table; a failed accept is logged and tried again. Tests first: TestLinksAreToldInOrder and TestAcceptGoesOnAfterAnError, both failing before.

--- a/internal/peer/kqlink/mesh.go
+++ b/internal/peer/kqlink/mesh.go
@@ -22,7 +22,8 @@
 	dialTimeout = 500 * time.Millisecond
 	minRedial   = 100 * time.Millisecond
 	maxRedial   = time.Second
-	patience    = time.Second // the host with the higher name leaves dialling to the other so long
+	acceptPause = 50 * time.Millisecond // after an accept that failed
+	patience    = time.Second           // the host with the higher name leaves dialling to the other so long
 )
 
 // ErrDown says that there is no link to the peer now: nothing was sent.
@@ -64,6 +65,8 @@
 	listener  net.Listener
 	self      chan outgoing // messages of this host to itself
 
+	telling sync.Mutex // held while the receiver is told of a link
+
 	mu      sync.Mutex
 	conns   map[string]*conn
 	dialers map[string]*dialer
@@ -84,6 +87,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "link: listen")
 	}
+	return start(cfg, l), nil
+}
+
+func start(cfg Config, l net.Listener) *Mesh {
 	ctx, cancel := context.WithCancel(context.Background())
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, cfg.Metrics) }
 	m := &Mesh{
@@ -95,7 +102,7 @@
 	m.wait.Add(2)
 	go m.accept()
 	go m.loopback()
-	return m, nil
+	return m
 }
 
 // Close breaks all links and waits for them.
@@ -147,9 +154,14 @@
 	defer m.wait.Done()
 	for {
 		raw, err := m.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) || m.ctx.Err() != nil {
 			return
 		}
+		if err != nil {
+			m.log.Warnf("accept: %v", err) // short of descriptors: the next one may succeed
+			rest(m.ctx, acceptPause)
+			continue
+		}
 		m.wait.Add(1)
 		go m.serve(raw)
 	}
@@ -178,12 +190,23 @@
 		c.rpc.Close()
 		return
 	}
-	m.receiver.Linked(peer, true)
 	c.run()
 	m.leave(c)
 }
 
+// enter and leave tell of a link in the order in which it came and broke: told
+// the other way round, a peer that is there would count as lost.
 func (m *Mesh) enter(c *conn) bool {
+	m.telling.Lock()
+	defer m.telling.Unlock()
+	if !m.put(c) {
+		return false
+	}
+	m.receiver.Linked(c.peer, true)
+	return true
+}
+
+func (m *Mesh) put(c *conn) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.closed {
@@ -197,6 +220,8 @@
 }
 
 func (m *Mesh) leave(c *conn) {
+	m.telling.Lock()
+	defer m.telling.Unlock()
 	m.mu.Lock()
 	last := m.conns[c.peer] == c
 	if last {
--- a/internal/peer/kqlink/mesh_test.go
+++ b/internal/peer/kqlink/mesh_test.go
@@ -176,3 +176,71 @@
 func TestMain(m *testing.M) {
 	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
 }
+
+// lateInbox hears of a broken link slowly.
+type lateInbox struct{ inbox }
+
+func (i lateInbox) Linked(peer string, up bool) {
+	if !up {
+		time.Sleep(200 * time.Millisecond)
+	}
+	i.inbox.Linked(peer, up)
+}
+
+// TestLinksAreToldInOrder: a peer that comes back while its broken link is still
+// being told of counts as linked in the end.
+func TestLinksAreToldInOrder(t *testing.T) {
+	a := addrs(t, 2)
+	late := lateInbox{newInbox()}
+	m, err := Listen(Config{
+		Host: "h1", Listen: a[0], Secret: "secret-1", Clock: kqevent.NewClock(time.Now), Log: kqlog.Discard(),
+		Metrics: metrics.NewRegistry(), Receiver: late,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(m.Close)
+	first := listen(t, "h2", a[1], "secret-1", newInbox())
+	first.Dial("h1", a[0])
+	if !<-late.links {
+		t.Fatal("no link")
+	}
+	first.Close()
+	listen(t, "h2", a[1], "secret-1", newInbox()).Dial("h1", a[0])
+	if one, two := <-late.links, <-late.links; one || !two {
+		t.Fatalf("told up %v, then up %v", one, two)
+	}
+}
+
+// flaky is a listener of which every second accept fails for want of descriptors.
+type flaky struct {
+	net.Listener
+	n int
+}
+
+func (f *flaky) Accept() (net.Conn, error) {
+	if f.n++; f.n%2 == 1 {
+		return nil, errors.New("accept: too many open files")
+	}
+	return f.Listener.Accept()
+}
+
+// TestAcceptGoesOnAfterAnError: a host that was short of descriptors for a
+// moment must not stay deaf to its peers.
+func TestAcceptGoesOnAfterAnError(t *testing.T) {
+	a := addrs(t, 2)
+	l, err := net.Listen("tcp", a[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := newInbox()
+	m := start(Config{
+		Host: "h1", Secret: "secret-1", Clock: kqevent.NewClock(time.Now), Log: kqlog.Discard(),
+		Metrics: metrics.NewRegistry(), Receiver: in,
+	}, &flaky{Listener: l})
+	t.Cleanup(m.Close)
+	listen(t, "h2", a[1], "secret-1", newInbox()).Dial("h1", a[0])
+	if !<-in.links {
+		t.Fatal("no link")
+	}
+}
