Announcements in groups: one sync and one message for many

Who holds an address was looked up by a sorted walk over all targets. Change: commands that come while a sync is under way are proposed together (one SaveEntries, one append for each peer); changes that come in force together are one message, encoded once, and one view on each entry host; the directory keeps who holds an address.

--- a/internal/state/kqcontract/contract_test.go
+++ b/internal/state/kqcontract/contract_test.go
@@ -7,7 +7,10 @@
 	"strings"
 	"testing"
 
+	"kumquatglade/internal/state/kqtargets"
+
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/golden"
 )
 
@@ -150,7 +153,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(s, again); diff != "" || s.Digest() != again.Digest() {
+	if diff := cmp.Diff(s, again, cmpopts.IgnoreUnexported(kqtargets.Set{})); diff != "" || s.Digest() != again.Digest() {
 		t.Fatal(diff)
 	}
 }
--- a/internal/state/kqcontrol/control.go
+++ b/internal/state/kqcontrol/control.go
@@ -41,8 +41,9 @@
 	Open       bool // control hosts are admitted as they ask
 	NeverFound bool // an empty data folder was lost: no new cluster
 
-	// Changed is called in order for every change in force on this host.
-	Changed func(kqcontract.Change)
+	// Changed is called in order with the changes that came in force together on
+	// this host.
+	Changed func([]kqcontract.Change)
 	// Restored is called when the whole state was replaced.
 	Restored func()
 	// Members is called when the member list changed.
@@ -66,6 +67,8 @@
 	// The fields below belong to the loop.
 	nextID    uint64
 	proposals map[string]chan answer
+	proposed  []kqreplica.Proposal // since the last sync began
+	changes   []kqcontract.Change  // in force, not yet told
 	reads     map[string]chan kqreplica.Readable
 	waiting   []waiter
 
@@ -147,12 +150,27 @@
 			return
 		case f := <-c.inbox:
 			f()
+			c.drain()
 		case <-tick.C:
 			c.feed(kqreplica.Tick{})
 		}
 	}
 }
 
+// drain handles what came while the last event was: all commands among it are
+// proposed together, so that a sync serves many of them.
+func (c *Control) drain() {
+	for range len(c.inbox) {
+		(<-c.inbox)()
+	}
+	if len(c.proposed) == 0 {
+		return
+	}
+	list := c.proposed
+	c.proposed = nil
+	c.feed(kqreplica.Propose{List: list})
+}
+
 // post runs f in the loop; false says that the loop has ended.
 func (c *Control) post(f func()) bool {
 	select {
@@ -265,7 +283,7 @@
 	c.post(func() {
 		id := c.newID()
 		c.proposals[id] = ready
-		c.feed(kqreplica.Propose{ID: id, Data: data})
+		c.proposed = append(c.proposed, kqreplica.Proposal{ID: id, Data: data})
 	})
 	select {
 	case a := <-ready:
--- a/internal/state/kqcontrol/perform.go
+++ b/internal/state/kqcontrol/perform.go
@@ -22,9 +22,18 @@
 			return err
 		}
 	}
+	c.tellChanges()
 	return nil
 }
 
+// tellChanges passes on what came in force since the last time.
+func (c *Control) tellChanges() {
+	if len(c.changes) > 0 {
+		c.cfg.Changed(c.changes)
+		c.changes = nil
+	}
+}
+
 func (c *Control) performOne(e kqreplica.Effect) error {
 	switch e := e.(type) {
 	case kqreplica.SaveMeta:
@@ -40,6 +49,7 @@
 		c.applied(e)
 	case kqreplica.Restored:
 		c.event("restored", c.machine.state.Revision, fmt.Sprintf("up to index %d", e.Index))
+		c.tellChanges()
 		c.cfg.Restored()
 		c.wake()
 	case kqreplica.Unknown:
@@ -66,7 +76,7 @@
 	if out.change != nil {
 		c.event("accepted", out.change.Revision, fmt.Sprintf("%s version %d", out.result.Accepted.Owner, out.result.Accepted.Version))
 		c.note(e.Index, out)
-		c.cfg.Changed(*out.change)
+		c.changes = append(c.changes, *out.change)
 	}
 	if e.ID != "" {
 		c.finish(e.ID, answer{result: out.result})
--- /dev/null
+++ b/internal/state/kqfeed/changes_test.go
@@ -0,0 +1,75 @@
+package kqfeed
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"kumquatglade/internal/host/kqclock"
+	"kumquatglade/internal/host/kqevent"
+	"kumquatglade/internal/host/kqlog"
+	"kumquatglade/internal/state/kqcontract"
+	"kumquatglade/internal/state/kqtargets"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// wire carries messages from a hub to followers, encoded as between processes.
+type wire struct {
+	sent      int
+	followers map[string]*Follower
+}
+
+func (w *wire) Send(peer, kind string, body any) {
+	w.sent++
+	p, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	if f := w.followers[peer]; f != nil {
+		if err := f.Receive("c1", kind, p); err != nil {
+			panic(err)
+		}
+	}
+}
+
+func (w *wire) Call(context.Context, string, string, any, any) error { return nil }
+func (w *wire) Up(string) bool                                       { return true }
+func (w *wire) Host() string                                         { return "c1" }
+
+func joined(id string, rev uint64, state kqtargets.State) kqcontract.Change {
+	return kqcontract.Change{Revision: rev, Targets: []kqtargets.Target{{ID: id, Boot: 1, Seq: rev, Service: "kekhai", State: state}}}
+}
+
+// TestChangesTravelTogether: many targets that join at once are one message to
+// each entry host and one view there, and the last word on a target counts.
+func TestChangesTravelTogether(t *testing.T) {
+	w := &wire{followers: map[string]*Follower{}}
+	hub := NewHub(HubConfig{Link: w, Clock: kqclock.System{}, Log: kqlog.Discard()})
+	var views []*View
+	f := NewFollower(FollowerConfig{
+		Link: &wire{}, Clock: kqclock.System{}, Log: kqlog.Discard(), Events: kqevent.NewRecorder("e1", time.Now),
+		InForce: func(v *View) { views = append(views, v) },
+	})
+	f.hub, f.joined = "c1", true
+	f.view.Store(&View{Revision: 1})
+	w.followers["e1"], hub.subs["e1"] = f, true
+
+	hub.Push([]kqcontract.Change{
+		joined("t-1", 2, kqtargets.Ready), joined("t-2", 3, kqtargets.Ready), joined("t-1", 4, kqtargets.Draining),
+		joined("t-2", 5, kqtargets.Gone), joined("t-3", 6, kqtargets.Ready),
+	})
+	if w.sent != 1 || len(views) != 1 {
+		t.Fatalf("%d messages, %d views", w.sent, len(views))
+	}
+	want := []kqtargets.Target{joined("t-1", 4, kqtargets.Draining).Targets[0], joined("t-3", 6, kqtargets.Ready).Targets[0]}
+	if diff := cmp.Diff(want, views[0].Targets); diff != "" || views[0].Revision != 6 {
+		t.Fatal(views[0].Revision, diff)
+	}
+
+	hub.Push([]kqcontract.Change{joined("t-4", 8, kqtargets.Ready)}) // one was lost
+	if f.joined || f.revision() != 6 {
+		t.Fatalf("goes on over a gap: joined %v, revision %d", f.joined, f.revision())
+	}
+}
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -255,29 +255,35 @@
 	}
 	held := f.held
 	f.held = nil
-	for _, c := range append(s.Changes, held...) {
-		f.step(c)
-	}
+	f.advance(append(s.Changes, held...))
 }
 
-// step takes the next change; a gap makes this host subscribe again.
-func (f *Follower) step(c kqcontract.Change) {
+// advance takes the next changes; a gap makes this host subscribe again.
+func (f *Follower) advance(list []kqcontract.Change) {
 	v := f.view.Load()
-	switch {
-	case v == nil || c.Revision > v.Revision+1:
-		f.joined = false
-		f.wake()
-	case c.Revision == v.Revision+1:
-		next, ok := v.with(c)
-		if !ok {
-			f.cfg.Log.Errorf("change %d does not fit the view %d", c.Revision, v.Revision)
-			f.view.Store(nil) // only a whole view helps
-			f.joined = false
-			f.wake()
-			return
-		}
+	if v == nil {
+		f.rejoin()
+		return
+	}
+	next, err := v.with(list)
+	if err != nil {
+		f.cfg.Log.Errorf("view %d: %v", v.Revision, err)
+		f.view.Store(nil) // only a whole view helps
+		f.rejoin()
+		return
+	}
+	if next.Revision > v.Revision {
 		f.enforce(&next)
 	}
+	if n := len(list); n > 0 && list[n-1].Revision > next.Revision {
+		f.rejoin()
+	}
+}
+
+// rejoin makes this host subscribe again.
+func (f *Follower) rejoin() {
+	f.joined = false
+	f.wake()
 }
 
 func (f *Follower) wake() {
@@ -295,18 +301,18 @@
 	f.cfg.Link.Send(f.hub, MethodInForce, inForce{Hosts: map[string]uint64{f.cfg.Host.Name: v.Revision}})
 }
 
-// Change takes a change that the control host pushed.
-func (f *Follower) Change(peer string, c kqcontract.Change) {
+// changed takes changes that the control host pushed.
+func (f *Follower) changed(peer string, list []kqcontract.Change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if peer != f.hub {
 		return
 	}
 	if !f.joined {
-		f.held = append(f.held, c)
+		f.held = append(f.held, list...)
 		return
 	}
-	f.step(c)
+	f.advance(list)
 }
 
 // Fresh takes a confirmation that the control host pushed.
@@ -317,8 +323,7 @@
 		return
 	}
 	if m.Revision > f.revision() {
-		f.joined = false
-		f.wake()
+		f.rejoin()
 		return
 	}
 	f.heard = f.cfg.Clock.Now()
--- a/internal/state/kqfeed/hub.go
+++ b/internal/state/kqfeed/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"slices"
 	"sync"
@@ -87,16 +88,25 @@
 	h.wait.Wait()
 }
 
-// Push sends one change in force here to all subscribers.
-func (h *Hub) Push(c kqcontract.Change) {
+// Push sends changes in force here to all subscribers, in one message each that
+// is encoded once.
+func (h *Hub) Push(list []kqcontract.Change) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.changes = append(h.changes, c)
+	h.changes = append(h.changes, list...)
 	if extra := len(h.changes) - keptChanges; extra > 0 {
 		h.changes = append([]kqcontract.Change(nil), h.changes[extra:]...)
 	}
+	if len(h.subs) == 0 {
+		return
+	}
+	body, err := json.Marshal(changes{list})
+	if err != nil {
+		h.cfg.Log.Errorf("changes up to %d: %v", list[len(list)-1].Revision, err) // subscribers notice the gap
+		return
+	}
 	for peer := range h.subs {
-		h.cfg.Link.Send(peer, MethodChange, c)
+		h.cfg.Link.Send(peer, MethodChanges, json.RawMessage(body))
 	}
 }
 
--- a/internal/state/kqfeed/message.go
+++ b/internal/state/kqfeed/message.go
@@ -9,7 +9,7 @@
 // Methods of the feed's messages and requests.
 const (
 	MethodSubscribe = "subscribe" // entry to control, request
-	MethodChange    = "change"    // control to entry
+	MethodChanges   = "changes"   // control to entry
 	MethodFresh     = "fresh"     // control to entry
 	MethodInForce   = "inforce"   // entry to control, and between control hosts
 	MethodStanding  = "standing"  // entry to entry, request
@@ -65,6 +65,11 @@
 	Ready bool            `json:"ready"` // callers may be sent to it
 }
 
+// changes are those that came in force together, in order.
+type changes struct {
+	List []kqcontract.Change `json:"list"`
+}
+
 // fresh says that the revision was confirmed by a quorum just now.
 type fresh struct {
 	Revision uint64 `json:"rev"`
--- a/internal/state/kqfeed/serve.go
+++ b/internal/state/kqfeed/serve.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 
-	"kumquatglade/internal/state/kqcontract"
-
 	"github.com/cockroachdb/errors"
 )
 
@@ -32,10 +30,10 @@
 func (f *Follower) Receive(peer, kind string, body json.RawMessage) error {
 	var err error
 	switch kind {
-	case MethodChange:
-		var c kqcontract.Change
-		if err = json.Unmarshal(body, &c); err == nil {
-			f.Change(peer, c)
+	case MethodChanges:
+		var m changes
+		if err = json.Unmarshal(body, &m); err == nil {
+			f.changed(peer, m.List)
 		}
 	case MethodFresh:
 		var m fresh
--- a/internal/state/kqfeed/view.go
+++ b/internal/state/kqfeed/view.go
@@ -2,11 +2,12 @@
 
 import (
 	"maps"
-	"slices"
 
 	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqroutes"
 	"kumquatglade/internal/state/kqtargets"
+
+	"github.com/cockroachdb/errors"
 )
 
 // View is the contracts and hosts in force; it is never changed once made.
@@ -35,46 +36,65 @@
 	return v
 }
 
-// with returns the view after the next change; false says that the change does
-// not fit the routes of this view.
-func (v View) with(c kqcontract.Change) (View, bool) {
-	v.Revision = c.Revision
-	if c.Routes != nil {
-		next, ok := v.Routes.With(*c.Routes)
-		if !ok {
-			return v, false
+// with returns the view after the changes that follow it without a gap; those
+// that it holds already change nothing. An error says that a change does not
+// fit the routes of the view.
+func (v View) with(list []kqcontract.Change) (View, error) {
+	var moved []kqtargets.Target
+	for _, c := range list {
+		if c.Revision <= v.Revision {
+			continue
+		}
+		if c.Revision > v.Revision+1 {
+			break
+		}
+		v.Revision = c.Revision
+		if c.Routes != nil {
+			next, ok := v.Routes.With(*c.Routes)
+			if !ok {
+				return v, errors.Newf("change %d does not fit its routes", c.Revision)
+			}
+			v.Routes = next
+		}
+		moved = append(moved, c.Targets...)
+		if c.Hosts != nil {
+			v.Hosts, v.Listed = *c.Hosts, c.Revision
+		}
+		if c.Owner != "" {
+			v.Contracts = withContract(v.Contracts, c.Owner, c.Contract)
 		}
-		v.Routes = next
-	}
-	if len(c.Targets) > 0 {
-		v.Targets = merge(v.Targets, c.Targets)
-	}
-	if c.Hosts != nil {
-		v.Hosts, v.Listed = *c.Hosts, c.Revision
 	}
-	if c.Owner == "" {
-		return v, true
+	if len(moved) > 0 {
+		v.Targets = merge(v.Targets, moved)
 	}
-	v.Contracts = maps.Clone(v.Contracts)
-	if c.Contract == nil {
-		delete(v.Contracts, c.Owner)
-	} else {
-		v.Contracts[c.Owner] = c.Contract
+	return v, nil
+}
+
+func withContract(old map[string]*kqcontract.Contract, owner string, c *kqcontract.Contract) map[string]*kqcontract.Contract {
+	next := maps.Clone(old)
+	if c == nil {
+		delete(next, owner)
+		return next
 	}
-	return v, true
+	next[owner] = c
+	return next
 }
 
-// merge returns the list with the changed targets in place; those that are
-// gone leave it.
+// merge returns the list with the changed targets in place, the last word on
+// each; those that are gone leave it.
 func merge(list, changed []kqtargets.Target) []kqtargets.Target {
-	out := make([]kqtargets.Target, 0, len(list)+len(changed))
+	last := make(map[string]int, len(changed))
+	for i, c := range changed {
+		last[c.ID] = i
+	}
+	out := make([]kqtargets.Target, 0, len(list)+len(last))
 	for _, t := range list {
-		if !slices.ContainsFunc(changed, func(c kqtargets.Target) bool { return c.ID == t.ID }) {
+		if _, ok := last[t.ID]; !ok {
 			out = append(out, t)
 		}
 	}
-	for _, c := range changed {
-		if c.State != kqtargets.Gone {
+	for i, c := range changed {
+		if c.State != kqtargets.Gone && last[c.ID] == i {
 			out = append(out, c)
 		}
 	}
--- a/internal/state/kqreplica/elect.go
+++ b/internal/state/kqreplica/elect.go
@@ -226,7 +226,7 @@
 	r.joiners, r.proofs = map[string]Member{}, map[string]string{}
 	r.beat, r.elapsed = 0, 0
 	r.trackPeers()
-	r.appendOwn(kindNoop, "", nil)
+	r.appendOwn([]kqjournal.Entry{r.nextEntry(kindNoop, nil)})
 }
 
 // trackPeers keeps one progress for each other member.
@@ -243,18 +243,20 @@
 	}
 }
 
-// appendOwn appends one entry as leader and sends it.
-func (r *Replica) appendOwn(kind, id string, data []byte) uint64 {
-	e := kqjournal.Entry{Index: r.log.last() + 1, Term: r.meta.Term, Kind: kind, ID: id, Data: data}
-	r.log.put([]kqjournal.Entry{e})
-	r.emit(SaveEntries{Entries: []kqjournal.Entry{e}})
-	if kind == kindMembers {
-		r.members, r.memberI = decodeMembers(data), e.Index
-		r.trackPeers()
+// nextEntry returns the entry that a leader would append now.
+func (r *Replica) nextEntry(kind string, data []byte) kqjournal.Entry {
+	return kqjournal.Entry{Index: r.log.last() + 1, Term: r.meta.Term, Kind: kind, Data: data}
+}
+
+// appendOwn appends entries as leader, lasting by one sync, and sends them.
+func (r *Replica) appendOwn(batch []kqjournal.Entry) {
+	if len(batch) == 0 {
+		return
 	}
+	r.log.put(batch)
+	r.emit(SaveEntries{Entries: batch})
 	r.broadcast()
 	r.advance()
-	return e.Index
 }
 
 func (r *Replica) linkUp(peer string) {
--- a/internal/state/kqreplica/faults_test.go
+++ b/internal/state/kqreplica/faults_test.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		panic(err)
 	}
-	r.feed(l, Propose{ID: "replace", Data: data})
+	r.feed(l, Propose{[]Proposal{{ID: "replace", Data: data}}})
 }
 
 // wanted returns the names of the control hosts that the leader works towards.
--- a/internal/state/kqreplica/history_test.go
+++ b/internal/state/kqreplica/history_test.go
@@ -156,7 +156,7 @@
 	if err != nil {
 		panic(err)
 	}
-	r.feed(n, Propose{ID: c.token, Data: data})
+	r.feed(n, Propose{[]Proposal{{ID: c.token, Data: data}}})
 }
 
 // clock orders calls and returns strictly.
--- a/internal/state/kqreplica/lead.go
+++ b/internal/state/kqreplica/lead.go
@@ -211,12 +211,18 @@
 
 func (r *Replica) propose(ev Propose) {
 	if r.role != Leader {
-		r.emit(Unknown{ID: ev.ID, Leader: r.leader, Never: true})
+		for _, p := range ev.List {
+			r.emit(Unknown{ID: p.ID, Leader: r.leader, Never: true})
+		}
 		return
 	}
-	index := r.log.last() + 1
-	r.mine[index] = ev.ID
-	r.appendOwn(kindCommand, ev.ID, ev.Data)
+	batch := make([]kqjournal.Entry, len(ev.List))
+	for i, p := range ev.List {
+		e := kqjournal.Entry{Index: r.log.last() + 1 + uint64(i), Term: r.meta.Term, Kind: kindCommand, ID: p.ID, Data: p.Data}
+		r.mine[e.Index] = p.ID
+		batch[i] = e
+	}
+	r.appendOwn(batch)
 }
 
 // stepMembers takes the next single step towards the wanted member list.
@@ -229,7 +235,10 @@
 	if next == nil {
 		return
 	}
-	r.appendOwn(kindMembers, "", encodeMembers(next))
+	e := r.nextEntry(kindMembers, encodeMembers(next))
+	r.members, r.memberI = next, e.Index
+	r.trackPeers()
+	r.appendOwn([]kqjournal.Entry{e})
 }
 
 // nextMembers returns the member list one step nearer to the wanted one, nil
--- a/internal/state/kqreplica/message.go
+++ b/internal/state/kqreplica/message.go
@@ -51,12 +51,15 @@
 	Message Message
 }
 
-// Propose asks the leader to append one command.
-type Propose struct {
+// Proposal is one command for the log.
+type Proposal struct {
 	ID   string // unique per proposal on this host
 	Data []byte
 }
 
+// Propose asks the leader to append commands: they are synced and sent together.
+type Propose struct{ List []Proposal }
+
 // Read asks for an index that is at or behind no earlier accepted change.
 type Read struct {
 	ID   string
--- a/internal/state/kqtargets/targets.go
+++ b/internal/state/kqtargets/targets.go
@@ -37,6 +37,8 @@
 type Set struct {
 	Targets map[string]*Target `json:"targets"`
 	Left    []string           `json:"left"` // IDs that are gone, oldest first
+
+	holders map[string]string // ID of the live target at an address; made when first needed
 }
 
 // NewSet returns an empty directory.
@@ -92,37 +94,48 @@
 	if a.State == Gone {
 		return nil
 	}
-	var changed []Target
-	for _, id := range s.ids() {
-		t := s.Targets[id]
-		if id == a.ID || t.State == Gone || t.Addr != a.Addr {
-			continue
-		}
-		if t.Boot > a.Boot && a.Boot != 0 {
-			a.State = Gone
-			continue
-		}
-		gone := *t
-		gone.State = Gone
-		s.put(gone)
-		changed = append(changed, gone)
+	id, held := s.holder(a.Addr)
+	if !held || id == a.ID {
+		return nil
 	}
-	return changed
+	t := s.Targets[id]
+	if t.Boot > a.Boot && a.Boot != 0 {
+		a.State = Gone
+		return nil
+	}
+	gone := *t
+	gone.State = Gone
+	s.put(gone)
+	return []Target{gone}
 }
 
-func (s *Set) ids() []string {
-	list := make([]string, 0, len(s.Targets))
-	for id := range s.Targets {
-		list = append(list, id)
+// holder returns the live target at the address: there is one at the most.
+func (s *Set) holder(addr string) (id string, ok bool) {
+	if s.holders == nil {
+		s.holders = make(map[string]string, len(s.Targets))
+		for id, t := range s.Targets {
+			if t.State != Gone {
+				s.holders[t.Addr] = id
+			}
+		}
 	}
-	slices.Sort(list)
-	return list
+	id, ok = s.holders[addr]
+	return id, ok
 }
 
 func (s *Set) put(t Target) {
+	old := s.Targets[t.ID]
+	if old != nil && old.State == Gone {
+		s.Left = slices.DeleteFunc(s.Left, func(id string) bool { return id == t.ID })
+	}
+	if old != nil && s.holders[old.Addr] == t.ID {
+		delete(s.holders, old.Addr)
+	}
 	s.Targets[t.ID] = &t
-	s.Left = slices.DeleteFunc(s.Left, func(id string) bool { return id == t.ID })
 	if t.State != Gone {
+		if s.holders != nil {
+			s.holders[t.Addr] = t.ID
+		}
 		return
 	}
 	s.Left = append(s.Left, t.ID)
--- a/internal/state/kqtargets/targets_test.go
+++ b/internal/state/kqtargets/targets_test.go
@@ -1,6 +1,9 @@
 package kqtargets
 
-import "testing"
+import (
+	"encoding/json"
+	"testing"
+)
 
 func announced(id string, boot int64, seq uint64, state State, addr string) Target {
 	return Target{ID: id, Boot: boot, Seq: seq, Service: "kekhai", Addr: addr, Slots: 4, State: state}
@@ -45,3 +48,28 @@
 		})
 	}
 }
+
+// TestAddressesAfterDecoding: who holds an address is not encoded, and must be
+// known all the same to a host that took the directory from another.
+func TestAddressesAfterDecoding(t *testing.T) {
+	s := NewSet()
+	s.Apply(announced("a", 1, 1, Ready, "127.0.0.1:1"))
+	s.Apply(announced("b", 1, 1, Ready, "127.0.0.1:2"))
+	s.Apply(announced("a", 1, 2, Ready, "127.0.0.1:3")) // moves on
+	p, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded := NewSet()
+	if err := json.Unmarshal(p, &decoded); err != nil {
+		t.Fatal(err)
+	}
+	for _, set := range []*Set{&s, &decoded} {
+		if got := set.Apply(announced("c", 2, 1, Ready, "127.0.0.1:1")); len(got) != 1 {
+			t.Fatalf("%d changes at an address that is free again", len(got))
+		}
+		if got := set.Apply(announced("d", 2, 1, Ready, "127.0.0.1:3")); len(got) != 2 || got[0].ID != "a" || got[0].State != Gone {
+			t.Fatalf("changes %+v at an address that is used again", got)
+		}
+	}
+}
