--- a/internal/peer/kqlink/mesh.go
+++ b/internal/peer/kqlink/mesh.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	dialTimeout = 500 * time.Millisecond
-	minRedial   = 100 * time.Millisecond
-	maxRedial   = time.Second
 	acceptPause = 50 * time.Millisecond // after an accept that failed
 	patience    = time.Second           // the host with the higher name leaves dialling to the other so long
 )
@@ -69,6 +66,8 @@
 
 	mu      sync.Mutex
 	conns   map[string]*conn
+	began   time.Time
+	linked  time.Time // when there was a link last, or the start
 	dialers map[string]*dialer
 	wait    sync.WaitGroup
 	closed  bool
@@ -95,7 +94,7 @@
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, cfg.Metrics) }
 	m := &Mesh{
 		cfg: cfg, clock: cfg.Clock, log: cfg.Log, receiver: cfg.Receiver, listener: l, self: make(chan outgoing, queueLength),
-		conns: map[string]*conn{}, dialers: map[string]*dialer{}, ctx: ctx, cancel: cancel,
+		conns: map[string]*conn{}, began: time.Now(), linked: time.Now(), dialers: map[string]*dialer{}, ctx: ctx, cancel: cancel,
 		sent: counter("link.sent.bytes"), received: counter("link.received.bytes"),
 		malformed: counter("link.malformed"), rejected: counter("link.rejected"), dropped: counter("link.dropped"),
 	}
@@ -225,6 +224,7 @@
 	m.mu.Lock()
 	last := m.conns[c.peer] == c
 	if last {
+		m.linked = time.Now()
 		delete(m.conns, c.peer)
 	}
 	m.mu.Unlock()
@@ -267,25 +267,39 @@
 
 func (m *Mesh) keep(ctx context.Context, peer, addr string) {
 	defer m.wait.Done()
-	pause := minRedial
+	var again redial
 	if m.cfg.Host > peer && !m.cfg.Eager {
 		rest(ctx, patience)
 	}
 	for ctx.Err() == nil {
 		began := time.Now()
 		if m.conn(peer) == nil {
-			if err := m.dial(ctx, peer, addr); err != nil {
+			if err := m.dial(ctx, peer, addr, again.limit(m.alone())); err != nil {
 				m.log.Debugf("dial %s at %s: %v", peer, addr, err)
 			}
 		}
 		if m.conn(peer) != nil || time.Since(began) > maxRedial {
-			pause = minRedial
+			again.reached()
 		}
+		pause := again.next(m.alone())
 		rest(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, maxRedial)
 	}
 }
 
+// alone returns for how long a host that nobody dials has had no link, negative
+// if it has one; of another host, for how long it has run.
+func (m *Mesh) alone() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case !m.cfg.Eager:
+		return time.Since(m.began)
+	case len(m.conns) > 0:
+		return -1
+	}
+	return time.Since(m.linked)
+}
+
 func rest(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -293,8 +307,8 @@
 	}
 }
 
-func (m *Mesh) dial(ctx context.Context, peer, addr string) error {
-	d := net.Dialer{Timeout: dialTimeout}
+func (m *Mesh) dial(ctx context.Context, peer, addr string, limit time.Duration) error {
+	d := net.Dialer{Timeout: limit}
 	raw, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
