kumquatbench policies: choices of targets in virtual time, under the platform's load

Change: the choice of one service on one host is kqfresh.Chooser (moved from kqpass, which keeps goroutines and sends); kqmodel plays it in virtual time against random, least in flight and perfect knowledge: slots, queue, slowness drawn anew each 150 ms, nearly full targets, shedding, bursts, stragglers that do not tell, fail-fast, cold targets, half of the hosts gone.

--- /dev/null
+++ b/internal/bench/kqbench/policies.go
@@ -0,0 +1,138 @@
+package kqbench
+
+import (
+	"context"
+	"fmt"
+	"image/color"
+	"io"
+	"math"
+	"slices"
+	"time"
+
+	"kumquatglade/internal/bench/kqmodel"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// policiesCommand compares policies in virtual time, under the load of the
+// users' platform.
+type policiesCommand struct {
+	deployment string
+	plot       string
+	fault      string
+	seeds      int
+}
+
+func newPoliciesCommand() command {
+	p := &policiesCommand{deployment: "hoanglien", fault: "burst", seeds: 5}
+	return command{"policies", "compare choices of targets in virtual time", p.flags, p.run}
+}
+
+func (p *policiesCommand) flags(s *flaggy.Subcommand) {
+	s.String(&p.deployment, "", "deployment", "hoanglien or schetsbord")
+	s.Int(&p.seeds, "", "seeds", "plays that are added up for each line, from seed 1 on")
+	s.String(&p.plot, "", "plot", "file for a plot of latency by policy (.svg, .png, .pdf)")
+	s.String(&p.fault, "", "fault", "pattern that is plotted")
+}
+
+// line is what one policy did under one pattern, over all seeds.
+type line struct {
+	requests, inTime, late, refused, asked int
+	latency                                *hdrhistogram.Histogram
+}
+
+func (p *policiesCommand) run(_ context.Context, out io.Writer) error {
+	models := map[string]func() kqmodel.Config{"hoanglien": kqmodel.Hoanglien, "schetsbord": kqmodel.Schetsbord}
+	model, ok := models[p.deployment]
+	if !ok || p.seeds < 1 {
+		return errors.Mark(errors.Newf("deployment %q with %d seeds", p.deployment, p.seeds), errUsage)
+	}
+	faults := kqmodel.Faults()
+	if !slices.ContainsFunc(faults, func(f kqmodel.Fault) bool { return f.Name == p.fault }) {
+		return errors.Mark(errors.Newf("fault %q is unknown", p.fault), errUsage)
+	}
+	cfg := model()
+	fmt.Fprintf(out, "%s: %d entry hosts, %d targets of %d slots, %.0f requests/s, objective %s, seeds 1 to %d\n",
+		p.deployment, cfg.Hosts, cfg.Targets, cfg.Slots, cfg.Rate, cfg.Objective, p.seeds)
+	fmt.Fprintf(out, "%-9s %-8s %9s %8s %8s %8s %8s %8s %8s %8s\n", "pattern", "policy", "requests", "in time", "late", "refused", "p50", "p99", "p99.9", "asked")
+	curves := map[string]*hdrhistogram.Histogram{}
+	for _, f := range faults {
+		for _, policy := range kqmodel.Policies() {
+			l, err := p.play(cfg, f, policy)
+			if err != nil {
+				return err
+			}
+			if f.Name == p.fault {
+				curves[policy] = l.latency
+			}
+			l.print(out, f.Name, policy)
+		}
+	}
+	if p.plot == "" {
+		return nil
+	}
+	return drawLatency(p.plot, p.deployment+", "+p.fault, curves)
+}
+
+func (p *policiesCommand) play(cfg kqmodel.Config, f kqmodel.Fault, policy string) (line, error) {
+	var l line
+	for seed := range p.seeds {
+		cfg.Fault, cfg.Seed = f, uint64(seed+1)
+		r, err := kqmodel.Run(cfg, policy)
+		if err != nil {
+			return l, err
+		}
+		l.requests += r.Requests
+		l.inTime += r.InTime
+		l.late += r.Late
+		l.refused += r.Refused
+		l.asked += r.Asked
+		if l.latency == nil {
+			l.latency = r.Latency
+			continue
+		}
+		l.latency.Merge(r.Latency)
+	}
+	return l, nil
+}
+
+func (l line) print(out io.Writer, fault, policy string) {
+	share := func(n int) float64 { return float64(n) / float64(max(l.requests, 1)) }
+	at := func(p float64) time.Duration {
+		return time.Duration(l.latency.ValueAtPercentile(p)).Round(time.Millisecond)
+	}
+	fmt.Fprintf(out, "%-9s %-8s %9d %8.3f %8.3f %8.3f %8s %8s %8s %8.1f\n", fault, policy, l.requests, share(l.inTime), share(l.late), share(l.refused),
+		at(50), at(99), at(99.9), share(l.asked))
+}
+
+// drawLatency plots the latency of answered requests by percentile, one line
+// for each policy.
+func drawLatency(file, title string, curves map[string]*hdrhistogram.Histogram) error {
+	p := plot.New()
+	p.Title.Text = "latency of answered requests: " + title
+	p.X.Label.Text, p.Y.Label.Text = "percentile", "ms"
+	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	p.X.Tick.Marker = plot.ConstantTicks{{Value: 0, Label: "0"}, {Value: 1, Label: "90"}, {Value: 2, Label: "99"}, {Value: 3, Label: "99.9"}}
+	p.Legend.Top, p.Legend.Left = true, true
+	colors := []color.Color{color.RGBA{R: 200, A: 255}, color.RGBA{R: 220, G: 140, A: 255}, color.RGBA{B: 200, A: 255}, color.RGBA{G: 140, A: 255}}
+	for i, policy := range kqmodel.Policies() {
+		var points plotter.XYs
+		for x := 0.0; x <= 3; x += 0.05 { // x nines
+			ms := float64(curves[policy].ValueAtPercentile(100*(1-math.Pow(10, -x)))) / float64(time.Millisecond)
+			points = append(points, plotter.XY{X: x, Y: max(ms, 1)})
+		}
+		curve, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		curve.Color, curve.Width = colors[i], vg.Points(1.5)
+		p.Add(curve)
+		p.Legend.Add(policy, curve)
+	}
+	return errors.Wrapf(p.Save(16*vg.Centimeter, 10*vg.Centimeter, file), "plot %s", file)
+}
--- /dev/null
+++ b/internal/bench/kqmodel/config.go
@@ -0,0 +1,88 @@
+package kqmodel
+
+import "time"
+
+// Config is one service under one load.
+type Config struct {
+	Domains []string // failure domains, over which hosts and targets are spread
+	Hosts   int      // entry hosts
+	Targets int
+	Slots   int // requests that a target works on at once
+	Queue   int // requests that wait at it before it sheds
+
+	Rate      float64 // first tries a second
+	Work      time.Duration
+	Spread    float64       // of the work, as a standard deviation of its logarithm
+	Objective time.Duration // within which an answer is worth most
+	Patience  time.Duration // of a caller, over all its tries
+	Timeout   time.Duration // of the route, for one try
+	Attempts  int           // targets that one try may be sent to
+	Tries     int           // of a caller that is refused
+
+	NoiseShare float64       // of the time in which a target's machine is slow
+	NoiseSlow  float64       // how many times slower it is then
+	NoiseEvery time.Duration // between two draws of that
+	Knee       float64       // share of busy slots above which a target gets slower, 0: it does not
+	KneeSlow   float64       // how many times slower
+	Questions  float64       // a target may be asked a second, by all hosts
+
+	Near, Far, Client time.Duration // one way: in a failure domain, between two, to callers
+
+	Fault    Fault
+	From     time.Duration // when the fault begins
+	For      time.Duration
+	Duration time.Duration
+	Seed     uint64
+}
+
+// Fault is what happens to a service from Config.From on.
+type Fault struct {
+	Name     string
+	Burst    float64 // times the rate, 0: as usual
+	Share    float64 // of the targets to which the rest happens
+	Slow     float64 // times slower, 0: as usual
+	FailFast bool    // they reject everything at once
+	Cold     float64 // times slower after a restart at From, 0: no restart
+	Dark     float64 // share of the hosts that end at From
+}
+
+// Faults are the patterns that a policy is compared under.
+func Faults() []Fault {
+	return []Fault{
+		{Name: "calm"},
+		{Name: "burst", Burst: 1.8},
+		{Name: "slow", Share: 0.4, Slow: 12},
+		{Name: "failfast", Share: 0.15, FailFast: true},
+		{Name: "cold", Share: 0.4, Cold: 2},
+		{Name: "dark", Dark: 0.5},
+	}
+}
+
+// base is what both deployments have in common.
+func base() Config {
+	return Config{
+		Spread: 0.3, Attempts: 2, Tries: 3, NoiseSlow: 5, NoiseEvery: 150 * time.Millisecond, Questions: 60,
+		Near: 100 * time.Microsecond, Far: 500 * time.Microsecond,
+		From: 5 * time.Second, For: 6 * time.Second, Duration: 20 * time.Second,
+	}
+}
+
+// Hoanglien is the reading service of the first deployment: few slots, and slow
+// when nearly full.
+func Hoanglien() Config {
+	c := base()
+	c.Domains, c.Hosts, c.Targets, c.Slots, c.Queue = []string{"a", "b", "c"}, 13, 13, 4, 8
+	c.Rate, c.Work, c.Objective, c.Patience, c.Timeout = 94.9, 120*time.Millisecond, 300*time.Millisecond, 2500*time.Millisecond, 1200*time.Millisecond
+	c.NoiseShare, c.Knee, c.KneeSlow, c.Client = 0.25, 0.8, 1.7, time.Millisecond
+	return c
+}
+
+// Schetsbord is the map service of the second one: slower machines more often,
+// and slots that may be filled.
+func Schetsbord() Config {
+	c := base()
+	c.Domains, c.Hosts, c.Targets, c.Slots, c.Queue = []string{"a", "b", "c", "d"}, 16, 16, 6, 24
+	c.Rate, c.Work, c.Objective, c.Patience, c.Timeout = 218, 95*time.Millisecond, 250*time.Millisecond, 2*time.Second, time.Second
+	c.NoiseShare, c.Client = 0.35, 3*time.Millisecond
+	return c
+}
--- /dev/null
+++ b/internal/bench/kqmodel/sim.go
@@ -0,0 +1,168 @@
+package kqmodel
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"kumquatglade/internal/route/kqfresh"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+)
+
+// Report is what a policy did under one load; its requests are first tries.
+type Report struct {
+	Requests int
+	InTime   int // answered within the objective
+	Late     int // answered later
+	Refused  int // or given up
+	Asked    int // questions
+	Latency  *hdrhistogram.Histogram
+}
+
+// sim is one play.
+type sim struct {
+	clock
+	cfg     Config
+	rng     *rand.Rand
+	began   time.Time
+	targets []*target
+	hosts   []*host
+	report  Report
+}
+
+// host is one entry host.
+type host struct {
+	s       *sim
+	domain  string
+	dark    bool
+	known   []*kqfresh.Target // as this host sees them, by target
+	chooser kqfresh.Chooser
+	unit    kqfresh.Unit
+	asks    kqfresh.Allowance
+	budget  kqfresh.Budget
+	seeking bool
+}
+
+// request is one caller's wish over all its tries.
+type request struct {
+	born  time.Time
+	end   time.Time // when the caller gives up
+	work  time.Duration
+	tries int
+}
+
+const (
+	highest   = int64(time.Minute)
+	digits    = 3
+	drained   = 5 * time.Second // after the last arrival, for what is in progress
+	askPart   = 0.85            // of the questions allowed
+	askSaved  = 10              // seconds over which questions are saved
+	backShare = 0.25            // of the time left over which returns are spread
+	backLeast = 60 * time.Millisecond
+	seconds   = 0.2 // second sends for each request
+	slack     = 56  // second sends of all hosts in a window
+	window    = 10 * time.Second
+)
+
+// Run plays the load under the policy.
+func Run(cfg Config, policy string) (*Report, error) {
+	p, ok := policies[policy]
+	if !ok {
+		return nil, errors.Newf("policy %q is unknown", policy)
+	}
+	s := newSim(cfg)
+	s.arrive(p)
+	if cfg.Fault.Dark > 0 {
+		s.after(cfg.From, func() {
+			for i := range int(math.Round(cfg.Fault.Dark * float64(cfg.Hosts))) {
+				s.hosts[i].dark = true
+			}
+		})
+	}
+	s.run(s.began.Add(cfg.Duration + drained))
+	s.report.Refused = s.report.Requests - s.report.InTime - s.report.Late
+	return &s.report, nil
+}
+
+func newSim(cfg Config) *sim {
+	s := &sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 5)), began: time.Unix(0, 0)}
+	s.now = s.began
+	s.report.Latency = hdrhistogram.New(1, highest, digits)
+	for i := range cfg.Targets {
+		t := &target{s: s, n: i, domain: cfg.Domains[i%len(cfg.Domains)]}
+		s.targets = append(s.targets, t)
+		s.after(time.Duration(s.rng.Float64()*float64(cfg.NoiseEvery)), t.drift)
+		t.slow = 1
+	}
+	for i := range cfg.Hosts {
+		s.hosts = append(s.hosts, s.newHost(cfg.Domains[i%len(cfg.Domains)]))
+	}
+	return s
+}
+
+func (s *sim) newHost(domain string) *host {
+	knee := &kqfresh.Knee{}
+	h := &host{
+		s: s, domain: domain, chooser: kqfresh.Chooser{Domain: domain, Rand: s.rng, Knee: knee},
+		budget: kqfresh.Budget{Ratio: seconds, Slack: slack, Window: window},
+	}
+	for _, t := range s.targets {
+		h.known = append(h.known, &kqfresh.Target{ID: t.domain, Domain: t.domain, Slots: s.cfg.Slots, Knee: knee})
+	}
+	return h
+}
+
+func (s *sim) since() time.Duration { return s.now.Sub(s.began) }
+
+// arrive makes the next request come, until the end of the play.
+func (s *sim) arrive(p policy) {
+	rate := s.cfg.Rate
+	if at := s.since(); s.cfg.Fault.Burst > 0 && at >= s.cfg.From && at < s.cfg.From+s.cfg.For {
+		rate *= s.cfg.Fault.Burst
+	}
+	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		if s.since() > s.cfg.Duration {
+			return
+		}
+		s.report.Requests++
+		work := time.Duration(math.Exp(s.cfg.Spread*s.rng.NormFloat64()) * float64(s.cfg.Work))
+		s.try(p, &request{born: s.now, end: s.now.Add(s.cfg.Patience), work: work})
+		s.arrive(p)
+	})
+}
+
+// try brings the request to a host that is there.
+func (s *sim) try(p policy, r *request) {
+	r.tries++
+	s.after(s.cfg.Client, func() {
+		h := s.hosts[s.rng.IntN(len(s.hosts))]
+		for h.dark {
+			h = s.hosts[s.rng.IntN(len(s.hosts))]
+		}
+		h.budget.Request(s.now)
+		p(h, &passage{host: h, request: r, policy: p, until: s.now.Add(min(s.cfg.Timeout, r.end.Sub(s.now)))})
+	})
+}
+
+// answered notes an answer that the caller gets now.
+func (s *sim) answered(r *request) {
+	took := s.now.Add(s.cfg.Client).Sub(r.born)
+	if s.now.After(r.end) {
+		return
+	}
+	_ = s.report.Latency.RecordValue(min(int64(took), highest)) // within the bounds
+	if took <= s.cfg.Objective {
+		s.report.InTime++
+		return
+	}
+	s.report.Late++
+}
+
+func (s *sim) distance(h *host, t *target) time.Duration {
+	if h.domain == t.domain {
+		return s.cfg.Near
+	}
+	return s.cfg.Far
+}
--- a/internal/call/kqpass/answer.go
+++ b/internal/call/kqpass/answer.go
@@ -103,9 +103,9 @@
 		l.Str("route", p.route.Name).Str("service", p.service).Int64("left", p.until.Sub(now).Milliseconds()).
 			Dur("waited", c.waited).Int("line", c.line).Int("asked", c.asked).Int("told", c.told)
 	}
-	if t := p.chosen.target; t != nil {
-		s := p.chosen.sample
-		l.Str("target", t.ID).Int("running", s.Running).Int("waiting", s.Waiting).Float64("slow", s.Slow).Float64("score", p.chosen.score)
+	if t := p.chosen.Target; t != nil {
+		s := p.chosen.Sample
+		l.Str("target", t.ID).Int("running", s.Running).Int("waiting", s.Waiting).Float64("slow", s.Slow).Float64("score", p.chosen.Score)
 		if !s.At.IsZero() {
 			l.Dur("age", now.Sub(s.At))
 		}
--- a/internal/call/kqpass/ask.go
+++ b/internal/call/kqpass/ask.go
@@ -14,10 +14,8 @@
 )
 
 const (
-	askMany  = 4                     // targets asked before a send
 	askTime  = 12 * time.Millisecond // that the first send waits for answers: a few round trips between failure domains
 	askLimit = 60 * time.Millisecond // after which a question is given up and its connection closed
-	askAgain = 4 * time.Millisecond  // age up to which an answer serves another request
 	askSaved = 10 * time.Second      // over which questions that were not asked are saved for a busy time
 	askPart  = 0.85                  // of the questions allowed: hosts may count fewer of each other than there are
 )
@@ -37,17 +35,9 @@
 // send, and which of them told their load just now.
 func (e *Engine) look(ctx context.Context, s *scene, service string, tried []*kqfresh.Target, n int) (list []*kqfresh.Target, f findings) {
 	began := e.cfg.Clock.Now()
-	f.fresh = map[*kqfresh.Target]bool{}
-	e.mu.Lock()
-	list = kqfresh.Candidates(s.service(service, tried), n, e.cfg.Domain, began, e.cfg.Rand)
 	var ask []*kqfresh.Target
-	for _, t := range list {
-		if !t.Last.At.IsZero() && began.Sub(t.Last.At) <= askAgain {
-			f.fresh[t] = true
-		} else if !t.Rests(began) && e.mayAsk(began) {
-			ask = append(ask, t)
-		}
-	}
+	e.mu.Lock()
+	list, ask, f.fresh = e.chooser(service).Look(s.service(service, tried), n, began, func() bool { return e.mayAsk(began) })
 	e.mu.Unlock()
 	f.asked = len(ask)
 	for _, t := range e.ask(ctx, s, service, ask) {
--- a/internal/call/kqpass/attempt.go
+++ b/internal/call/kqpass/attempt.go
@@ -77,13 +77,16 @@
 // take judges the head of an answer and passes a good one on.
 func (p *passage) take(ctx context.Context, t *kqfresh.Target, reply *kqforward.Reply, began time.Time) (outcome, bool) {
 	e, names := p.engine, p.engine.cfg.Names
+	e.mu.Lock()
+	ch := e.chooser(p.service)
+	e.mu.Unlock()
 	sample, told := parseLoad(reply.Header.Get(names.Load), e.cfg.Clock.Now())
 	bad := func(note func(time.Time), out outcome) (outcome, bool) {
 		e.settle(t, func(now time.Time) {
 			note(now)
 			if told {
 				t.Told(sample)
-				e.freed(p.service, t)
+				ch.Freed(t, now)
 			}
 		})
 		out.elapsed = e.cfg.Clock.Now().Sub(began)
@@ -123,29 +126,17 @@
 			t.Failed(now)
 		} else {
 			t.Succeeded(now)
-			p.learn(t, now.Sub(began))
+			ch.Learn(p.chosen.Choice, e.unit(p.route.Name), now.Sub(began))
 		}
 		if told {
 			t.Told(sample)
-			e.freed(p.service, t)
+			ch.Freed(t, now)
 		}
 	})
 	p.deliver(reply, body, whole)
 	return outcome{}, true
 }
 
-// learn takes how long a good answer took; the lock is held.
-func (p *passage) learn(t *kqfresh.Target, took time.Duration) {
-	unit := p.engine.unit(p.route.Name)
-	if !p.chosen.nearly {
-		unit.Took(took, p.chosen.score)
-		return
-	}
-	if free := p.chosen.score / t.Knee.Slow() * float64(unit.Or(0)); free > 0 {
-		t.Knee.Took(float64(took) / free)
-	}
-}
-
 // mayRepeat reports whether the route allows one more send, without taking it
 // from the budget.
 func (p *passage) mayRepeat() bool {
@@ -205,7 +196,7 @@
 		e.counts.failed.Inc(1)
 		p.note("broken", reply.Status, err.Error())
 		if !whole {
-			e.settle(p.chosen.target, func(time.Time) {})
+			e.settle(p.chosen.Target, func(time.Time) {})
 		}
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/call/kqpass/engine.go
+++ b/internal/call/kqpass/engine.go
@@ -50,10 +50,9 @@
 	doc     *kqroutes.Document
 	known   map[string]*kqfresh.Target
 	budgets map[string]*kqfresh.Budget
-	asks    kqfresh.Allowance // questions that this host may ask
-	lines   map[string]*line  // requests that wait, by service
+	asks    kqfresh.Allowance   // questions that this host may ask
+	choices map[string]*chooser // by service
 	units   map[string]*kqfresh.Unit
-	knees   map[string]*kqfresh.Knee // by service
 	longest map[string]time.Duration // that callers of a route were seen to wait
 }
 
@@ -68,7 +67,7 @@
 	e := &Engine{
 		cfg: cfg, pool: kqforward.NewPool(), done: make(chan struct{}), known: map[string]*kqfresh.Target{},
 		budgets: map[string]*kqfresh.Budget{},
-		lines:   map[string]*line{}, units: map[string]*kqfresh.Unit{}, knees: map[string]*kqfresh.Knee{}, longest: map[string]time.Duration{},
+		choices: map[string]*chooser{}, units: map[string]*kqfresh.Unit{}, longest: map[string]time.Duration{},
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("routes."+name, cfg.Metrics) }
 	e.counts = counters{
--- a/internal/call/kqpass/passage.go
+++ b/internal/call/kqpass/passage.go
@@ -151,7 +151,7 @@
 		}
 		var word string
 		p.chosen, word = p.choose(ctx, tried)
-		t := p.chosen.target
+		t := p.chosen.Target
 		if t == nil {
 			if p.sends == 0 && misses == 0 {
 				last.word = word
--- a/internal/call/kqpass/scene.go
+++ b/internal/call/kqpass/scene.go
@@ -42,7 +42,7 @@
 				k.Warm = now.Add(t.Cold)
 			}
 		}
-		k.Knee = e.knee(t.Service)
+		k.Knee = e.chooser(t.Service).Knee
 		known[t.ID] = k
 		if t.State == kqtargets.Ready {
 			next.targets[t.Service] = append(next.targets[t.Service], k)
@@ -53,15 +53,6 @@
 	e.scene.Store(next)
 }
 
-func (e *Engine) knee(service string) *kqfresh.Knee {
-	k := e.knees[service]
-	if k == nil {
-		k = &kqfresh.Knee{}
-		e.knees[service] = k
-	}
-	return k
-}
-
 // dropGone closes the idle connections to targets that left.
 func (e *Engine) dropGone(known map[string]*kqfresh.Target) {
 	for id, old := range e.known {
--- /dev/null
+++ b/internal/route/kqfresh/chooser.go
@@ -0,0 +1,135 @@
+package kqfresh
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// AskMany is how many targets are asked before a send.
+	AskMany = 4
+
+	// LookMost is how many are asked in one look for those who wait.
+	LookMost = 6
+
+	// LookEvery is the time between two looks for room while requests wait: a
+	// fraction of the time in which a slot gets free.
+	LookEvery = 6 * time.Millisecond
+
+	// askAgain is the age up to which an answer serves another request.
+	askAgain = 4 * time.Millisecond
+
+	// lateShare is the part of the time left for which a request that is late
+	// already may wait: the rest is for the target and for another try.
+	lateShare = 0.35
+)
+
+// Chooser decides for the requests for one service on one host.
+type Chooser struct {
+	Domain string // failure domain of this host
+	Rand   *rand.Rand
+	Line   Line
+	Knee   *Knee
+}
+
+// Look returns up to n targets worth a send, those of them that told their load
+// just now, and those to be asked as far as may allows one more question.
+func (c *Chooser) Look(list []*Target, n int, now time.Time, may func() bool) (worth, ask []*Target, fresh map[*Target]bool) {
+	worth = Candidates(list, n, c.Domain, now, c.Rand)
+	fresh = make(map[*Target]bool, len(worth))
+	for _, t := range worth {
+		switch {
+		case !t.Last.At.IsZero() && now.Sub(t.Last.At) <= askAgain:
+			fresh[t] = true
+		case !t.Rests(now) && may():
+			ask = append(ask, t)
+		}
+	}
+	return worth, ask, fresh
+}
+
+// LookFor returns how many targets to look at for so many requests that wait.
+func LookFor(waiting int) int { return min(2+waiting, LookMost) }
+
+// Best returns the best target with room and counts a send to it; nil if there
+// is none. Targets that never told their load are judged by own requests alone.
+func (c *Chooser) Best(list []*Target, fresh map[*Target]bool, now time.Time) *Target {
+	tells := slices.ContainsFunc(list, func(t *Target) bool { return !t.Last.At.IsZero() })
+	with := func(room func(*Target) bool) []*Target {
+		return slices.DeleteFunc(slices.Clone(list), func(t *Target) bool { return !room(t) })
+	}
+	roomy := with(func(t *Target) bool { return t.Room(now, tells) > 0 })
+	if len(roomy) == 0 && len(list) > 0 && c.Knee.Try() {
+		roomy = with(func(t *Target) bool { return t.Spare(now) })
+	}
+	t := Best(roomy, func(t *Target) bool { return fresh[t] || !tells }, now, c.Domain)
+	if t != nil {
+		c.sent(t, now)
+	}
+	return t
+}
+
+func (c *Chooser) sent(t *Target, now time.Time) {
+	t.Own++
+	t.Last.Sent++
+	c.Line.Started(now)
+}
+
+// Serve gives those who wait the best targets of the list, as long as one has
+// room.
+func (c *Chooser) Serve(list []*Target, fresh map[*Target]bool, now time.Time) {
+	for c.Line.Len() > 0 {
+		t := c.Best(list, fresh, now)
+		if t == nil {
+			return
+		}
+		c.Line.Next(now).Give(t)
+	}
+}
+
+// Freed gives the room of a target that has just told its load to those who wait.
+func (c *Chooser) Freed(t *Target, now time.Time) {
+	for c.Line.Len() > 0 && t.Room(now, true) > 0 {
+		c.sent(t, now)
+		c.Line.Next(now).Give(t)
+	}
+}
+
+// Patience returns by when a request must start to be answered within its
+// objective, counted from born, and until when it waits at all; unit is what is
+// usual for its route, and end when it is given up.
+func Patience(now, born, end time.Time, objective, unit time.Duration) (latest, until time.Time) {
+	latest = born.Add(objective - unit - unit/2)
+	if latest.After(now) {
+		return latest, latest
+	}
+	return latest, now.Add(time.Duration(lateShare * float64(end.Sub(now)-unit)))
+}
+
+// Choice is a chosen target and what was known of it before the send.
+type Choice struct {
+	Target *Target
+	Sample Sample
+	Score  float64 // expected time, in units of the route
+	Nearly bool    // the send made the target nearly full
+}
+
+// Chosen returns the choice of a target to which a send has just been counted.
+func (c *Chooser) Chosen(t *Target, now time.Time) Choice {
+	before := *t
+	before.Own--
+	before.Last.Sent = max(before.Last.Sent-1, 0)
+	return Choice{Target: t, Sample: before.Last, Score: before.Score(now, c.Domain), Nearly: before.Nearly()}
+}
+
+// Learn takes how long a good answer took after the choice.
+func (c *Chooser) Learn(ch Choice, unit *Unit, took time.Duration) {
+	if !ch.Nearly {
+		unit.Took(took, ch.Score)
+		return
+	}
+	if free := ch.Score / c.Knee.Slow() * float64(unit.Or(0)); free > 0 {
+		c.Knee.Took(float64(took) / free)
+	}
+}
