--- a/internal/bench/kqmodel/fresh.go
+++ b/internal/bench/kqmodel/fresh.go
@@ -15,7 +15,7 @@
 		return
 	}
 	list := h.untried(p)
-	h.look(list, kqfresh.AskMany, func(worth []*kqfresh.Target, told map[*kqfresh.Target]bool) {
+	h.look(list, kqfresh.AskFor(h.asks.Level()), func(worth []*kqfresh.Target, told map[*kqfresh.Target]bool) {
 		if t := h.chooser.Best(worth, told, h.s.now); t != nil {
 			p.send(h.number(t), h.chooser.Chosen(t, h.s.now))
 			return
--- a/internal/call/kqpass/wait.go
+++ b/internal/call/kqpass/wait.go
@@ -38,9 +38,10 @@
 	e.mu.Lock()
 	ch := e.chooser(p.service)
 	c.line = ch.Line.Len()
+	many := kqfresh.AskFor(e.asks.Level())
 	e.mu.Unlock()
 	if c.line == 0 {
-		list, f := e.look(ctx, p.scene, p.service, tried, kqfresh.AskMany)
+		list, f := e.look(ctx, p.scene, p.service, tried, many)
 		c.findings = f
 		if len(list) == 0 {
 			return c, "no target"
--- a/internal/route/kqfresh/allowance.go
+++ b/internal/route/kqfresh/allowance.go
@@ -8,6 +8,7 @@
 // Allowance is a bucket whose rate may change.
 type Allowance struct {
 	left float64
+	most float64
 	at   time.Time
 }
 
@@ -16,10 +17,20 @@
 	if a.at.IsZero() {
 		a.left, a.at = firstAllowed, now
 	}
-	a.left = min(max(most, 1), a.left+rate*now.Sub(a.at).Seconds())
+	a.most = max(most, 1)
+	a.left = min(a.most, a.left+rate*now.Sub(a.at).Seconds())
 	a.at = now
 }
 
+// Level returns the share of what could be saved that is left, 1 before the
+// first refill.
+func (a *Allowance) Level() float64 {
+	if a.most == 0 {
+		return 1
+	}
+	return a.left / a.most
+}
+
 // Take takes one, if there is one.
 func (a *Allowance) Take() bool {
 	if a.left < 1 {
--- a/internal/route/kqfresh/chooser.go
+++ b/internal/route/kqfresh/chooser.go
@@ -10,6 +10,9 @@
 	// AskMany is how many targets are asked before a send.
 	AskMany = 4
 
+	askFew   = 2
+	askSteps = 2 // times what is left, above which all are asked
+
 	// LookMost is how many are asked in one look for those who wait.
 	LookMost = 6
 
@@ -49,6 +52,13 @@
 	return worth, ask, fresh
 }
 
+// AskFor returns how many targets to ask before a send, by the share of the
+// questions saved that is left: in a busy time all requests get some knowledge
+// in place of the first ones much and the others none.
+func AskFor(level float64) int {
+	return min(AskMany, askFew+int(level*askSteps*(AskMany-askFew+1)))
+}
+
 // LookFor returns how many targets to look at for so many requests that wait.
 func LookFor(waiting int) int { return min(2+waiting, LookMost) }
 
--- a/internal/route/kqfresh/fresh_test.go
+++ b/internal/route/kqfresh/fresh_test.go
@@ -231,3 +231,26 @@
 		t.Fatalf("%d taken", taken)
 	}
 }
+
+// TestAskFor: in a burst questions are spread over all requests.
+func TestAskFor(t *testing.T) {
+	for _, c := range []struct {
+		level float64
+		want  int
+	}{{1, AskMany}, {0.5, AskMany}, {0.3, 3}, {0.1, askFew}, {0, askFew}} {
+		if got := AskFor(c.level); got != c.want {
+			t.Errorf("at level %v asks %d, want %d", c.level, got, c.want)
+		}
+	}
+	var a Allowance
+	if a.Level() != 1 {
+		t.Error("nothing is left before the start")
+	}
+	a.Refill(10, 100, time.Unix(0, 0))
+	for a.Take() {
+	}
+	a.Refill(10, 100, time.Unix(5, 0))
+	if got := a.Level(); got != 0.5 {
+		t.Errorf("level %v after half of the time", got)
+	}
+}
