Ask targets of the own failure domain first

Sends from all hosts to all targets also blur what each host knows of them. Change: near candidates first, others as soon as those have no room. Test: TestNearCandidates.

--- a/internal/bench/kqmodel/config.go
+++ b/internal/bench/kqmodel/config.go
@@ -44,6 +44,7 @@
 	FailFast bool    // they reject everything at once
 	Cold     float64 // times slower after a restart at From, 0: no restart
 	Dark     float64 // share of the hosts that end at From
+	Return   float64 // seconds of requests that come back in the first second of the play
 }
 
 // Faults are the patterns that a policy is compared under.
@@ -55,6 +56,7 @@
 		{Name: "failfast", Share: 0.15, FailFast: true},
 		{Name: "cold", Share: 0.4, Cold: 2},
 		{Name: "dark", Dark: 0.5},
+		{Name: "return", Return: 1.5},
 	}
 }
 
--- a/internal/bench/kqmodel/sim.go
+++ b/internal/bench/kqmodel/sim.go
@@ -74,6 +74,9 @@
 	}
 	s := newSim(cfg)
 	s.arrive(p)
+	for range int(cfg.Fault.Return * cfg.Rate) { // all hosts were dark: nobody knows anything yet
+		s.after(time.Duration(s.rng.Float64()*float64(time.Second)), func() { s.request(p) })
+	}
 	if cfg.Fault.Dark > 0 {
 		s.after(cfg.From, func() {
 			for i := range int(math.Round(cfg.Fault.Dark * float64(cfg.Hosts))) {
@@ -126,13 +129,18 @@
 		if s.since() > s.cfg.Duration {
 			return
 		}
-		s.report.Requests++
-		work := time.Duration(math.Exp(s.cfg.Spread*s.rng.NormFloat64()) * float64(s.cfg.Work))
-		s.try(p, &request{born: s.now, end: s.now.Add(s.cfg.Patience), work: work})
+		s.request(p)
 		s.arrive(p)
 	})
 }
 
+// request makes a request come now.
+func (s *sim) request(p policy) {
+	s.report.Requests++
+	work := time.Duration(math.Exp(s.cfg.Spread*s.rng.NormFloat64()) * float64(s.cfg.Work))
+	s.try(p, &request{born: s.now, end: s.now.Add(s.cfg.Patience), work: work})
+}
+
 // try brings the request to a host that is there.
 func (s *sim) try(p policy, r *request) {
 	r.tries++
--- a/internal/route/kqfresh/book.go
+++ b/internal/route/kqfresh/book.go
@@ -110,17 +110,15 @@
 	return e
 }
 
-// nearShare is the share of candidates that may come from the own failure
-// domain before others are looked at: bytes between domains cost.
-const nearShare = 0.5
-
 // Candidates returns at most n targets worth asking, in random order: those
-// that seem free and sound first, others only if these lack; some of them near.
+// that seem free and sound first, others only if these lack. Among them those of
+// the own failure domain come first: bytes between domains cost, and the fewer
+// hosts choose among the same targets, the better each knows them.
 func Candidates(list []*Target, n int, domain string, now time.Time, rng *rand.Rand) []*Target {
 	order := rng.Perm(len(list))
 	near := 0
 	for i, k := range order {
-		if list[k].Domain == domain && !now.Before(list[k].later) && float64(near) < nearShare*float64(n) {
+		if list[k].Domain == domain {
 			order[near], order[i] = order[i], order[near]
 			near++
 		}
--- a/internal/route/kqfresh/fresh_test.go
+++ b/internal/route/kqfresh/fresh_test.go
@@ -254,3 +254,33 @@
 		t.Errorf("level %v after half of the time", got)
 	}
 }
+
+// TestNearCandidates: targets of the own failure domain are asked first, and
+// others as soon as those have no room.
+func TestNearCandidates(t *testing.T) {
+	now := time.Unix(0, 0)
+	rng := rand.New(rand.NewPCG(1, 1))
+	var list []*Target
+	for i := range 12 {
+		list = append(list, &Target{Domain: string(rune('a' + i%3)), Slots: 4})
+	}
+	near := func() (n int) {
+		for _, x := range Candidates(list, AskMany, "a", now, rng) {
+			if x.Domain == "a" {
+				n++
+			}
+		}
+		return n
+	}
+	if n := near(); n != AskMany {
+		t.Errorf("%d of %d candidates are near", n, AskMany)
+	}
+	for _, x := range list {
+		if x.Domain == "a" {
+			x.Told(Sample{Running: 4, Slots: 4, Slow: 1, At: now})
+		}
+	}
+	if n := near(); n != 0 {
+		t.Errorf("%d candidates are near although none there has room", n)
+	}
+}
--- a/internal/route/kqfresh/knee.go
+++ b/internal/route/kqfresh/knee.go
@@ -11,7 +11,7 @@
 	// for many reasons that have nothing to do with the load at its start.
 	kneeMost = 3.0
 
-	tryUnsure = 4   // of so many times without room, one nearly full target is tried while little is known
+	tryUnsure = 2   // of so many times without room, one nearly full target is tried while little is known
 	trySure   = 128 // and later on, as targets may have changed
 	tryKnown  = 8   // answers after which enough is known
 )
