kqmodel: the pattern of targets that all shed; shared risk tried and reverted

Tried: only the risk beyond the least one of the service counts. Conclusion: reverted; what binds there is the two targets that a try may be sent to and the shared budget, not the choice.

--- a/internal/bench/kqbench/policies.go
+++ b/internal/bench/kqbench/policies.go
@@ -118,6 +118,7 @@
 	p.X.Label.Text, p.Y.Label.Text = "percentile", "ms"
 	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	p.X.Tick.Marker = plot.ConstantTicks{{Value: 0, Label: "0"}, {Value: 1, Label: "90"}, {Value: 2, Label: "99"}, {Value: 3, Label: "99.9"}}
+	p.X.Max = 3.1 // room for the last label
 	p.Legend.Top, p.Legend.Left = true, true
 	colors := []color.Color{color.RGBA{R: 200, A: 255}, color.RGBA{R: 220, G: 140, A: 255}, color.RGBA{B: 200, A: 255}, color.RGBA{G: 140, A: 255}}
 	for i, policy := range kqmodel.Policies() {
--- a/internal/bench/kqmodel/config.go
+++ b/internal/bench/kqmodel/config.go
@@ -42,6 +42,7 @@
 	Share    float64 // of the targets to which the rest happens
 	Slow     float64 // times slower, 0: as usual
 	FailFast bool    // they reject everything at once
+	Shed     float64 // share of requests that they reject although they have room
 	Cold     float64 // times slower after a restart at From, 0: no restart
 	Dark     float64 // share of the hosts that end at From
 	Return   float64 // seconds of requests that come back in the first second of the play
@@ -54,6 +55,7 @@
 		{Name: "burst", Burst: 1.8},
 		{Name: "slow", Share: 0.4, Slow: 12},
 		{Name: "failfast", Share: 0.15, FailFast: true},
+		{Name: "shed", Share: 1, Shed: 0.55},
 		{Name: "cold", Share: 0.4, Cold: 2},
 		{Name: "dark", Dark: 0.5},
 		{Name: "return", Return: 1.5},
--- a/internal/bench/kqmodel/target.go
+++ b/internal/bench/kqmodel/target.go
@@ -32,7 +32,7 @@
 func (t *target) take(j job) {
 	f, hit := t.fault()
 	switch {
-	case hit && f.FailFast:
+	case hit && (f.FailFast || t.s.rng.Float64() < f.Shed):
 		j.end(false)
 	case t.running < t.s.cfg.Slots:
 		t.begin(j)
