Compress large messages between hosts; tries to subscribe get longer

Change: frames over 4 KB are compressed (flate); after four tries in vain a try to subscribe may take twice as long, up to 3 s.

--- a/internal/peer/kqlink/codec.go
+++ b/internal/peer/kqlink/codec.go
@@ -2,29 +2,66 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/flate"
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 )
 
-// maxMessage bounds one message in bytes; a snapshot is the largest.
-const maxMessage = 64 << 20
+const (
+	// maxMessage bounds one message in bytes; a snapshot is the largest.
+	maxMessage = 64 << 20
 
-// codec frames one JSON object by its length and counts the bytes.
+	// packLeast is the size in bytes from which a message is compressed: documents
+	// and views repeat themselves, and the links of small hosts are slow.
+	packLeast = 4 << 10
+)
+
+// codec frames one JSON object by its length and counts the bytes. The lowest
+// bit of the length says that the object is compressed.
 type codec struct {
 	sent, received metrics.Counter
 }
 
+var packers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is fixed
+	}
+	return w
+}}
+
+func pack(body []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w := packers.Get().(*flate.Writer)
+	defer packers.Put(w)
+	w.Reset(&out)
+	if _, err := w.Write(body); err != nil {
+		return nil, err
+	}
+	err := w.Close()
+	return out.Bytes(), err
+}
+
 // WriteObject writes one object as one frame.
 func (c codec) WriteObject(w io.Writer, obj any) error {
 	body, err := json.Marshal(obj)
 	if err != nil {
 		return err
 	}
-	p := binary.AppendUvarint(nil, uint64(len(body)))
+	packed := uint64(0)
+	if len(body) >= packLeast {
+		if body, err = pack(body); err != nil {
+			return err
+		}
+		packed = 1
+	}
+	p := binary.AppendUvarint(nil, uint64(len(body))<<1|packed)
 	p = append(p, body...)
 	c.sent.Inc(int64(len(p)))
 	_, err = w.Write(p)
@@ -37,16 +74,33 @@
 	if err != nil {
 		return err
 	}
-	if n > maxMessage {
-		return errors.Newf("message of %d bytes: at most %d", n, maxMessage)
+	size, packed := n>>1, n&1 == 1
+	if size > maxMessage {
+		return errors.Newf("message of %d bytes: at most %d", size, maxMessage)
 	}
-	body, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	body, err := io.ReadAll(io.LimitReader(r, int64(size)))
 	if err != nil {
 		return err
 	}
-	if uint64(len(body)) < n {
+	if uint64(len(body)) < size {
 		return io.ErrUnexpectedEOF
 	}
-	c.received.Inc(int64(n))
+	c.received.Inc(int64(size))
+	if packed {
+		if body, err = unpack(body); err != nil {
+			return err
+		}
+	}
 	return json.Unmarshal(body, v)
 }
+
+func unpack(p []byte) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(p)), maxMessage+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "compressed message")
+	}
+	if len(body) > maxMessage {
+		return nil, errors.Newf("message of over %d bytes", maxMessage)
+	}
+	return body, nil
+}
--- a/internal/state/kqfeed/changes_test.go
+++ b/internal/state/kqfeed/changes_test.go
@@ -73,3 +73,18 @@
 		t.Fatalf("goes on over a gap: joined %v, revision %d", f.joined, f.revision())
 	}
 }
+
+// TestSubscribeTime: a host whose view is larger than its link carries in one
+// try gets it all the same.
+func TestSubscribeTime(t *testing.T) {
+	f := NewFollower(FollowerConfig{Subscribe: 500 * time.Millisecond})
+	var got []time.Duration
+	for _, failed := range []int{0, triesEach - 1, triesEach, 2 * triesEach, 3 * triesEach, 100 * triesEach} {
+		f.failed = failed
+		got = append(got, f.subscribeTime())
+	}
+	ms := time.Millisecond
+	if diff := cmp.Diff([]time.Duration{500 * ms, 500 * ms, 1000 * ms, 2000 * ms, 3000 * ms, 3000 * ms}, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -58,6 +58,7 @@
 	hub     string // control host that this host subscribes to
 	joined  bool   // the subscription to hub is answered
 	held    []kqcontract.Change
+	failed  int // tries to subscribe in vain since the last answer
 	lease   lease
 	fresh   bool // this host was in no list before
 	refused bool // the lease has run out
@@ -217,11 +218,8 @@
 func (f *Follower) subscribe(control string) bool {
 	f.mu.Lock()
 	f.hub, f.joined, f.held = control, false, nil
+	limit := f.subscribeTime()
 	f.mu.Unlock()
-	limit := f.cfg.Subscribe
-	if limit == 0 {
-		limit = subscribeLimit
-	}
 	ctx, cancel := context.WithTimeout(f.ctx, limit)
 	defer cancel()
 	asked := f.cfg.Clock.Now()
@@ -229,10 +227,14 @@
 	err := f.cfg.Link.Call(ctx, control, MethodSubscribe, subscription{Revision: f.revision(), Host: f.cfg.Host}, &s)
 	if err != nil {
 		f.cfg.Log.Debugf("subscribe at %s: %v", control, err)
+		f.mu.Lock()
+		f.failed++
+		f.mu.Unlock()
 		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.failed = 0
 	f.lease.confirm(asked)
 	f.heard = f.cfg.Clock.Now()
 	f.joined = true
@@ -248,6 +250,20 @@
 	return true
 }
 
+// triesEach is how many tries to subscribe follow each other before each may take
+// twice as long: a whole view on a slow link needs its time, and what is given up
+// half way loads the link for nothing.
+const triesEach = 4
+
+// subscribeTime returns the time for the next try to subscribe.
+func (f *Follower) subscribeTime() time.Duration {
+	limit := f.cfg.Subscribe
+	if limit == 0 {
+		limit = subscribeLimit
+	}
+	return min(limit<<min(f.failed/triesEach, 8), max(limit, subscribeLimit))
+}
+
 // take moves to the state of the answer and to the changes that came meanwhile.
 func (f *Follower) take(s start) {
 	if s.View != nil && (f.view.Load() == nil || s.View.Revision > f.revision()) {
