--- a/internal/route/kqfresh/fresh_test.go
+++ b/internal/route/kqfresh/fresh_test.go
@@ -284,3 +284,22 @@
 		t.Errorf("%d candidates are near although none there has room", n)
 	}
 }
+
+// TestShortLineOfARareKind: a kind with two requests a second on this host must
+// not be refused for a line of three while its objective leaves 80 ms to start.
+func TestShortLineOfARareKind(t *testing.T) {
+	now := time.Unix(10, 0)
+	var l Line
+	l.Started(now.Add(-time.Second))
+	for i := range 3 {
+		if !l.Join(&Waiter{Latest: now.Add(80 * time.Millisecond), Until: now.Add(80 * time.Millisecond)}, now) {
+			t.Fatalf("refused behind %d others, expecting to wait for %v", i, l.Wait(now))
+		}
+	}
+	for range 100 {
+		l.Join(&Waiter{Latest: now.Add(time.Second), Until: now.Add(time.Second)}, now)
+	}
+	if l.Join(&Waiter{Latest: now.Add(80 * time.Millisecond), Until: now.Add(80 * time.Millisecond)}, now) {
+		t.Fatal("joins a line that is far too long")
+	}
+}
--- a/internal/route/kqfresh/line.go
+++ b/internal/route/kqfresh/line.go
@@ -17,7 +17,7 @@
 	unitWeight = 0.05 // of the newest request in what is usual
 	lineMost   = 512  // requests that wait for one service on one host
 	rateLife   = 500 * time.Millisecond
-	leastGiven = 5 // starts in rateLife that are assumed at the least
+	leastGiven = 20 // starts in rateLife that are assumed at the least: few starts of late mean few requests, not little room
 )
 
 // Room returns how many requests may be started on the target now without
