--- a/internal/peer/kqlink/mesh.go
+++ b/internal/peer/kqlink/mesh.go
@@ -274,7 +274,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		if m.conn(peer) == nil {
-			if err := m.dial(ctx, peer, addr, again.limit(m.alone())); err != nil {
+			if err := m.dial(ctx, peer, addr); err != nil {
 				m.log.Debugf("dial %s at %s: %v", peer, addr, err)
 			}
 		}
@@ -307,9 +307,9 @@
 	}
 }
 
-func (m *Mesh) dial(ctx context.Context, peer, addr string, limit time.Duration) error {
-	d := net.Dialer{Timeout: limit}
-	raw, err := d.DialContext(ctx, "tcp", addr)
+func (m *Mesh) dial(ctx context.Context, peer, addr string) error {
+	var d net.Dialer
+	raw, err := reach(ctx, d.DialContext, addr, isStart(m.alone()))
 	if err != nil {
 		return err
 	}
--- a/internal/peer/kqlink/mesh_test.go
+++ b/internal/peer/kqlink/mesh_test.go
@@ -154,7 +154,7 @@
 	in := newInbox()
 	m1 := listen(t, "h1", a[0], "secret-1", in)
 	m2 := listen(t, "h2", a[1], "secret-2", newInbox())
-	if err := m2.dial(context.Background(), "h1", a[0], dialTimeout); err == nil {
+	if err := m2.dial(context.Background(), "h1", a[0]); err == nil {
 		t.Fatal("linked")
 	}
 	m1.Close()
--- a/internal/peer/kqlink/redial.go
+++ b/internal/peer/kqlink/redial.go
@@ -1,6 +1,10 @@
 package kqlink
 
-import "time"
+import (
+	"context"
+	"net"
+	"time"
+)
 
 const (
 	minRedial = 100 * time.Millisecond // before the first new try to reach a peer
@@ -10,35 +14,19 @@
 	// come back together, a doubled pause would outlast the others' start by
 	// more than an election.
 	loneRedial = 50 * time.Millisecond
-	loneDial   = 120 * time.Millisecond // for one try meanwhile: some round trips between regions
-	loneMost   = 10 * time.Second       // after which being alone no longer is a start
+	loneMost   = 10 * time.Second // after which being alone no longer is a start
 )
 
 // dialTimeout bounds one try to reach a peer: a first packet that is lost is sent
 // again only after a second.
 const dialTimeout = 500 * time.Millisecond
 
-// longEvery is how many tries of a host that has just started hold one that
-// lasts for dialTimeout: some peers may be far away.
-const longEvery = 4
-
 // isStart reports whether a host alone for so long is one that has just started.
 func isStart(alone time.Duration) bool { return alone >= 0 && alone < loneMost }
 
 // redial is the pauses between the tries to reach one peer.
 type redial struct {
 	pause time.Duration
-	tries int
-}
-
-// limit returns the time for the next try. A peer that is still without power
-// answers nothing, and may be there a moment later.
-func (r *redial) limit(alone time.Duration) time.Duration {
-	r.tries++
-	if isStart(alone) && r.tries%longEvery != 0 {
-		return loneDial
-	}
-	return dialTimeout
 }
 
 // reached notes that the peer was there, or that the last try was slow enough.
@@ -54,3 +42,50 @@
 	r.pause = min(max(2*r.pause, minRedial), maxRedial)
 	return r.pause
 }
+
+// connector makes one connection, like net.Dialer.DialContext.
+type connector func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// reach connects to the address. A host that has just started begins one more try
+// each loneRedial while the earlier ones last: a peer that is still without power
+// swallows a first packet, and may be there a moment later; one that is far away
+// needs a long try.
+func reach(ctx context.Context, connect connector, addr string, started bool) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if !started {
+		return connect(ctx, "tcp", addr)
+	}
+	type result struct {
+		conn net.Conn
+		err  error
+	}
+	results := make(chan result)
+	try := func() {
+		conn, err := connect(ctx, "tcp", addr)
+		select {
+		case results <- result{conn, err}:
+		case <-ctx.Done():
+			if err == nil {
+				conn.Close()
+			}
+		}
+	}
+	again := time.NewTicker(loneRedial)
+	defer again.Stop()
+	go try()
+	last := context.DeadlineExceeded
+	for {
+		select {
+		case r := <-results:
+			if r.err == nil {
+				return r.conn, nil
+			}
+			last = r.err
+		case <-again.C:
+			go try()
+		case <-ctx.Done():
+			return nil, last
+		}
+	}
+}
--- a/internal/peer/kqlink/redial_test.go
+++ b/internal/peer/kqlink/redial_test.go
@@ -1,10 +1,14 @@
 package kqlink
 
 import (
+	"cmp"
+	"context"
+	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
 )
 
 // TestRedial: after a power loss of everything entry hosts start before the
@@ -32,29 +36,56 @@
 			for _, alone := range c.alone {
 				got = append(got, r.next(alone))
 			}
-			if diff := cmp.Diff(c.want, got); diff != "" {
+			if diff := gocmp.Diff(c.want, got); diff != "" {
 				t.Fatal(diff)
 			}
 		})
 	}
 }
 
-// TestTimeForATry: a peer without power swallows the first packet, and the try
-// must end before the peer is back; a peer that is far away needs a long one.
-func TestTimeForATry(t *testing.T) {
+// TestReach: a peer without power swallows the first packets and may be there a
+// moment later; a peer that is far away needs a long try.
+func TestReach(t *testing.T) {
+	const ms = time.Millisecond
 	for _, c := range []struct {
-		alone time.Duration
-		short int // of eight tries
-	}{{0, 6}, {time.Second, 6}, {time.Minute, 0}, {-1, 0}} {
-		var r redial
-		short := 0
-		for range 8 {
-			if r.limit(c.alone) == loneDial {
-				short++
-			}
-		}
-		if short != c.short {
-			t.Errorf("alone for %v: %d of 8 tries are short, want %d", c.alone, short, c.short)
-		}
+		name    string
+		started bool
+		there   time.Duration // from when on the peer answers, from the start
+		takes   time.Duration // a try that it answers
+		most    time.Duration // until there is a connection, 0: none
+	}{
+		{"there at once", true, 0, ms, ms},
+		{"power comes back", true, 210 * ms, ms, 251 * ms},
+		{"far away", true, 0, 300 * ms, 300 * ms},
+		{"never there", true, time.Hour, ms, 0},
+		{"no start: one try", false, 100 * ms, ms, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				connect := func(ctx context.Context, _, _ string) (net.Conn, error) {
+					takes := c.takes
+					if time.Since(began) < c.there {
+						takes = time.Hour // the packet is lost
+					}
+					select {
+					case <-time.After(takes):
+						conn, other := net.Pipe()
+						other.Close()
+						return conn, nil
+					case <-ctx.Done():
+						return nil, ctx.Err()
+					}
+				}
+				conn, err := reach(t.Context(), connect, "", c.started)
+				if err == nil {
+					conn.Close()
+				}
+				took := time.Since(began)
+				if (err == nil) != (c.most > 0) || took > cmp.Or(c.most, dialTimeout) {
+					t.Fatalf("after %v: %v", took, err)
+				}
+			})
+		})
 	}
 }
--- a/internal/state/kqjournal/journal.go
+++ b/internal/state/kqjournal/journal.go
@@ -15,7 +15,7 @@
 const (
 	segmentPrefix = "log-"
 	snapshotName  = "snapshot"
-	metaName      = "meta"
+	metaName      = "meta" // of folders written before Meta went into the log
 	newSuffix     = ".new"
 	segmentSize   = 4 << 20 // bytes after which a new segment starts
 )
@@ -71,6 +71,7 @@
 	size    int
 	segment string   // name of the open segment
 	closed  []string // names of the earlier segments
+	meta    []byte   // frame of the newest Meta, nil before the first
 }
 
 // Open reads all files, cuts a torn tail and opens the last segment.
@@ -151,11 +152,7 @@
 			l.Cut = len(p) - at
 			break
 		}
-		var batch []Entry
-		if err := cbor.Unmarshal(payload, &batch); err != nil {
-			return errors.Wrapf(err, "journal: decode %s at byte %d", name, at)
-		}
-		if err := j.take(batch, l); err != nil {
+		if err := j.read(payload, l); err != nil {
 			return errors.Wrapf(err, "journal: %s at byte %d", name, at)
 		}
 		at += size
@@ -167,6 +164,23 @@
 	return j.reopen(name, at, l.Cut)
 }
 
+// metaKind is the first byte's upper bits of an encoded Meta, a map; a batch is an
+// array.
+const metaKind = 5
+
+// read takes one record of the log.
+func (j *Journal) read(payload []byte, l *Loaded) error {
+	if payload[0]>>5 == metaKind {
+		l.Meta, j.meta = Meta{}, frame(payload)
+		return errors.Wrap(cbor.Unmarshal(payload, &l.Meta), "decode meta")
+	}
+	var batch []Entry
+	if err := cbor.Unmarshal(payload, &batch); err != nil {
+		return errors.Wrap(err, "decode")
+	}
+	return j.take(batch, l)
+}
+
 // take puts a batch behind the entries read so far; it overwrites from its
 // first index on, as the leader's log does.
 func (j *Journal) take(batch []Entry, l *Loaded) error {
@@ -210,7 +224,11 @@
 			return err
 		}
 	}
-	p := frame(payload)
+	return j.write(frame(payload))
+}
+
+// write appends to the open segment and syncs it.
+func (j *Journal) write(p []byte) error {
 	if _, err := j.file.Write(p); err != nil {
 		return errors.Wrap(err, "journal: write")
 	}
@@ -247,9 +265,14 @@
 	return n + 1
 }
 
-// SaveMeta replaces the meta file.
+// SaveMeta makes m last: it counts from here on.
 func (j *Journal) SaveMeta(m Meta) error {
-	return j.replace(metaName, m)
+	payload, err := cbor.Marshal(m)
+	if err != nil {
+		return errors.Wrap(err, "journal: encode meta")
+	}
+	j.meta = frame(payload)
+	return j.write(j.meta)
 }
 
 // SaveSnapshot replaces the snapshot; keep holds the entries behind it that
@@ -260,6 +283,11 @@
 	if err := j.roll(); err != nil {
 		return err
 	}
+	if j.meta != nil { // the earlier segments go
+		if err := j.write(j.meta); err != nil {
+			return err
+		}
+	}
 	if len(keep) > 0 {
 		if err := j.Append(keep); err != nil {
 			return err
--- a/internal/state/kqjournal/journal_test.go
+++ b/internal/state/kqjournal/journal_test.go
@@ -84,6 +84,67 @@
 	}
 }
 
+// TestEveryCrashKeepsVotes crashes the disk at each operation in turn: a term once
+// saved is never forgotten, also when the segment that held it is removed.
+func TestEveryCrashKeepsVotes(t *testing.T) {
+	for at := range 120 {
+		d := newDisk(uint64(at))
+		j, _ := open(t, d)
+		d.CrashIn(at)
+		saved := uint64(0)
+		for i := uint64(1); i <= 20; i++ {
+			if i%3 == 0 {
+				if j.SaveMeta(Meta{Term: i, Seen: map[string]Run{"a": {Boot: i}}}) != nil {
+					break
+				}
+				saved = i
+			}
+			if j.Append([]Entry{entry(i)}) != nil {
+				break
+			}
+			if i%7 == 0 && j.SaveSnapshot(Snapshot{Index: i - 2, Term: 1, State: []byte("s")}, []Entry{entry(i - 1), entry(i)}) != nil {
+				break
+			}
+		}
+		d.Crash()
+		_, l := open(t, d)
+		if l.Meta.Term < saved || l.Meta.Seen["a"].Boot != l.Meta.Term {
+			t.Fatalf("crash at operation %d: term %d saved, loaded %+v", at, saved, l.Meta)
+		}
+	}
+}
+
+// TestVoteTakesOneSync: each sync of a vote is one in which nobody is served.
+func TestVoteTakesOneSync(t *testing.T) {
+	d := newDisk(1)
+	j, _ := open(t, d)
+	before := d.Syncs()
+	must(t, j.SaveMeta(Meta{Term: 2, Vote: "a"}))
+	d.Crash() // the folder was not synced since
+	if n := d.Syncs() - before; n != 1 {
+		t.Errorf("%d syncs of files", n)
+	}
+	if _, l := open(t, d); l.Meta.Vote != "a" {
+		t.Errorf("loaded %+v", l.Meta)
+	}
+}
+
+// TestMetaOfAnOlderFolder: it counts until the first save.
+func TestMetaOfAnOlderFolder(t *testing.T) {
+	d := newDisk(1)
+	j, _ := open(t, d)
+	must(t, j.replace(metaName, Meta{Term: 4, Vote: "a"}))
+	must(t, j.Append([]Entry{entry(1)}))
+	j, l := open(t, d)
+	if l.Meta.Term != 4 || l.Meta.Vote != "a" {
+		t.Fatalf("loaded %+v", l.Meta)
+	}
+	must(t, j.SaveMeta(Meta{Term: 5}))
+	if _, l = open(t, d); l.Meta.Term != 5 || l.Meta.Vote != "" {
+		t.Fatalf("loaded %+v", l.Meta)
+	}
+}
+
 func TestDamage(t *testing.T) {
 	cases := []struct {
 		name    string
@@ -94,13 +155,14 @@
 		{"first record of the log", "log-0000000000000001", func(int) int { return headerSize + 2 }, true},
 		{"last record of the log is cut", "log-0000000000000001", func(n int) int { return n - 1 }, false},
 		{"snapshot", snapshotName, func(n int) int { return n - 1 }, true},
-		{"meta", metaName, func(n int) int { return n - 1 }, true},
+		{"meta of an older folder", metaName, func(n int) int { return n - 1 }, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			d := newDisk(1)
 			j, _ := open(t, d)
 			must(t, j.SaveMeta(Meta{Cluster: "k"}))
+			must(t, j.replace(metaName, Meta{Cluster: "k"}))
 			must(t, j.replace(snapshotName, Snapshot{State: []byte("state")}))
 			must(t, j.Append([]Entry{entry(1)}))
 			must(t, j.Append([]Entry{entry(2)}))
--- a/internal/state/kqreplica/read.go
+++ b/internal/state/kqreplica/read.go
@@ -43,17 +43,17 @@
 // openReads starts the reads that waited for the first commit of this leader's
 // term, all with one round; false says that there are none.
 func (r *Replica) openReads() bool {
-	any := false
+	opened := false
 	for i := range r.reads {
 		if q := &r.reads[i]; q.round == noRound {
-			q.index, q.round, any = r.commit, r.round+1, true
+			q.index, q.round, opened = r.commit, r.round+1, true
 		}
 	}
-	if any {
+	if opened {
 		r.beat = 0
 		r.heartbeat()
 	}
-	return any
+	return opened
 }
 
 // startRead notes the commit index and asks a quorum whether this host still
