--- a/internal/peer/kqlink/codec.go
+++ b/internal/peer/kqlink/codec.go
@@ -48,23 +48,35 @@
 	return out.Bytes(), err
 }
 
-// WriteObject writes one object as one frame.
-func (c codec) WriteObject(w io.Writer, obj any) error {
+// encode returns one object as one frame.
+func encode(obj any) ([]byte, error) {
 	body, err := json.Marshal(obj)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	packed := uint64(0)
 	if len(body) >= packLeast {
 		if body, err = pack(body); err != nil {
-			return err
+			return nil, err
 		}
 		packed = 1
 	}
 	p := binary.AppendUvarint(nil, uint64(len(body))<<1|packed)
-	p = append(p, body...)
+	return append(p, body...), nil
+}
+
+// WriteObject writes one object as one frame.
+func (c codec) WriteObject(w io.Writer, obj any) error {
+	p, err := encode(obj)
+	if err != nil {
+		return err
+	}
+	return c.writeFrame(w, p)
+}
+
+func (c codec) writeFrame(w io.Writer, p []byte) error {
 	c.sent.Inc(int64(len(p)))
-	_, err = w.Write(p)
+	_, err := w.Write(p)
 	return err
 }
 
--- a/internal/peer/kqlink/mesh.go
+++ b/internal/peer/kqlink/mesh.go
@@ -364,12 +364,34 @@
 		out = c.out
 	}
 	select {
-	case out <- outgoing{kind, body}:
+	case out <- outgoing{kind: kind, body: body}:
 	default:
 		m.dropped.Inc(1)
 	}
 }
 
+// Broadcast is Send to each of the peers; the message is encoded once.
+func (m *Mesh) Broadcast(peers []string, kind string, body any) {
+	frame, err := m.notification(kind, body)
+	if err != nil {
+		m.log.Errorf("message %s: %v", kind, err) // as if lost: who needs it asks again
+		return
+	}
+	for _, peer := range peers {
+		c := m.conn(peer)
+		switch {
+		case peer == m.cfg.Host:
+			m.Send(peer, kind, body)
+		case c != nil:
+			select {
+			case c.out <- outgoing{frame: frame}:
+			default:
+				m.dropped.Inc(1)
+			}
+		}
+	}
+}
+
 // Call sends a request and waits for its answer; ErrDown says it was not sent.
 func (m *Mesh) Call(ctx context.Context, peer, kind string, body, out any) error {
 	if peer == m.cfg.Host {
--- a/internal/peer/kqlink/mesh_test.go
+++ b/internal/peer/kqlink/mesh_test.go
@@ -5,7 +5,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -149,6 +152,72 @@
 	}
 }
 
+// TestBroadcast: a message encoded once reaches all peers that are linked, large
+// or small, in order with others.
+func TestBroadcast(t *testing.T) {
+	a := addrs(t, 3)
+	in := []inbox{newInbox(), newInbox(), newInbox()}
+	var m []*Mesh
+	for i, name := range []string{"h1", "h2", "h3"} {
+		m = append(m, listen(t, name, a[i], "secret-1", in[i]))
+	}
+	m[0].Dial("h2", a[1])
+	m[0].Dial("h3", a[2])
+	for _, x := range []inbox{in[0], in[0], in[1], in[2]} {
+		if !<-x.links {
+			t.Fatal("no link")
+		}
+	}
+	peers := []string{"h1", "h2", "h3", "h4"}
+	large := strings.Repeat("7", 2*packLeast)
+	m[0].Broadcast(peers, "note", 7)
+	m[0].Send("h2", "note", 8)
+	m[0].Send("h3", "note", 8)
+	m[0].Broadcast(peers, "note", large)
+	for i, want := range [][]string{{"7", `"` + large + `"`}, {"7", "8", `"` + large + `"`}, {"7", "8", `"` + large + `"`}} {
+		for _, body := range want {
+			if got := <-in[i].messages; got != "h1 note "+body {
+				t.Fatalf("peer %d got %.40q, want %.40q", i+1, got, body)
+			}
+		}
+	}
+}
+
+// BenchmarkBroadcast is one message of 40 changes to 60 peers: encoded for each of
+// them, or once.
+func BenchmarkBroadcast(b *testing.B) {
+	type change struct{ ID, Service, Addr, Domain, State string }
+	var list []change
+	for i := range 40 {
+		list = append(list, change{strconv.Itoa(i * 7919), "kekhai", "10.1.64." + strconv.Itoa(i), "vn-south-a", "ready"})
+	}
+	c := codec{sent: metrics.NewCounter()}
+	mesh := &Mesh{clock: kqevent.NewClock(time.Now)}
+	const peers = 60
+	b.Run("each", func(b *testing.B) {
+		for b.Loop() {
+			for range peers {
+				p, err := mesh.notification("changes", list)
+				if err != nil {
+					b.Fatal(err)
+				}
+				c.writeFrame(io.Discard, p)
+			}
+		}
+	})
+	b.Run("once", func(b *testing.B) {
+		for b.Loop() {
+			p, err := mesh.notification("changes", list)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for range peers {
+				c.writeFrame(io.Discard, p)
+			}
+		}
+	})
+}
+
 func TestWrongSecretMakesNoLink(t *testing.T) {
 	a := addrs(t, 2)
 	in := newInbox()
--- a/internal/peer/kqlink/peer.go
+++ b/internal/peer/kqlink/peer.go
@@ -37,24 +37,17 @@
 	peer  string
 	raw   net.Conn
 	rpc   *jsonrpc2.Conn
+	lines *stream
 	out   chan outgoing
 	heard atomic.Int64 // unix nanoseconds of the last message in
 	once  sync.Once
 }
 
+// outgoing is a one-way message: to be encoded, or encoded as a frame.
 type outgoing struct {
-	kind string
-	body any
-}
-
-// plain gives jsonrpc2 the buffered reader that the handshake already used.
-type plain struct {
-	net.Conn
-	r *bufio.Reader
-}
-
-func (p plain) Read(b []byte) (int, error) {
-	return p.r.Read(b)
+	kind  string
+	body  any
+	frame []byte
 }
 
 // quiet drops what jsonrpc2 would log of broken connections: the mesh does so.
@@ -67,8 +60,8 @@
 	c := &conn{mesh: m, peer: peer, raw: raw, out: make(chan outgoing, queueLength)}
 	now := time.Now().UnixNano()
 	c.heard.Store(now)
-	stream := jsonrpc2.NewBufferedStream(plain{raw, r}, codec{m.sent, m.received})
-	c.rpc = jsonrpc2.NewConn(context.Background(), stream, c, jsonrpc2.SetLogger(quiet{}))
+	c.lines = &stream{raw: raw, r: r, codec: codec{m.sent, m.received}}
+	c.rpc = jsonrpc2.NewConn(context.Background(), c.lines, c, jsonrpc2.SetLogger(quiet{}))
 	return c
 }
 
@@ -83,7 +76,7 @@
 		case <-c.rpc.DisconnectNotify():
 			return
 		case o := <-c.out:
-			if err := c.notify(o.kind, o.body); err != nil {
+			if err := c.post(o); err != nil {
 				return
 			}
 		case now := <-beat.C:
@@ -108,8 +101,8 @@
 	return c.rpc.Notify(context.Background(), method, nil)
 }
 
-func (c *conn) wrap(body any) (envelope, error) {
-	e := envelope{Time: c.mesh.clock.Next()}
+func (m *Mesh) wrap(body any) (envelope, error) {
+	e := envelope{Time: m.clock.Next()}
 	if body == nil {
 		return e, nil
 	}
@@ -118,17 +111,34 @@
 	return e, err
 }
 
-func (c *conn) notify(kind string, body any) error {
-	e, err := c.wrap(body)
+// post sends a one-way message.
+func (c *conn) post(o outgoing) error {
+	if o.frame != nil {
+		return c.lines.write(o.frame)
+	}
+	e, err := c.mesh.wrap(o.body)
 	if err != nil {
 		return err
 	}
-	return c.rpc.Notify(context.Background(), kind, e)
+	return c.rpc.Notify(context.Background(), o.kind, e)
+}
+
+// notification returns the frame of a one-way message.
+func (m *Mesh) notification(kind string, body any) ([]byte, error) {
+	e, err := m.wrap(body)
+	if err != nil {
+		return nil, err
+	}
+	req := jsonrpc2.Request{Method: kind, Notif: true}
+	if err := req.SetParams(e); err != nil {
+		return nil, err
+	}
+	return encode(&req)
 }
 
 // call sends a request and decodes its answer into out, which may be nil.
 func (c *conn) call(ctx context.Context, kind string, body, out any) error {
-	e, err := c.wrap(body)
+	e, err := c.mesh.wrap(body)
 	if err != nil {
 		return err
 	}
@@ -172,7 +182,7 @@
 		rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}) // the link tells
 		return
 	}
-	e, err := c.wrap(res)
+	e, err := c.mesh.wrap(res)
 	if err != nil {
 		return
 	}
--- a/internal/route/kqannounce/handlers_test.go
+++ b/internal/route/kqannounce/handlers_test.go
@@ -36,6 +36,12 @@
 
 func (l *stubLink) Send(peer, kind string, _ any) { l.note(peer, kind) }
 
+func (l *stubLink) Broadcast(peers []string, kind string, _ any) {
+	for _, p := range peers {
+		l.note(p, kind)
+	}
+}
+
 func (l *stubLink) Call(_ context.Context, peer, kind string, _, _ any) error {
 	l.note(peer, kind)
 	if peer == "e9" {
--- a/internal/state/kqcontrol/batch_test.go
+++ b/internal/state/kqcontrol/batch_test.go
@@ -46,6 +46,7 @@
 type noLink struct{}
 
 func (noLink) Send(string, string, any)                             {}
+func (noLink) Broadcast([]string, string, any)                      {}
 func (noLink) Call(context.Context, string, string, any, any) error { return errRetry }
 func (noLink) Up(string) bool                                       { return false }
 func (noLink) Host() string                                         { return "c1" }
--- a/internal/state/kqfeed/changes_test.go
+++ b/internal/state/kqfeed/changes_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"kumquatglade/internal/fake/kqfake"
 	"kumquatglade/internal/host/kqclock"
 	"kumquatglade/internal/host/kqevent"
 	"kumquatglade/internal/host/kqlog"
@@ -34,6 +35,12 @@
 	}
 }
 
+func (w *wire) Broadcast(peers []string, kind string, body any) {
+	for _, p := range peers {
+		w.Send(p, kind, body)
+	}
+}
+
 func (w *wire) Call(context.Context, string, string, any, any) error { return nil }
 func (w *wire) Up(string) bool                                       { return true }
 func (w *wire) Host() string                                         { return "c1" }
@@ -46,7 +53,8 @@
 // each entry host and one view there, and the last word on a target counts.
 func TestChangesTravelTogether(t *testing.T) {
 	w := &wire{followers: map[string]*Follower{}}
-	hub := NewHub(HubConfig{Link: w, Clock: kqclock.System{}, Log: kqlog.Discard()})
+	clock := kqfake.NewClock()
+	hub := NewHub(HubConfig{Link: w, Clock: clock, Log: kqlog.Discard()})
 	var views []*View
 	f := NewFollower(FollowerConfig{
 		Link: &wire{}, Clock: kqclock.System{}, Log: kqlog.Discard(), Events: kqevent.NewRecorder("e1", time.Now),
@@ -68,12 +76,42 @@
 		t.Fatal(views[0].Revision, diff)
 	}
 
+	clock.Advance(pushEvery)
 	hub.Push([]kqcontract.Change{joined("t-4", 8, kqtargets.Ready)}) // one was lost
 	if f.joined || f.revision() != 6 {
 		t.Fatalf("goes on over a gap: joined %v, revision %d", f.joined, f.revision())
 	}
 }
 
+// TestStormOfChanges: changes that come in force one by one share messages; the
+// first of them does not wait.
+func TestStormOfChanges(t *testing.T) {
+	const storm, every = 300, time.Millisecond
+	w, clock := &wire{followers: map[string]*Follower{}}, kqfake.NewClock()
+	hub := NewHub(HubConfig{Link: w, Clock: clock, Log: kqlog.Discard()})
+	f := NewFollower(FollowerConfig{
+		Link: &wire{}, Clock: clock, Log: kqlog.Discard(), Events: kqevent.NewRecorder("e1", time.Now), InForce: func(*View) {},
+	})
+	f.hub, f.joined = "c1", true
+	f.view.Store(&View{Revision: 1})
+	w.followers["e1"], hub.subs["e1"] = f, true
+	clock.Advance(time.Second)
+	for i := range uint64(storm) {
+		hub.Push([]kqcontract.Change{joined("t-1", i+2, kqtargets.Ready)})
+		if i == 0 && f.revision() != 2 {
+			t.Error("the first change waits")
+		}
+		clock.Advance(every)
+	}
+	clock.Advance(pushEvery)
+	if f.revision() != storm+1 {
+		t.Errorf("in force is %d of %d", f.revision(), storm+1)
+	}
+	if most := int(storm*every/pushEvery) + 2; w.sent > most {
+		t.Errorf("%d messages, at most %d", w.sent, most)
+	}
+}
+
 // TestSubscribeTime: a host whose view is larger than its link carries in one
 // try gets it all the same.
 func TestSubscribeTime(t *testing.T) {
--- a/internal/state/kqfeed/hub.go
+++ b/internal/state/kqfeed/hub.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"slices"
 	"sync"
@@ -20,6 +19,7 @@
 	confirmLimit = 1500 * time.Millisecond
 	keptChanges  = 1024                  // changes that a subscriber may lag without a whole view
 	ackDelay     = 20 * time.Millisecond // acknowledgements are passed on together
+	pushEvery    = 25 * time.Millisecond // between two messages of changes: many that come at once share some
 )
 
 // Source is the replica that a Hub serves from.
@@ -64,6 +64,9 @@
 	acked    map[string]uint64   // revision in force on each entry host
 	unsent   map[string]uint64   // acknowledgements not yet passed on
 	notified chan struct{}       // closed and renewed at each acknowledgement
+	unpushed []kqcontract.Change // not yet sent to the subscribers
+	pushed   time.Time           // when changes were sent last
+	waiting  bool                // they are sent pushEvery after that
 }
 
 // NewHub returns a Hub without a source; Run starts it.
@@ -88,8 +91,8 @@
 	h.wait.Wait()
 }
 
-// Push sends changes in force here to all subscribers, in one message each that
-// is encoded once.
+// Push sends changes in force here to all subscribers: at once, or together with
+// those that come soon after others.
 func (h *Hub) Push(list []kqcontract.Change) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -97,25 +100,43 @@
 	if extra := len(h.changes) - keptChanges; extra > 0 {
 		h.changes = append([]kqcontract.Change(nil), h.changes[extra:]...)
 	}
-	if len(h.subs) == 0 {
+	h.unpushed = append(h.unpushed, list...)
+	if h.waiting {
 		return
 	}
-	body, err := json.Marshal(changes{list})
-	if err != nil {
-		h.cfg.Log.Errorf("changes up to %d: %v", list[len(list)-1].Revision, err) // subscribers notice the gap
+	if wait := pushEvery - h.cfg.Clock.Now().Sub(h.pushed); wait > 0 {
+		h.waiting = true
+		h.cfg.Clock.AfterFunc(wait, func() {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.waiting = false
+			h.push()
+		})
 		return
 	}
-	for peer := range h.subs {
-		h.cfg.Link.Send(peer, MethodChanges, json.RawMessage(body))
+	h.push()
+}
+
+// push sends what is not yet sent, in one message each; the lock is held.
+func (h *Hub) push() {
+	list := h.unpushed
+	h.unpushed, h.pushed = nil, h.cfg.Clock.Now()
+	if len(list) > 0 {
+		h.cfg.Link.Broadcast(h.subscribers(), MethodChanges, changes{list})
 	}
 }
 
+// subscribers returns the hosts that subscribe; the lock is held.
+func (h *Hub) subscribers() []string {
+	return slices.Collect(maps.Keys(h.subs))
+}
+
 // Reset forgets the kept changes after the state was replaced; subscribers
 // notice the gap and subscribe again.
 func (h *Hub) Reset() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.changes = nil
+	h.changes, h.unpushed = nil, nil
 }
 
 // Unlink forgets a subscriber whose link broke.
@@ -219,9 +240,8 @@
 	h.source.View(func(s *kqcontract.State) { // stopping
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		for peer := range h.subs {
-			h.cfg.Link.Send(peer, MethodFresh, fresh{Revision: s.Revision})
-		}
+		h.push() // what is confirmed must have been sent
+		h.cfg.Link.Broadcast(h.subscribers(), MethodFresh, fresh{Revision: s.Revision})
 	})
 }
 
@@ -230,9 +250,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.controls = list
-	for peer := range h.subs {
-		h.cfg.Link.Send(peer, MethodControls, controls{list})
-	}
+	h.cfg.Link.Broadcast(h.subscribers(), MethodControls, controls{list})
 }
 
 // SetDoors tells the subscribers which entry hosts take callers, as far as that
@@ -245,9 +263,7 @@
 	if len(m.Opened)+len(m.Closed) == 0 {
 		return
 	}
-	for peer := range h.subs {
-		h.cfg.Link.Send(peer, MethodEntries, m)
-	}
+	h.cfg.Link.Broadcast(h.subscribers(), MethodEntries, m)
 }
 
 // Doors returns a copy of the entry hosts that take callers.
