--- a/internal/peer/kqlink/mesh.go
+++ b/internal/peer/kqlink/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -16,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/jsonrpc2"
 )
 
 const (
@@ -125,14 +127,35 @@
 		case <-m.ctx.Done():
 			return
 		case o := <-m.self:
-			p, err := json.Marshal(o.body)
-			if err == nil {
-				m.receiver.Receive(m.cfg.Host, o.kind, p)
+			if err := m.deliver(o); err != nil {
+				m.malformed.Inc(1)
+				m.log.Errorf("message to itself: %v", err)
 			}
 		}
 	}
 }
 
+// deliver hands a message of this host to this host.
+func (m *Mesh) deliver(o outgoing) error {
+	frame := o.frame
+	if frame == nil {
+		var err error
+		if frame, err = m.Encode(o.kind, o.body); err != nil {
+			return err
+		}
+	}
+	var req jsonrpc2.Request
+	if err := (codec{received: metrics.NilCounter{}}).ReadObject(bufio.NewReader(bytes.NewReader(frame)), &req); err != nil {
+		return err
+	}
+	var e envelope
+	if err := json.Unmarshal(*req.Params, &e); err != nil {
+		return err
+	}
+	m.receiver.Receive(m.cfg.Host, req.Method, e.Body)
+	return nil
+}
+
 func (m *Mesh) callSelf(ctx context.Context, kind string, body, out any) error {
 	p, err := json.Marshal(body)
 	if err != nil {
@@ -355,6 +378,10 @@
 
 // Send queues a one-way message; without a link, or with a full queue, it is dropped.
 func (m *Mesh) Send(peer, kind string, body any) {
+	m.queue(peer, outgoing{kind: kind, body: body})
+}
+
+func (m *Mesh) queue(peer string, o outgoing) {
 	out := m.self
 	if peer != m.cfg.Host {
 		c := m.conn(peer)
@@ -364,31 +391,29 @@
 		out = c.out
 	}
 	select {
-	case out <- outgoing{kind: kind, body: body}:
+	case out <- o:
 	default:
 		m.dropped.Inc(1)
 	}
 }
 
-// Broadcast is Send to each of the peers; the message is encoded once.
-func (m *Mesh) Broadcast(peers []string, kind string, body any) {
-	frame, err := m.notification(kind, body)
+// Encode returns the message as it travels, to be sent more than once.
+func (m *Mesh) Encode(kind string, body any) ([]byte, error) {
+	e, err := m.wrap(body)
 	if err != nil {
-		m.log.Errorf("message %s: %v", kind, err) // as if lost: who needs it asks again
-		return
+		return nil, err
 	}
+	req := jsonrpc2.Request{Method: kind, Notif: true}
+	if err := req.SetParams(e); err != nil {
+		return nil, err
+	}
+	return encode(&req)
+}
+
+// SendEncoded queues the encoded message for each of the peers.
+func (m *Mesh) SendEncoded(peers []string, message []byte) {
 	for _, peer := range peers {
-		c := m.conn(peer)
-		switch {
-		case peer == m.cfg.Host:
-			m.Send(peer, kind, body)
-		case c != nil:
-			select {
-			case c.out <- outgoing{frame: frame}:
-			default:
-				m.dropped.Inc(1)
-			}
-		}
+		m.queue(peer, outgoing{frame: message})
 	}
 }
 
--- a/internal/peer/kqlink/mesh_test.go
+++ b/internal/peer/kqlink/mesh_test.go
@@ -152,9 +152,9 @@
 	}
 }
 
-// TestBroadcast: a message encoded once reaches all peers that are linked, large
+// TestEncodedMessages: a message encoded once reaches all peers that are linked, large
 // or small, in order with others.
-func TestBroadcast(t *testing.T) {
+func TestEncodedMessages(t *testing.T) {
 	a := addrs(t, 3)
 	in := []inbox{newInbox(), newInbox(), newInbox()}
 	var m []*Mesh
@@ -169,11 +169,18 @@
 		}
 	}
 	peers := []string{"h1", "h2", "h3", "h4"}
+	broadcast := func(body any) {
+		p, err := m[0].Encode("note", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m[0].SendEncoded(peers, p)
+	}
 	large := strings.Repeat("7", 2*packLeast)
-	m[0].Broadcast(peers, "note", 7)
+	broadcast(7)
 	m[0].Send("h2", "note", 8)
 	m[0].Send("h3", "note", 8)
-	m[0].Broadcast(peers, "note", large)
+	broadcast(large)
 	for i, want := range [][]string{{"7", `"` + large + `"`}, {"7", "8", `"` + large + `"`}, {"7", "8", `"` + large + `"`}} {
 		for _, body := range want {
 			if got := <-in[i].messages; got != "h1 note "+body {
@@ -183,9 +190,9 @@
 	}
 }
 
-// BenchmarkBroadcast is one message of 40 changes to 60 peers: encoded for each of
+// BenchmarkEncoded is one message of 40 changes to 60 peers: encoded for each of
 // them, or once.
-func BenchmarkBroadcast(b *testing.B) {
+func BenchmarkEncoded(b *testing.B) {
 	type change struct{ ID, Service, Addr, Domain, State string }
 	var list []change
 	for i := range 40 {
@@ -197,7 +204,7 @@
 	b.Run("each", func(b *testing.B) {
 		for b.Loop() {
 			for range peers {
-				p, err := mesh.notification("changes", list)
+				p, err := mesh.Encode("changes", list)
 				if err != nil {
 					b.Fatal(err)
 				}
@@ -207,7 +214,7 @@
 	})
 	b.Run("once", func(b *testing.B) {
 		for b.Loop() {
-			p, err := mesh.notification("changes", list)
+			p, err := mesh.Encode("changes", list)
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/internal/peer/kqlink/peer.go
+++ b/internal/peer/kqlink/peer.go
@@ -123,19 +123,6 @@
 	return c.rpc.Notify(context.Background(), o.kind, e)
 }
 
-// notification returns the frame of a one-way message.
-func (m *Mesh) notification(kind string, body any) ([]byte, error) {
-	e, err := m.wrap(body)
-	if err != nil {
-		return nil, err
-	}
-	req := jsonrpc2.Request{Method: kind, Notif: true}
-	if err := req.SetParams(e); err != nil {
-		return nil, err
-	}
-	return encode(&req)
-}
-
 // call sends a request and decodes its answer into out, which may be nil.
 func (c *conn) call(ctx context.Context, kind string, body, out any) error {
 	e, err := c.mesh.wrap(body)
--- a/internal/route/kqannounce/handlers_test.go
+++ b/internal/route/kqannounce/handlers_test.go
@@ -36,9 +36,11 @@
 
 func (l *stubLink) Send(peer, kind string, _ any) { l.note(peer, kind) }
 
-func (l *stubLink) Broadcast(peers []string, kind string, _ any) {
+func (l *stubLink) Encode(kind string, _ any) ([]byte, error) { return []byte(kind), nil }
+
+func (l *stubLink) SendEncoded(peers []string, message []byte) {
 	for _, p := range peers {
-		l.note(p, kind)
+		l.note(p, string(message))
 	}
 }
 
--- a/internal/run/kqdaemon/receiver.go
+++ b/internal/run/kqdaemon/receiver.go
@@ -44,7 +44,7 @@
 		if d.hub != nil {
 			return d.takePresence(peer, body)
 		}
-	case kqfeed.MethodChanges, kqfeed.MethodFresh, kqfeed.MethodControls, kqfeed.MethodEntries:
+	case kqfeed.MethodChanges, kqfeed.MethodWhole, kqfeed.MethodFresh, kqfeed.MethodControls, kqfeed.MethodEntries:
 		if d.follower != nil {
 			return d.follower.Receive(peer, kind, body)
 		}
--- a/internal/state/kqcontrol/batch_test.go
+++ b/internal/state/kqcontrol/batch_test.go
@@ -46,7 +46,8 @@
 type noLink struct{}
 
 func (noLink) Send(string, string, any)                             {}
-func (noLink) Broadcast([]string, string, any)                      {}
+func (noLink) Encode(string, any) ([]byte, error)                   { return nil, nil }
+func (noLink) SendEncoded([]string, []byte)                         {}
 func (noLink) Call(context.Context, string, string, any, any) error { return errRetry }
 func (noLink) Up(string) bool                                       { return false }
 func (noLink) Host() string                                         { return "c1" }
--- a/internal/state/kqfeed/changes_test.go
+++ b/internal/state/kqfeed/changes_test.go
@@ -19,6 +19,7 @@
 // wire carries messages from a hub to followers, encoded as between processes.
 type wire struct {
 	sent      int
+	encoded   int
 	followers map[string]*Follower
 }
 
@@ -35,9 +36,28 @@
 	}
 }
 
-func (w *wire) Broadcast(peers []string, kind string, body any) {
-	for _, p := range peers {
-		w.Send(p, kind, body)
+// message is one that was encoded before.
+type message struct {
+	Kind string
+	Body json.RawMessage
+}
+
+func (w *wire) Encode(kind string, body any) ([]byte, error) {
+	w.encoded++
+	p, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(message{kind, p})
+}
+
+func (w *wire) SendEncoded(peers []string, p []byte) {
+	var m message
+	if err := json.Unmarshal(p, &m); err != nil {
+		panic(err)
+	}
+	for _, peer := range peers {
+		w.Send(peer, m.Kind, m.Body)
 	}
 }
 
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -58,7 +58,10 @@
 	hub     string // control host that this host subscribes to
 	joined  bool   // the subscription to hub is answered
 	held    []kqcontract.Change
-	failed  int // tries to subscribe in vain since the last answer
+	early   *View     // that came before the answer that tells of it
+	awaits  *uint64   // revision of a view that is under way, nil: none
+	since   time.Time // when it was awaited first
+	failed  int       // tries to subscribe in vain since the last answer
 	lease   lease
 	fresh   bool // this host was in no list before
 	refused bool // the lease has run out
@@ -181,6 +184,11 @@
 	f.mu.Lock()
 	hub, joined := f.hub, f.joined
 	stale := f.cfg.Stale > 0 && f.cfg.Clock.Now().Sub(f.heard) > f.cfg.Stale
+	if f.awaits != nil && f.cfg.Clock.Now().Sub(f.since) > f.subscribeTime() {
+		f.cfg.Log.Warnf("view %d of control host %s did not come", *f.awaits, hub)
+		f.failed++
+		f.joined, joined = false, false
+	}
 	f.mu.Unlock()
 	if joined && !stale && f.cfg.Link.Up(hub) {
 		return
@@ -224,7 +232,7 @@
 
 func (f *Follower) subscribe(control string) bool {
 	f.mu.Lock()
-	f.hub, f.joined, f.held = control, false, nil
+	f.hub, f.joined, f.held, f.early, f.awaits = control, false, nil, nil, nil
 	limit := f.subscribeTime()
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(f.ctx, limit)
@@ -241,7 +249,6 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.failed = 0
 	f.lease.confirm(asked)
 	f.heard = f.cfg.Clock.Now()
 	f.joined = true
@@ -273,12 +280,40 @@
 
 // take moves to the state of the answer and to the changes that came meanwhile.
 func (f *Follower) take(s start) {
-	if s.View != nil && (f.view.Load() == nil || s.View.Revision > f.revision()) {
-		f.enforce(s.View)
+	f.held = append(s.Changes, f.held...)
+	v := s.View
+	if s.Whole != nil {
+		v = f.early
+		if v == nil || v.Revision < *s.Whole {
+			f.awaits, f.since = s.Whole, f.cfg.Clock.Now()
+			return
+		}
+	}
+	f.begin(v)
+}
+
+// begin moves to the view, if it is newer, and to the changes that came meanwhile.
+func (f *Follower) begin(v *View) {
+	f.failed, f.awaits, f.early = 0, nil, nil
+	if v != nil && (f.view.Load() == nil || v.Revision > f.revision()) {
+		f.enforce(v)
 	}
 	held := f.held
 	f.held = nil
-	f.advance(append(s.Changes, held...))
+	f.advance(held)
+}
+
+// whole takes a view that travels beside the answer to the subscription.
+func (f *Follower) whole(peer string, v *View) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case peer != f.hub:
+	case f.awaits != nil && v.Revision >= *f.awaits:
+		f.begin(v)
+	case !f.joined:
+		f.early = v
+	}
 }
 
 // advance takes the next changes; a gap makes this host subscribe again.
@@ -331,7 +366,7 @@
 	if peer != f.hub {
 		return
 	}
-	if !f.joined {
+	if !f.joined || f.awaits != nil {
 		f.held = append(f.held, list...)
 		return
 	}
@@ -345,6 +380,10 @@
 	if peer != f.hub || !f.joined {
 		return
 	}
+	if f.awaits != nil {
+		f.heard = f.cfg.Clock.Now()
+		return
+	}
 	if m.Revision > f.revision() {
 		f.rejoin()
 		return
--- a/internal/state/kqfeed/hub.go
+++ b/internal/state/kqfeed/hub.go
@@ -18,6 +18,7 @@
 	freshEvery   = 4 * time.Second
 	confirmLimit = 1500 * time.Millisecond
 	keptChanges  = 1024                  // changes that a subscriber may lag without a whole view
+	wholeLag     = 64                    // changes that an encoded view may lag: they travel beside it
 	ackDelay     = 20 * time.Millisecond // acknowledgements are passed on together
 	pushEvery    = 25 * time.Millisecond // between two messages of changes: many that come at once share some
 )
@@ -67,6 +68,7 @@
 	unpushed []kqcontract.Change // not yet sent to the subscribers
 	pushed   time.Time           // when changes were sent last
 	waiting  bool                // they are sent pushEvery after that
+	whole    whole               // the newest view that was encoded
 }
 
 // NewHub returns a Hub without a source; Run starts it.
@@ -122,13 +124,21 @@
 	list := h.unpushed
 	h.unpushed, h.pushed = nil, h.cfg.Clock.Now()
 	if len(list) > 0 {
-		h.cfg.Link.Broadcast(h.subscribers(), MethodChanges, changes{list})
+		h.broadcast(MethodChanges, changes{list})
 	}
 }
 
-// subscribers returns the hosts that subscribe; the lock is held.
-func (h *Hub) subscribers() []string {
-	return slices.Collect(maps.Keys(h.subs))
+// broadcast sends to all subscribers; the lock is held.
+func (h *Hub) broadcast(kind string, body any) {
+	if len(h.subs) == 0 {
+		return
+	}
+	message, err := h.cfg.Link.Encode(kind, body)
+	if err != nil {
+		h.cfg.Log.Errorf("message %s: %v", kind, err) // as if lost: subscribers notice the gap
+		return
+	}
+	h.cfg.Link.SendEncoded(slices.Collect(maps.Keys(h.subs)), message)
 }
 
 // Reset forgets the kept changes after the state was replaced; subscribers
@@ -167,26 +177,50 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.subs[peer] = true
-		out = h.startFor(s.Revision, state)
+		out = h.startFor(peer, s.Revision, state)
 		out.New = added
 		out.Controls, out.Entries = h.controls, h.doors
 	})
 	return out, err
 }
 
-func (h *Hub) startFor(rev uint64, state *kqcontract.State) start {
-	if rev == state.Revision && rev > 0 {
-		return start{}
+// startFor returns what a subscriber at the revision lacks; a whole view travels as
+// a message of its own, which hosts that come together share.
+func (h *Hub) startFor(peer string, rev uint64, state *kqcontract.State) start {
+	if list, ok := h.since(rev, state.Revision); ok && rev > 0 {
+		return start{Changes: list}
 	}
-	if rev > 0 && len(h.changes) > 0 && h.changes[0].Revision <= rev+1 {
-		for i, c := range h.changes {
-			if c.Revision == rev+1 {
-				return start{Changes: append([]kqcontract.Change(nil), h.changes[i:]...)}
-			}
+	list, ok := h.since(h.whole.revision, state.Revision)
+	if !ok || h.whole.message == nil || len(list) > wholeLag {
+		v := viewOf(state)
+		message, err := h.cfg.Link.Encode(MethodWhole, v)
+		if err != nil {
+			h.cfg.Log.Errorf("view %d: %v", v.Revision, err)
+			return start{View: &v}
 		}
+		h.whole, list = whole{v.Revision, message}, nil
+	}
+	h.cfg.Link.SendEncoded([]string{peer}, h.whole.message)
+	at := h.whole.revision
+	return start{Whole: &at, Changes: list}
+}
+
+// whole is a view as it travels.
+type whole struct {
+	revision uint64
+	message  []byte
+}
+
+// since returns the changes between two revisions; false says that some of them are
+// not kept.
+func (h *Hub) since(from, to uint64) ([]kqcontract.Change, bool) {
+	switch {
+	case from == to:
+		return nil, true
+	case from > to || len(h.changes) == 0 || h.changes[0].Revision > from+1:
+		return nil, false
 	}
-	v := viewOf(state)
-	return start{View: &v}
+	return slices.Clone(h.changes[from+1-h.changes[0].Revision:]), true
 }
 
 // admit adds the host to the list in force unless it is there as it is; added
@@ -241,7 +275,7 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.push() // what is confirmed must have been sent
-		h.cfg.Link.Broadcast(h.subscribers(), MethodFresh, fresh{Revision: s.Revision})
+		h.broadcast(MethodFresh, fresh{Revision: s.Revision})
 	})
 }
 
@@ -250,7 +284,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.controls = list
-	h.cfg.Link.Broadcast(h.subscribers(), MethodControls, controls{list})
+	h.broadcast(MethodControls, controls{list})
 }
 
 // SetDoors tells the subscribers which entry hosts take callers, as far as that
@@ -263,7 +297,7 @@
 	if len(m.Opened)+len(m.Closed) == 0 {
 		return
 	}
-	h.cfg.Link.Broadcast(h.subscribers(), MethodEntries, m)
+	h.broadcast(MethodEntries, m)
 }
 
 // Doors returns a copy of the entry hosts that take callers.
--- a/internal/state/kqfeed/message.go
+++ b/internal/state/kqfeed/message.go
@@ -10,6 +10,7 @@
 const (
 	MethodSubscribe = "subscribe" // entry to control, request
 	MethodChanges   = "changes"   // control to entry
+	MethodWhole     = "whole"     // control to entry
 	MethodFresh     = "fresh"     // control to entry
 	MethodInForce   = "inforce"   // entry to control, and between control hosts
 	MethodStanding  = "standing"  // entry to entry, request
@@ -28,6 +29,7 @@
 // start answers a subscription: a whole view, or the missing changes.
 type start struct {
 	View    *View               `json:"view,omitempty"`
+	Whole   *uint64             `json:"whole,omitempty"` // revision of a view that comes as a message, before or after this
 	Changes []kqcontract.Change `json:"changes,omitempty"`
 	New     bool                `json:"new,omitempty"` // the host was never listed before
 
--- a/internal/state/kqfeed/serve.go
+++ b/internal/state/kqfeed/serve.go
@@ -35,6 +35,11 @@
 		if err = json.Unmarshal(body, &m); err == nil {
 			f.changed(peer, m.List)
 		}
+	case MethodWhole:
+		var v View
+		if err = json.Unmarshal(body, &v); err == nil {
+			f.whole(peer, &v)
+		}
 	case MethodFresh:
 		var m fresh
 		if err = json.Unmarshal(body, &m); err == nil {
--- a/link.go
+++ b/link.go
@@ -11,8 +11,10 @@
 type Link interface {
 	// Send queues the message for the peer host and never blocks.
 	Send(peer, kind string, body any)
-	// Broadcast is Send to each of the peers; the message is encoded once.
-	Broadcast(peers []string, kind string, body any)
+	// Encode returns the message as it travels, to be sent more than once.
+	Encode(kind string, body any) ([]byte, error)
+	// SendEncoded queues the encoded message for each of the peers and never blocks.
+	SendEncoded(peers []string, message []byte)
 	// Call sends a request and decodes the peer's answer into out.
 	Call(ctx context.Context, peer, kind string, body, out any) error
 	// Up reports whether there is a link to the peer now.
