--- a/internal/call/kqforward/send.go
+++ b/internal/call/kqforward/send.go
@@ -1,6 +1,7 @@
 package kqforward
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -30,6 +31,9 @@
 	// Rest follows Body on the wire; with it Length is the whole, -1 if unknown.
 	Rest   io.Reader
 	Length int64
+	// Hold is called, if it is there, when all but the last byte is written: a
+	// target begins when it has the whole body.
+	Hold func()
 	// CloseEnds takes an answer without a length that its connection ends in
 	// order for whole; one that is reset never is.
 	CloseEnds bool
@@ -87,12 +91,12 @@
 func (p *Pool) exchange(ctx context.Context, c *conn, req Request) (*Reply, error) {
 	out := outgoing(ctx, req)
 	written := make(chan error, 1)
-	inline := len(req.Body) <= inlineBody && req.Rest == nil
+	inline := len(req.Body) <= inlineBody && req.Rest == nil && req.Hold == nil
 	if inline {
 		written <- c.write(out)
 	} else {
 		// A target may answer before it has read a large body.
-		go func() { written <- c.write(out) }()
+		go func() { written <- c.writeHeld(out, req.Hold) }()
 	}
 	if inline {
 		if err := <-written; err != nil {
@@ -117,6 +121,54 @@
 	return c.w.Flush()
 }
 
+// writeHeld is write with a call before the last byte.
+func (c *conn) writeHeld(out *http.Request, hold func()) error {
+	if hold == nil {
+		return c.write(out)
+	}
+	last := &allButLast{w: counting{c}}
+	w := bufio.NewWriterSize(last, bufferSize)
+	if err := out.Write(w); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	hold()
+	return last.finish()
+}
+
+// allButLast passes on what is written but for the last byte, until finish.
+type allButLast struct {
+	w    io.Writer
+	kept []byte
+}
+
+func (a *allButLast) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	if err := a.finish(); err != nil {
+		return 0, err
+	}
+	n, err := a.w.Write(p[:len(p)-1])
+	if err != nil {
+		return n, err
+	}
+	a.kept = []byte{p[len(p)-1]}
+	return len(p), nil
+}
+
+func (a *allButLast) finish() error {
+	kept := a.kept
+	a.kept = nil
+	if len(kept) == 0 {
+		return nil
+	}
+	_, err := a.w.Write(kept)
+	return err
+}
+
 func outgoing(ctx context.Context, req Request) *http.Request {
 	out := &http.Request{
 		Method: req.Method, URL: req.URL, Host: req.Host, Header: req.Header,
--- a/internal/call/kqforward/send_test.go
+++ b/internal/call/kqforward/send_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -273,3 +274,67 @@
 		t.Fatalf("want unsent, got %v", err)
 	}
 }
+
+// TestHold: a target has all of a long body but its last byte before Hold returns,
+// and nothing is held where Hold is not asked for.
+func TestHold(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	body := bytes.Repeat([]byte("7"), 2*inlineBody)
+	before, rest := make(chan int, 1), make(chan int, 1)
+	released := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		n, _ := io.CopyN(io.Discard, req.Body, int64(len(body)-1))
+		before <- int(n)
+		<-released
+		n, _ = io.Copy(io.Discard, req.Body)
+		rest <- int(n)
+		ok(c)
+	}()
+	p := NewPool()
+	defer p.Close()
+	got, err := send(t, p, Request{
+		Method: http.MethodPost, URL: &url.URL{Path: "/ledgers/1"}, Host: "x", Header: http.Header{}, Body: body,
+		Addr: l.Addr().String(), Conns: 1, Once: true, Hold: func() {
+			if n := <-before; n != len(body)-1 {
+				t.Errorf("%d of %d bytes are there", n, len(body))
+			}
+			close(released)
+		},
+	})
+	if err != nil || got != "ok" {
+		t.Fatal(got, err)
+	}
+	if n := <-rest; n != 1 {
+		t.Errorf("%d bytes were held", n)
+	}
+}
+
+// TestAllButLast: every byte is passed on once, in order.
+func TestAllButLast(t *testing.T) {
+	var out bytes.Buffer
+	a := &allButLast{w: &out}
+	for i, s := range []string{"ab", "", "c", "def"} {
+		if n, err := a.Write([]byte(s)); n != len(s) || err != nil {
+			t.Fatal(i, n, err)
+		}
+	}
+	if out.String() != "abcde" {
+		t.Errorf("passed on %q", &out)
+	}
+	if err := a.finish(); err != nil || out.String() != "abcdef" {
+		t.Errorf("%q, %v", &out, err)
+	}
+}
--- a/internal/call/kqpass/answer.go
+++ b/internal/call/kqpass/answer.go
@@ -101,7 +101,8 @@
 	if p.route != nil {
 		c := &p.chosen
 		l.Str("route", p.route.Name).Str("service", p.service).Int64("left", p.until.Sub(now).Milliseconds()).
-			Dur("waited", c.waited).Int("line", c.line).Int("asked", c.asked).Int("told", c.told)
+			Dur("waited", c.waited).Int("line", c.line).Int("asked", c.asked).Int("told", c.told).
+			Dur("held", time.Duration(p.held.Load()))
 	}
 	if t := p.chosen.Target; t != nil {
 		s := p.chosen.Sample
--- a/internal/call/kqpass/ask.go
+++ b/internal/call/kqpass/ask.go
@@ -14,10 +14,12 @@
 )
 
 const (
-	askTime  = 12 * time.Millisecond // that the first send waits for answers: a few round trips between failure domains
-	askLimit = 60 * time.Millisecond // after which a question is given up and its connection closed
-	askSaved = 10 * time.Second      // over which questions that were not asked are saved for a busy time
-	askPart  = 0.85                  // of the questions allowed: hosts may count fewer of each other than there are
+	askTime   = 12 * time.Millisecond // that a send waits for all answers: a few round trips between failure domains
+	askShare  = 8                     // parts of the objective, of which one is waited for the first answer: a slow target costs several
+	holdShare = 4                     // parts of the objective, of which one is for a question behind a long body
+	askLimit  = 60 * time.Millisecond // after which a question is given up and its connection closed, at the least
+	askSaved  = 10 * time.Second      // over which questions that were not asked are saved for a busy time
+	askPart   = 0.85                  // of the questions allowed: hosts may count fewer of each other than there are
 )
 
 // mayAsk takes one question from what this host may ask: its part of what all
@@ -32,15 +34,16 @@
 }
 
 // look asks up to n of the targets that were not tried and returns those worth a
-// send, and which of them told their load just now.
-func (e *Engine) look(ctx context.Context, s *scene, service string, tried []*kqfresh.Target, n int) (list []*kqfresh.Target, f findings) {
+// send, and which of them told their load just now. Without any answer it waits
+// until the first one, up to patience.
+func (e *Engine) look(ctx context.Context, s *scene, service string, tried []*kqfresh.Target, n int, patience time.Duration) (list []*kqfresh.Target, f findings) {
 	began := e.cfg.Clock.Now()
 	var ask []*kqfresh.Target
 	e.mu.Lock()
 	list, ask, f.fresh = e.chooser(service).Look(s.service(service, tried), n, began, func() bool { return e.mayAsk(began) })
 	e.mu.Unlock()
 	f.asked = len(ask)
-	for _, t := range e.ask(ctx, s, service, ask) {
+	for _, t := range e.ask(ctx, s, service, ask, patience) {
 		f.fresh[t] = true
 		f.told++
 	}
@@ -57,8 +60,9 @@
 	fresh map[*kqfresh.Target]bool
 }
 
-// ask questions the targets at once and returns those that answered in time.
-func (e *Engine) ask(ctx context.Context, s *scene, service string, list []*kqfresh.Target) []*kqfresh.Target {
+// ask questions the targets at once and returns those that answered in time; if
+// none did, the first that does so within patience.
+func (e *Engine) ask(ctx context.Context, s *scene, service string, list []*kqfresh.Target, patience time.Duration) []*kqfresh.Target {
 	if len(list) == 0 {
 		return nil
 	}
@@ -67,7 +71,7 @@
 	answers := make(chan *kqfresh.Target, len(list))
 	for _, t := range list {
 		go func() {
-			if e.question(ctx, t, path, conns) {
+			if e.question(ctx, t, path, conns, max(askLimit, patience)) {
 				answers <- t
 				return
 			}
@@ -77,14 +81,20 @@
 	wait := time.NewTimer(askTime)
 	defer wait.Stop()
 	var told []*kqfresh.Target
-	for range list {
+	late := false
+	for left := len(list); left > 0 && !(late && len(told) > 0); {
 		select {
 		case t := <-answers:
+			left--
 			if t != nil {
 				told = append(told, t)
 			}
 		case <-wait.C:
-			return told
+			if late || patience <= askTime {
+				return told
+			}
+			late = true
+			wait.Reset(patience - askTime)
 		case <-ctx.Done():
 			return told
 		}
@@ -94,8 +104,8 @@
 
 // question asks one target; true says that it told its load and seems sound.
 // It goes on when the request that needed it has left, for the next one.
-func (e *Engine) question(ctx context.Context, t *kqfresh.Target, path string, conns int) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askLimit)
+func (e *Engine) question(ctx context.Context, t *kqfresh.Target, path string, conns int, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	e.counts.questions.Inc(1)
 	reply, err := e.pool.Send(ctx, kqforward.Request{
@@ -120,6 +130,39 @@
 	return ok && reply.Status == http.StatusOK
 }
 
+// hold lets the target wait for the end of a long body until it is not slow: what it
+// said before the body was on its way no longer holds, and a request stays as slow
+// as it began. The question follows the body over the link, so that its answer is as
+// young as the body's arrival.
+func (p *passage) hold(ctx context.Context, t *kqfresh.Target) {
+	e := p.engine
+	began := e.cfg.Clock.Now()
+	path, conns := p.scene.table.Services[p.service].Health, e.connections(p.scene, p.service)
+	limit := max(askLimit, p.route.Objective/holdShare)
+	var until time.Time
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		ask := e.mayAsk(e.cfg.Clock.Now())
+		e.mu.Unlock()
+		if !ask || !e.question(ctx, t, path, conns, limit) {
+			break
+		}
+		now := e.cfg.Clock.Now()
+		e.mu.Lock()
+		if until.IsZero() {
+			latest, _ := p.patience(now)
+			until = kqfresh.HoldUntil(now, latest)
+		}
+		pause := kqfresh.Hold(t, now, until)
+		e.mu.Unlock()
+		if pause == 0 {
+			break
+		}
+		time.Sleep(pause)
+	}
+	p.held.Store(int64(e.cfg.Clock.Now().Sub(began)))
+}
+
 // askBytes bounds the answer to a question.
 const askBytes = 4 << 10
 
--- a/internal/call/kqpass/attempt.go
+++ b/internal/call/kqpass/attempt.go
@@ -18,6 +18,11 @@
 // caller gets it, so that one that breaks off can come from another target.
 const keptAnswer = 64 << 10
 
+// longBody is the size in bytes from which a body is long on its way: 13 ms on the
+// slowest link of an entry host, a tenth of the time for which a target's slowness
+// stays.
+const longBody = 8 << 10
+
 func unsent(err error) bool {
 	var e *kqforward.Error
 	return errors.As(err, &e) && e.Unsent
@@ -33,7 +38,11 @@
 func (p *passage) attempt(ctx context.Context, t *kqfresh.Target) (outcome, bool) {
 	e := p.engine
 	began := e.cfg.Clock.Now()
-	reply, err := e.pool.Send(ctx, p.request(t))
+	req := p.request(t)
+	if len(p.body) >= longBody && p.rest == nil {
+		req.Hold = func() { p.hold(ctx, t) }
+	}
+	reply, err := e.pool.Send(ctx, req)
 	if err != nil {
 		e.settle(t, func(now time.Time) {
 			switch {
--- a/internal/call/kqpass/engine_test.go
+++ b/internal/call/kqpass/engine_test.go
@@ -16,6 +16,7 @@
 
 	"kumquatglade/internal/host/kqclock"
 	"kumquatglade/internal/host/kqlog"
+	"kumquatglade/internal/route/kqfresh"
 	"kumquatglade/internal/state/kqroutes"
 	"kumquatglade/internal/state/kqtargets"
 
@@ -30,11 +31,14 @@
 
 // target answers by hand: one function for each request that is no question.
 type target struct {
-	l        net.Listener
-	arrivals atomic.Int64
-	closed   chan struct{} // closed when a connection with a request ends
-	last     atomic.Pointer[http.Request]
-	body     atomic.Pointer[string]
+	l         net.Listener
+	arrivals  atomic.Int64
+	closed    chan struct{} // closed when a connection with a request ends
+	last      atomic.Pointer[http.Request]
+	questions atomic.Int64
+	asked     func(n int64) string // load that it tells at a question, nil: idle
+	slow      atomic.Int64         // nanoseconds until it answers a question
+	body      atomic.Pointer[string]
 }
 
 // answer writes what it likes; false ends the connection in order.
@@ -69,7 +73,12 @@
 			return
 		}
 		if req.URL.Path == "/health" {
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: 0,0,4,100\r\nContent-Length: 0\r\n\r\n", OwnNames.Load)
+			load := "0,0,4,100"
+			if n := x.questions.Add(1); x.asked != nil {
+				load = x.asked(n)
+			}
+			time.Sleep(time.Duration(x.slow.Load()))
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", OwnNames.Load, load)
 			continue
 		}
 		x.arrivals.Add(1)
@@ -120,6 +129,58 @@
 	}
 }
 
+// TestLateAnswersAreWaitedFor: where a link is busy no target answers within a few
+// round trips. A send without any knowledge meets a slow one too often.
+func TestLateAnswersAreWaitedFor(t *testing.T) {
+	w := newWorldFor(t, kqroutes.Safe, 20*time.Second, 8*time.Second, good, good, good)
+	for i, x := range w.list {
+		x.slow.Store(int64(5 * askTime))
+		if i > 0 {
+			x.asked = func(int64) string { return "0,0,4,400" }
+		}
+	}
+	const requests = 10
+	for range requests {
+		if res, _, err := w.call("/filings/1", "", OwnNames.Deadline, "20000"); err != nil || res.StatusCode != http.StatusOK {
+			t.Fatal(res, err)
+		}
+	}
+	if n := w.list[0].arrivals.Load(); n != requests {
+		t.Errorf("%d of %d requests at the target that is not slow", n, requests)
+	}
+}
+
+// TestEndOfALongBodyWaits: a target that turned slow while a long body was on its
+// way gets the body's end when it is quick again, or after a while.
+func TestEndOfALongBodyWaits(t *testing.T) {
+	const quickAt = 3 // question that finds the target quick again
+	slow, quick := "0,0,4,500", "0,0,4,100"
+	for _, turns := range []bool{true, false} {
+		t.Run(fmt.Sprintf("turns quick %v", turns), func(t *testing.T) {
+			w := newWorldFor(t, kqroutes.Upload, 20*time.Second, time.Second, good)
+			x, s := w.list[0], w.engine.scene.Load()
+			route, _ := s.table.Find("index.example", "/filings/1")
+			p := &passage{engine: w.engine, scene: s, route: route, service: "kekhai"}
+			x.asked = func(n int64) string {
+				if turns && n >= quickAt {
+					return quick
+				}
+				return slow
+			}
+			long := time.Now()
+			target := s.targets["kekhai"][0]
+			target.Told(kqfresh.Sample{Slots: 4, Slow: 1, At: long.Add(-time.Second)})
+			p.hold(t.Context(), target)
+			if n := x.questions.Load(); turns && n != quickAt || !turns && n <= quickAt {
+				t.Errorf("%d questions", n)
+			}
+			if held := time.Since(long); !turns && held < 250*time.Millisecond {
+				t.Errorf("held for %v", held)
+			}
+		})
+	}
+}
+
 // world is an engine before targets.
 type world struct {
 	engine *Engine
@@ -128,6 +189,11 @@
 }
 
 func newWorld(t *testing.T, kind kqroutes.Kind, timeout time.Duration, targets ...answer) *world {
+	t.Helper()
+	return newWorldFor(t, kind, timeout, 400*time.Millisecond, targets...)
+}
+
+func newWorldFor(t *testing.T, kind kqroutes.Kind, timeout, objective time.Duration, targets ...answer) *world {
 	t.Helper()
 	w := &world{engine: New(Config{
 		Names: OwnNames, Clock: kqclock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: kqlog.Discard(),
@@ -145,7 +211,7 @@
 	w.engine.Enforce(1, &kqroutes.Document{
 		Version: 1, Services: []kqroutes.Service{{Name: "kekhai", Health: "/health", Connections: 100}},
 		Hosts: []kqroutes.Host{{Name: "index.example", Routes: []kqroutes.Route{{
-			Name: "r1", Prefix: "/filings/", Service: "kekhai", Kind: kind, Attempts: 2, Timeout: timeout, Objective: 400 * time.Millisecond,
+			Name: "r1", Prefix: "/filings/", Service: "kekhai", Kind: kind, Attempts: 2, Timeout: timeout, Objective: objective,
 		}}}},
 	}, list)
 	w.front = httptest.NewServer(w.engine)
--- a/internal/call/kqpass/passage.go
+++ b/internal/call/kqpass/passage.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"kumquatglade/internal/route/kqfresh"
@@ -39,6 +40,7 @@
 	rest    io.Reader // of a body that is longer than keptBody
 	header  http.Header
 	chosen  choice
+	held    atomic.Int64 // nanoseconds for which the end of a long body waited
 	sends   int
 }
 
--- a/internal/call/kqpass/wait.go
+++ b/internal/call/kqpass/wait.go
@@ -41,7 +41,7 @@
 	many := kqfresh.AskFor(e.asks.Level())
 	e.mu.Unlock()
 	if c.line == 0 {
-		list, f := e.look(ctx, p.scene, p.service, tried, many)
+		list, f := e.look(ctx, p.scene, p.service, tried, many, p.route.Objective/askShare)
 		c.findings = f
 		if len(list) == 0 {
 			return c, "no target"
@@ -74,8 +74,7 @@
 	given := make(chan *kqfresh.Target, 1)
 	w := &kqfresh.Waiter{Priority: p.route.Priority, Give: func(t *kqfresh.Target) { given <- t }}
 	e.mu.Lock()
-	unit := e.unit(p.route.Name).Or(p.route.Objective / 3)
-	w.Latest, w.Until = kqfresh.Patience(now, p.born, p.until, p.route.Objective, unit)
+	w.Latest, w.Until = p.patience(now)
 	if !ch.Line.Join(w, now) {
 		e.mu.Unlock()
 		return nil, "no room in time"
@@ -101,6 +100,13 @@
 	return <-given, "" // given at the last moment
 }
 
+// patience returns by when the request must start to be in time, and until when it
+// waits at all; the lock is held.
+func (p *passage) patience(now time.Time) (latest, until time.Time) {
+	unit := p.engine.unit(p.route.Name).Or(p.route.Objective / 3)
+	return kqfresh.Patience(now, p.born, p.until, p.route.Objective, unit)
+}
+
 func (e *Engine) unit(route string) *kqfresh.Unit {
 	u := e.units[route]
 	if u == nil {
@@ -123,7 +129,7 @@
 		}
 		s := e.scene.Load()
 		e.mu.Unlock()
-		list, f := e.look(ctx, s, service, nil, kqfresh.LookFor(n))
+		list, f := e.look(ctx, s, service, nil, kqfresh.LookFor(n), 0)
 		e.mu.Lock()
 		ch.Serve(list, f.fresh, e.cfg.Clock.Now())
 		e.mu.Unlock()
--- a/internal/route/kqfresh/chooser.go
+++ b/internal/route/kqfresh/chooser.go
@@ -117,6 +117,34 @@
 	return latest, now.Add(time.Duration(lateShare * float64(end.Sub(now)-unit)))
 }
 
+const (
+	// holdPause is the time between two questions to a target that waits for the
+	// end of a body: a fraction of the time for which it stays slow.
+	holdPause = 30 * time.Millisecond
+
+	// holdLeast is how long it is worth waiting even if the answer gets late: one
+	// target in ten is still slow after that, and a sound one costs less.
+	holdLeast = 2 * slowLife
+)
+
+// HoldUntil returns until when the end of a long body may wait that has just
+// arrived; latest is when the target must begin to answer in time.
+func HoldUntil(now, latest time.Time) time.Time {
+	if least := now.Add(holdLeast); latest.Before(least) {
+		return least
+	}
+	return latest
+}
+
+// Hold returns how long to wait before the target is asked once more whether it is
+// a good moment to begin, 0: begin now.
+func Hold(t *Target, now, until time.Time) time.Duration {
+	if t.Last.At.IsZero() || t.quick(now) || !now.Before(until) {
+		return 0
+	}
+	return holdPause
+}
+
 // Choice is a chosen target and what was known of it before the send.
 type Choice struct {
 	Target *Target
--- a/internal/route/kqfresh/fresh_test.go
+++ b/internal/route/kqfresh/fresh_test.go
@@ -303,3 +303,32 @@
 		t.Fatal("joins a line that is far too long")
 	}
 }
+
+// TestHold: the end of a long body waits for a target that is slow now or may be,
+// not for one that tells nothing, and not for ever.
+func TestHold(t *testing.T) {
+	at := func(slow float64, age time.Duration) Sample { return Sample{Slots: 4, Slow: slow, At: epoch.Add(-age)} }
+	cases := []struct {
+		name  string
+		last  Sample
+		until time.Duration
+		want  time.Duration
+	}{
+		{"quick a moment ago", at(1, 5*time.Millisecond), time.Second, 0},
+		{"quick a while ago", at(1, 100*time.Millisecond), time.Second, holdPause},
+		{"slow now", at(5, 5*time.Millisecond), time.Second, holdPause},
+		{"slow for long", at(5, 5*time.Millisecond), 0, 0},
+		{"never told", Sample{}, time.Second, 0},
+	}
+	for _, c := range cases {
+		if got := Hold(&Target{Slots: 4, Last: c.last}, epoch, epoch.Add(c.until)); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+	if got := HoldUntil(epoch, epoch.Add(-time.Second)); !got.Equal(epoch.Add(holdLeast)) {
+		t.Errorf("a late one waits until %v", got.Sub(epoch))
+	}
+	if got := HoldUntil(epoch, epoch.Add(time.Minute)); !got.Equal(epoch.Add(time.Minute)) {
+		t.Errorf("one with much time waits until %v", got.Sub(epoch))
+	}
+}
