--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -331,6 +331,7 @@
 		return
 	}
 	if next.Revision > v.Revision {
+		f.cfg.Log.Infof("revisions %d to %d of control host %s", v.Revision+1, next.Revision, f.hub)
 		f.enforce(&next)
 	}
 	if n := len(list); n > 0 && list[n-1].Revision > next.Revision {
