--- a/internal/state/kqreplica/lead.go
+++ b/internal/state/kqreplica/lead.go
@@ -194,7 +194,7 @@
 
 // compact writes a snapshot when enough was applied since the last one.
 func (r *Replica) compact() {
-	if r.applied-r.log.base < snapshotEvery && r.pending < snapshotBytes {
+	if r.applied-r.log.base < uint64(r.cfg.Compact) && r.pending < snapshotBytes {
 		return
 	}
 	r.pending = 0
--- a/internal/state/kqreplica/replica.go
+++ b/internal/state/kqreplica/replica.go
@@ -33,9 +33,9 @@
 	snapshotTicks  = 100 // 5 s until a snapshot is sent again
 	readTicks      = 20  // 1 s until a read is given up
 
-	defaultBatch  = 512     // entries in one append message
-	snapshotEvery = 4096    // applied entries between two snapshots
-	snapshotBytes = 8 << 20 // entry bytes between two snapshots
+	defaultBatch  = 512       // entries in one append message
+	snapshotEvery = 4096      // applied entries between two snapshots
+	snapshotBytes = 512 << 10 // entry bytes between two snapshots: about 20 large documents, which take 0.2 s to apply after a start
 )
 
 // Machine is the deterministic state that the log drives.
@@ -61,6 +61,7 @@
 	Machine Machine
 	Rand    *rand.Rand
 	Batch   int // entries in one append message at most, 0 means defaultBatch
+	Compact int // applied entries between two snapshots, 0 means snapshotEvery
 
 	// Tolerance is how many data folders may be lost at once: an entry is
 	// committed only when more hosts than that hold it (all, if there are fewer).
@@ -170,6 +171,9 @@
 	if r.cfg.Batch == 0 {
 		r.cfg.Batch = defaultBatch
 	}
+	if r.cfg.Compact == 0 {
+		r.cfg.Compact = snapshotEvery
+	}
 	r.commits = func(term uint64) bool { return term == r.meta.Term }
 	r.meta.Boot++
 	r.run = kqjournal.Run{Incarnation: r.meta.Incarnation, Boot: r.meta.Boot, Token: cfg.Token}
--- a/internal/state/kqreplica/world_test.go
+++ b/internal/state/kqreplica/world_test.go
@@ -97,14 +97,19 @@
 	slot   int
 	calm   bool // no faults
 	joint  bool // hosts hear of links, and handle what comes together at once
-	halts  []string
-	onOut  func(n *node, e Effect)
+
+	compact int // applied entries between two snapshots, 0: as usual
+	halts   []string
+	onOut   func(n *node, e Effect)
 }
 
 func newWorld(seed uint64, mutant mutation, names ...string) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), mutant: mutant, nodes: map[string]*node{}, cuts: map[[2]string]int{}}
 	w.batch = 1 + w.rng.IntN(4)
 	w.joint = seed%5 != 0 && seed%5 != 4 // the seeds of TestFixedSeeds stay what they were
+	if seed%5 == 2 {
+		w.compact = 5 + int(seed%25) // most of what a lagging host lacks comes as a snapshot
+	}
 	for _, n := range names {
 		w.addHost(n)
 		w.hosts = append(w.hosts, want(n))
@@ -145,7 +150,7 @@
 	}
 	n.journal, n.machine = journal, &testMachine{state: kqcontract.NewState()}
 	cfg := Config{
-		Host: n.name, Hosts: hosts, Token: w.word(), Cluster: w.word(), Loaded: loaded, Machine: n.machine, Rand: w.rng, Batch: w.batch,
+		Host: n.name, Hosts: hosts, Token: w.word(), Cluster: w.word(), Loaded: loaded, Machine: n.machine, Rand: w.rng, Batch: w.batch, Compact: w.compact,
 	}
 	if w.open {
 		cfg.Hosts, cfg.Self, cfg.Open, cfg.Tolerance, cfg.NeverFound = w.seeds(), want(n.name), true, openTolerance, n.late
