--- a/internal/bench/kqsoak/fault.go
+++ b/internal/bench/kqsoak/fault.go
@@ -21,6 +21,7 @@
 	TargetLeaves Kind = "a target leaves"
 	TargetSlow   Kind = "a target turns slow"
 	TargetSheds  Kind = "a target rejects all"
+	TargetLoses  Kind = "a target loses answers"
 )
 
 // Fault is one fault of a round.
@@ -52,7 +53,7 @@
 func Round(rng *rand.Rand) []Fault {
 	kinds := []Kind{
 		KillEntry, KillControl, KillAll, FreezeEntry, FreezeLeader, StopEntry, LoseDisk,
-		TargetCrash, TargetLeaves, TargetSlow, TargetSheds,
+		TargetCrash, TargetLeaves, TargetSlow, TargetSheds, TargetLoses,
 	}
 	var list []Fault
 	for range 1 + rng.IntN(mostOf) {
--- a/internal/bench/kqsoak/fault_test.go
+++ b/internal/bench/kqsoak/fault_test.go
@@ -33,7 +33,7 @@
 			t.Fatalf("seed %d: %+v", seed, list)
 		}
 	}
-	if len(seen) != 11 {
+	if len(seen) != 12 {
 		t.Errorf("kinds %v", seen)
 	}
 }
--- a/internal/bench/kqsoak/soak.go
+++ b/internal/bench/kqsoak/soak.go
@@ -199,6 +199,10 @@
 		t.shed.Store(true)
 		wait(ctx, f.For)
 		t.shed.Store(false)
+	case TargetLoses:
+		t.loses.Store(true)
+		wait(ctx, f.For)
+		t.loses.Store(false)
 	}
 }
 
--- a/internal/bench/kqsoak/target.go
+++ b/internal/bench/kqsoak/target.go
@@ -21,7 +21,7 @@
 const (
 	service      = "kekhai"
 	slots        = 6
-	workTime     = 20 * time.Millisecond
+	workTime     = 60 * time.Millisecond
 	announceTime = time.Second // between two announcements, and for one try
 	padding      = 3000        // bytes of an answer behind the request's ID
 )
@@ -40,6 +40,7 @@
 	doors  []string // of control hosts
 	slow   atomic.Int64
 	shed   atomic.Bool
+	loses  atomic.Bool // answers, after it ran the requests
 	busy   atomic.Int64
 	seq    atomic.Uint64
 	stop   context.CancelFunc
@@ -148,6 +149,9 @@
 	t.busy.Add(1)
 	defer t.busy.Add(-1)
 	time.Sleep(workTime * time.Duration(100+t.slow.Load()) / 100)
+	if t.loses.Load() {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(names.ID, id)
 	w.Header().Set(names.Seal, "sealed")
 	io.WriteString(w, answerTo(id)) // the caller may have gone
