--- a/internal/state/kqreplica/elect.go
+++ b/internal/state/kqreplica/elect.go
@@ -99,18 +99,30 @@
 	if !again {
 		r.votes = map[string]bool{r.cfg.Host: true}
 	}
-	r.askVotes(kindPreVote, r.meta.Term+1)
+	r.askVotes()
 	r.countVotes()
 }
 
-func (r *Replica) askVotes(kind string, term uint64) {
+// askVotes asks all other voters for what this candidate needs now.
+func (r *Replica) askVotes() {
 	for _, m := range r.members {
-		if m.Voter && m.Host != r.cfg.Host {
-			r.send(m.Host, Message{Kind: kind, Cluster: r.meta.Cluster, Term: term, Index: r.log.last(), LogTerm: r.log.lastTerm()})
+		if m.Host != r.cfg.Host {
+			r.askVote(m.Host)
 		}
 	}
 }
 
+func (r *Replica) askVote(host string) {
+	if m, ok := find(r.members, host); !ok || !m.Voter {
+		return
+	}
+	kind, term := kindVote, r.meta.Term
+	if r.preVote {
+		kind, term = kindPreVote, r.meta.Term+1
+	}
+	r.send(host, Message{Kind: kind, Cluster: r.meta.Cluster, Term: term, Index: r.log.last(), LogTerm: r.log.lastTerm()})
+}
+
 // countVotes moves on once a quorum of the voters has granted.
 func (r *Replica) countVotes() {
 	if !r.quorum(func(host string) bool { return r.votes[host] }) {
@@ -126,7 +138,7 @@
 	r.meta.Vote = r.cfg.Host
 	r.saveMeta()
 	r.votes = map[string]bool{r.cfg.Host: true}
-	r.askVotes(kindVote, r.meta.Term)
+	r.askVotes()
 	r.countVotes()
 }
 
@@ -293,6 +305,9 @@
 
 func (r *Replica) linkUp(peer string) {
 	r.linked[peer] = true
+	if r.role == Candidate {
+		r.askVote(peer) // what was sent before did not reach it
+	}
 	r.hurry()
 	p := r.peers[peer]
 	if r.role != Leader || p == nil {
--- a/internal/state/kqreplica/restart_test.go
+++ b/internal/state/kqreplica/restart_test.go
@@ -59,6 +59,59 @@
 	}
 }
 
+// TestThreeOfFiveThatStartTogether: two data folders were lost and all hosts lost
+// power. Each of the three others is needed, and what is sent before a link is up
+// is lost.
+func TestThreeOfFiveThatStartTogether(t *testing.T) {
+	const groups, mostLate = 400, 40
+	late := 0
+	for seed := range uint64(groups) {
+		g := newSlowGroup(t, seed, 0, 0)
+		g.up = map[[2]string]bool{}
+		lost := g.rng.Perm(len(g.names))[:2]
+		live := slices.DeleteFunc(slices.Clone(g.names), func(n string) bool { return n == g.names[lost[0]] || n == g.names[lost[1]] })
+		// The lost ones are linked too, but have nothing to vote by.
+		g.linkPairs(func(a, b string) bool { return slices.Contains(live, a) || slices.Contains(live, b) })
+		g.deliver()
+		leader := g.replicas[live[0]].leader
+		for _, n := range live {
+			if l := g.replicas[n].leader; l != leader || leader == "" {
+				late++
+				break
+			}
+		}
+	}
+	if late > mostLate {
+		t.Errorf("%d of %d groups had no leader before the first tick, at most %d", late, groups, mostLate)
+	}
+}
+
+// linkPairs brings up the links in random order, each at both ends, with messages
+// on their way meanwhile.
+func (g *slowGroup) linkPairs(wanted func(a, b string) bool) {
+	blank := func(n string) bool { return !wanted(n, n) }
+	var pairs [][2]string
+	for i, a := range g.names {
+		for _, b := range g.names[i+1:] {
+			if wanted(a, b) {
+				pairs = append(pairs, [2]string{a, b})
+			}
+		}
+	}
+	g.rng.Shuffle(len(pairs), func(i, j int) { pairs[i], pairs[j] = pairs[j], pairs[i] })
+	for _, p := range pairs {
+		g.up[p], g.up[[2]string{p[1], p[0]}] = !blank(p[1]), !blank(p[0])
+		for i, n := range p {
+			if !blank(n) {
+				g.carry(n, g.replicas[n].Reduce(time.Time{}, LinkUp{Peer: p[1-i]}))
+			}
+		}
+		if g.rng.IntN(2) == 0 {
+			g.deliver()
+		}
+	}
+}
+
 // TestReadBeforeTheElection: an entry host that subscribes while there is no
 // leader is answered as soon as there is one, not refused.
 func TestReadBeforeTheElection(t *testing.T) {
--- a/internal/state/kqreplica/slow_test.go
+++ b/internal/state/kqreplica/slow_test.go
@@ -21,6 +21,7 @@
 	delay    int                 // ticks that a message takes at the least
 	spread   int                 // ticks more, at random
 	read     map[string]Readable // answers to reads, by their IDs
+	up       map[[2]string]bool  // links, nil: all
 }
 
 func newSlowGroup(t *testing.T, seed uint64, delay, spread int) *slowGroup {
@@ -55,6 +56,9 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case Send:
+			if g.up != nil && !g.up[[2]string{host, e.To}] {
+				continue // there is no link yet
+			}
 			g.queue = append(g.queue, packet{from: host, to: e.To, at: g.tick + g.delay + g.rng.IntN(g.spread+1), m: e.Message})
 		case Readable:
 			g.read[e.ID] = e
