--- a/internal/bench/kqsoak/fault.go
+++ b/internal/bench/kqsoak/fault.go
@@ -10,18 +10,18 @@
 
 // Kinds of faults.
 const (
-	KillEntry    Kind = "kill an entry host"
-	KillControl  Kind = "kill control hosts"
-	KillAll      Kind = "kill all hosts"
-	FreezeEntry  Kind = "freeze an entry host"
-	FreezeLeader Kind = "freeze a control host"
-	StopEntry    Kind = "stop an entry host as planned"
-	LoseDisk     Kind = "lose folders of control hosts"
-	TargetCrash  Kind = "crash a target"
-	TargetLeaves Kind = "a target leaves"
-	TargetSlow   Kind = "a target turns slow"
-	TargetSheds  Kind = "a target rejects all"
-	TargetLoses  Kind = "a target loses answers"
+	KillEntry     Kind = "kill an entry host"
+	KillControl   Kind = "kill control hosts"
+	KillAll       Kind = "kill all hosts"
+	FreezeEntry   Kind = "freeze an entry host"
+	FreezeControl Kind = "freeze a control host"
+	StopEntry     Kind = "stop an entry host as planned"
+	LoseDisk      Kind = "lose folders of control hosts"
+	TargetCrash   Kind = "crash a target"
+	TargetLeaves  Kind = "a target leaves"
+	TargetSlow    Kind = "a target turns slow"
+	TargetSheds   Kind = "a target rejects all"
+	TargetLoses   Kind = "a target loses answers"
 )
 
 // Fault is one fault of a round.
@@ -42,7 +42,7 @@
 // hold for it then, so that no target leaves in such a round.
 func touchy(k Kind) bool {
 	switch k {
-	case KillControl, KillAll, FreezeEntry, FreezeLeader, LoseDisk:
+	case KillControl, KillAll, FreezeEntry, FreezeControl, LoseDisk:
 		return true
 	}
 	return false
@@ -52,7 +52,7 @@
 // folders than are borne might be lost while others are still catching up.
 func Round(rng *rand.Rand) []Fault {
 	kinds := []Kind{
-		KillEntry, KillControl, KillAll, FreezeEntry, FreezeLeader, StopEntry, LoseDisk,
+		KillEntry, KillControl, KillAll, FreezeEntry, FreezeControl, StopEntry, LoseDisk,
 		TargetCrash, TargetLeaves, TargetSlow, TargetSheds, TargetLoses,
 	}
 	var list []Fault
--- a/internal/bench/kqsoak/soak.go
+++ b/internal/bench/kqsoak/soak.go
@@ -145,7 +145,7 @@
 		return entry.Signal(syscall.SIGTERM)
 	case FreezeEntry:
 		return freeze(ctx, entry, f.For)
-	case FreezeLeader:
+	case FreezeControl:
 		return freeze(ctx, control(0), f.For)
 	case KillControl:
 		return each(f.Count, func(i int) error { return control(i).Signal(syscall.SIGKILL) })
--- a/internal/call/kqforward/send.go
+++ b/internal/call/kqforward/send.go
@@ -33,7 +33,8 @@
 	Length int64
 	// Hold is called, if it is there, when all but the last byte is written: a
 	// target begins when it has the whole body.
-	Hold func()
+	// Its context ends with the exchange; the last byte is then not sent.
+	Hold func(context.Context)
 	// CloseEnds takes an answer without a length that its connection ends in
 	// order for whole; one that is reset never is.
 	CloseEnds bool
@@ -62,6 +63,7 @@
 	pool  *Pool
 	conn  *conn
 	stop  func() bool
+	end   context.CancelFunc // of a hold that is still under way
 	keep  bool
 	whole bool
 }
@@ -90,28 +92,33 @@
 
 func (p *Pool) exchange(ctx context.Context, c *conn, req Request) (*Reply, error) {
 	out := outgoing(ctx, req)
+	held, end := context.WithCancel(ctx)
 	written := make(chan error, 1)
 	inline := len(req.Body) <= inlineBody && req.Rest == nil && req.Hold == nil
 	if inline {
 		written <- c.write(out)
 	} else {
 		// A target may answer before it has read a large body.
-		go func() { written <- c.writeHeld(out, req.Hold) }()
+		go func() { written <- c.writeHeld(held, out, req.Hold) }()
 	}
 	if inline {
 		if err := <-written; err != nil {
+			end()
 			return nil, err
 		}
 		written <- nil
 	}
 	res, err := readHead(c, out)
 	if err != nil {
+		end()
 		c.Close() // ends a write that is still under way
 		<-written
 		return nil, err
 	}
 	c.keepIdle(res.Header.Get("Keep-Alive"))
-	return p.reply(c, res, written, req.CloseEnds), nil
+	reply := p.reply(c, res, written, req.CloseEnds)
+	reply.end = end
+	return reply, nil
 }
 
 func (c *conn) write(out *http.Request) error {
@@ -122,7 +129,7 @@
 }
 
 // writeHeld is write with a call before the last byte.
-func (c *conn) writeHeld(out *http.Request, hold func()) error {
+func (c *conn) writeHeld(ctx context.Context, out *http.Request, hold func(context.Context)) error {
 	if hold == nil {
 		return c.write(out)
 	}
@@ -134,7 +141,10 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	hold()
+	hold(ctx)
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	return last.finish()
 }
 
@@ -258,6 +268,7 @@
 	}
 	c := r.conn
 	r.conn = nil
+	r.end()
 	if r.stop() && r.keep && r.whole {
 		r.pool.put(c)
 		return
--- a/internal/call/kqforward/send_test.go
+++ b/internal/call/kqforward/send_test.go
@@ -307,7 +307,7 @@
 	defer p.Close()
 	got, err := send(t, p, Request{
 		Method: http.MethodPost, URL: &url.URL{Path: "/ledgers/1"}, Host: "x", Header: http.Header{}, Body: body,
-		Addr: l.Addr().String(), Conns: 1, Once: true, Hold: func() {
+		Addr: l.Addr().String(), Conns: 1, Once: true, Hold: func(context.Context) {
 			if n := <-before; n != len(body)-1 {
 				t.Errorf("%d of %d bytes are there", n, len(body))
 			}
@@ -338,3 +338,41 @@
 		t.Errorf("%q, %v", &out, err)
 	}
 }
+
+// TestBreakEndsHold: a target that ends while the last byte is held must not keep
+// the caller waiting, and gets no last byte.
+func TestBreakEndsHold(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	body := bytes.Repeat([]byte("7"), 2*inlineBody)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			io.CopyN(io.Discard, req.Body, int64(len(body)-1))
+		}
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}()
+	p := NewPool()
+	defer p.Close()
+	_, err = send(t, p, Request{
+		Method: http.MethodPost, URL: &url.URL{Path: "/ledgers/1"}, Host: "x", Header: http.Header{}, Body: body,
+		Addr: l.Addr().String(), Conns: 1, Once: true, Hold: func(ctx context.Context) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(20 * time.Second):
+				t.Error("the hold outlasts the connection")
+			}
+		},
+	})
+	var e *Error
+	if !errors.As(err, &e) || e.Unsent {
+		t.Fatalf("got %v", err)
+	}
+}
--- a/internal/call/kqpass/ask.go
+++ b/internal/call/kqpass/ask.go
@@ -144,7 +144,7 @@
 		e.mu.Lock()
 		ask := e.mayAsk(e.cfg.Clock.Now())
 		e.mu.Unlock()
-		if !ask || !e.question(ctx, t, path, conns, limit) {
+		if !ask || !answered(ctx, func() bool { return e.question(ctx, t, path, conns, limit) }) {
 			break
 		}
 		now := e.cfg.Clock.Now()
@@ -158,11 +158,26 @@
 		if pause == 0 {
 			break
 		}
-		time.Sleep(pause)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
 	}
 	p.held.Store(int64(e.cfg.Clock.Now().Sub(began)))
 }
 
+// answered waits for a question until ctx ends; the question goes on.
+func answered(ctx context.Context, question func() bool) bool {
+	told := make(chan bool, 1)
+	go func() { told <- question() }()
+	select {
+	case ok := <-told:
+		return ok
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // askBytes bounds the answer to a question.
 const askBytes = 4 << 10
 
--- a/internal/call/kqpass/attempt.go
+++ b/internal/call/kqpass/attempt.go
@@ -40,7 +40,7 @@
 	began := e.cfg.Clock.Now()
 	req := p.request(t)
 	if len(p.body) >= longBody && p.rest == nil {
-		req.Hold = func() { p.hold(ctx, t) }
+		req.Hold = func(ctx context.Context) { p.hold(ctx, t) }
 	}
 	reply, err := e.pool.Send(ctx, req)
 	if err != nil {
