--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -43,6 +43,7 @@
 	e := p.engine
 	started := e.cfg.Clock.Now()
 	req := p.targetRequest(t)
+	req.OnFirstByte = func() { p.recordFirstByte(t) }
 	if len(p.body) >= minHeldBody && p.bodyRest == nil {
 		req.BeforeLastByte = func(ctx context.Context) { p.holdLastByte(ctx, t) }
 	}
@@ -65,6 +66,22 @@
 	return p.handleReply(ctx, t, reply, started)
 }
 
+// recordFirstByte records the time since the choice of the target, and the send if
+// this host knows that the target drains.
+func (p *proxiedRequest) recordFirstByte(t *kqselection.Target) {
+	e := p.engine
+	now := e.cfg.Clock.Now()
+	e.metrics.firstByte.Update(now.Sub(p.chosen.at))
+	e.mu.Lock()
+	since := t.DrainingSince
+	e.mu.Unlock()
+	if since.IsZero() {
+		return
+	}
+	e.metrics.sentDraining.Inc(1)
+	p.logSendToDraining(t, now, since)
+}
+
 // targetRequest returns the request that is sent to the target.
 func (p *proxiedRequest) targetRequest(t *kqselection.Target) kqtransport.Request {
 	names := p.engine.cfg.HeaderNames
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -13,7 +13,9 @@
 	kqselection.Choice
 	probeResult
 	waited   time.Duration
-	queueLen int // number of requests that already waited for the service
+	queueLen int       // number of requests that already waited for the service
+	revision uint64    // of the routing state in force when the target was chosen
+	at       time.Time // when the target was chosen
 }
 
 // chooser chooses targets for one service. The engine's mutex guards it.
@@ -51,7 +53,7 @@
 		now := e.cfg.Clock.Now()
 		e.mu.Lock()
 		if t := ch.Pick(list, result.fresh, now); t != nil {
-			c.Choice = ch.ChoiceFor(t, now)
+			c.Choice, c.at, c.revision = ch.ChoiceFor(t, now), now, e.routing.Load().revision
 		}
 		e.mu.Unlock()
 		if c.Target != nil {
@@ -63,7 +65,7 @@
 	c.waited = now.Sub(started)
 	if t != nil {
 		e.mu.Lock()
-		c.Choice = ch.ChoiceFor(t, now)
+		c.Choice, c.at, c.revision = ch.ChoiceFor(t, now), now, e.routing.Load().revision
 		e.mu.Unlock()
 	}
 	return c, cause
--- a/internal/call/kqproxy/response.go
+++ b/internal/call/kqproxy/response.go
@@ -118,6 +118,17 @@
 	l.Msg("request: " + outcome)
 }
 
+// logSendToDraining logs a send to a target that this host learnt earlier to drain.
+func (p *proxiedRequest) logSendToDraining(t *kqselection.Target, now, since time.Time) {
+	l := p.engine.cfg.Log.Warn()
+	if l == nil {
+		return
+	}
+	l.Str("id", p.id).Str("target", t.ID).Str("addr", t.Addr).Uint64("arrived", p.routing.revision).Uint64("revision", p.chosen.revision).
+		Dur("draining", now.Sub(since)).Dur("chosen", now.Sub(p.chosen.at)).Dur("waited", p.chosen.waited).
+		Dur("took", now.Sub(p.started)).Int("sends", p.sends).Msg("send: target drains")
+}
+
 // logFailedSend logs a send that gave no response for the caller.
 func (p *proxiedRequest) logFailedSend(t *kqselection.Target, out outcome, status int) {
 	l := p.engine.cfg.Log.Info()
--- a/internal/call/kqproxy/routing.go
+++ b/internal/call/kqproxy/routing.go
@@ -44,21 +44,37 @@
 				k.ColdUntil = now.Add(t.ColdRemaining)
 			}
 		}
+		e.recordDraining(k, t.State != kqtargets.Ready, revision, now)
 		k.Saturation = e.chooser(t.Service).Saturation
 		targetsByID[t.ID] = k
 		if t.State == kqtargets.Ready {
 			next.targets[t.Service] = append(next.targets[t.Service], k)
 		}
 	}
-	e.closeReplaced(targetsByID)
+	e.retireReplaced(targetsByID, revision, now)
 	e.knownTargets = targetsByID
 	e.routing.Store(next)
 }
 
-// closeReplaced closes the idle connections to targets that were removed or replaced.
-func (e *Engine) closeReplaced(current map[string]*kqselection.Target) {
+// recordDraining records and logs whether the target drains; e.mu must be held.
+func (e *Engine) recordDraining(k *kqselection.Target, draining bool, revision uint64, now time.Time) {
+	if draining == !k.DrainingSince.IsZero() {
+		return
+	}
+	k.DrainingSince = time.Time{}
+	if draining {
+		k.DrainingSince = now
+	}
+	e.cfg.Log.Info().Str("target", k.ID).Str("addr", k.Addr).Int64("boot", k.Boot).Uint64("revision", revision).
+		Int("inflight", k.InFlight).Bool("draining", draining).Msg("routes: target changed")
+}
+
+// retireReplaced closes the idle connections to targets that were removed or replaced;
+// e.mu must be held.
+func (e *Engine) retireReplaced(current map[string]*kqselection.Target, revision uint64, now time.Time) {
 	for id, old := range e.knownTargets {
 		if k := current[id]; k != old {
+			e.recordDraining(old, true, revision, now)
 			e.pool.CloseIdle(old.Addr)
 		}
 	}
--- a/internal/call/kqtransport/send.go
+++ b/internal/call/kqtransport/send.go
@@ -29,6 +29,9 @@
 	MaxConns   int    // limit of open connections from this host to the target
 	AtMostOnce bool   // must not be executed twice
 
+	// OnFirstByte, if not nil, is called just before the first byte is written.
+	OnFirstByte func()
+
 	// BodyRest, if not nil, is sent after Body. BodyLength is then the length in
 	// bytes of both together, -1 if unknown.
 	BodyRest   io.Reader
@@ -83,7 +86,7 @@
 	if err != nil {
 		return nil, &Error{Unsent: true, PoolExhausted: errors.Is(err, errPoolExhausted), err: errors.Wrapf(err, "connect to %s", req.Addr)}
 	}
-	c.bytesWritten = 0
+	c.bytesWritten, c.onFirstByte = 0, req.OnFirstByte
 	unwatchContext := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	reply, err := p.exchange(ctx, c, req)
 	if err == nil {
--- a/internal/host/kqlog/log.go
+++ b/internal/host/kqlog/log.go
@@ -75,6 +75,12 @@
 	return l.out.Info()
 }
 
+// Warn starts a structured line at the warning level; it returns nil if the level is
+// disabled.
+func (l *Log) Warn() *log.Entry {
+	return l.out.Warn()
+}
+
 // Debugf logs details for developers.
 func (l *Log) Debugf(format string, args ...any) {
 	l.out.Debug().Msgf(l.prefix+format, args...)
--- a/internal/route/kqselection/target.go
+++ b/internal/route/kqselection/target.go
@@ -34,6 +34,10 @@
 	Saturation *Saturation // shared by the targets of a service; nil if not known
 	LastLoad   Sample
 
+	// DrainingSince is when this host learnt that the target drains or is gone, zero
+	// while the target accepts requests.
+	DrainingSince time.Time
+
 	failureRate   float64
 	failureRateAt time.Time
 	downUntil     time.Time // no requests are sent before this time
--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -207,7 +207,7 @@
 	var old *kqfeed.View
 	d.follower = kqfeed.NewFollower(kqfeed.FollowerConfig{
 		Host: self, Controls: d.feedControls, Link: d.mesh, Clock: kqclock.System{},
-		Log: d.log.Component("feed"), Events: d.events,
+		Log: d.log.Component("feed"), Events: d.events, Metrics: d.metrics,
 		OnView: func(v *kqfeed.View) {
 			d.quota.SetHosts(v.HostsRevision, entryNames(v))
 			d.engine.ApplyView(old, v)
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -119,7 +119,7 @@
 	ready := false
 	d.follower = kqfeed.NewFollower(kqfeed.FollowerConfig{
 		Host: d.self(), Controls: d.feedControls, Link: d.mesh, Clock: kqclock.System{},
-		Log: d.log.Component("feed"), Events: d.events, OnControls: d.setHubControls, StaleAfter: staleTimeout, SubscribeTimeout: subscribeTimeout,
+		Log: d.log.Component("feed"), Events: d.events, Metrics: d.metrics, OnControls: d.setHubControls, StaleAfter: staleTimeout, SubscribeTimeout: subscribeTimeout,
 		OnView: func(v *kqfeed.View) {
 			d.proxy.Apply(v.Revision, v.Routes, v.Targets)
 			if !ready && d.proxy.Ready() {
--- a/internal/state/kqcontract/state.go
+++ b/internal/state/kqcontract/state.go
@@ -116,6 +116,7 @@
 // Change is the effect of one accepted command, as sent to entry hosts.
 type Change struct {
 	Revision uint64             `json:"revision"`
+	Proposed int64              `json:"at,omitempty"` // when the leader proposed it, Unix milliseconds of its clock
 	Owner    string             `json:"owner,omitempty"`
 	Contract *Contract          `json:"contract,omitempty"` // nil if Owner is set and its contract was removed
 	Hosts    *Hosts             `json:"hosts,omitempty"`
--- a/internal/state/kqcontrol/machine.go
+++ b/internal/state/kqcontrol/machine.go
@@ -81,6 +81,9 @@
 		return outcome{result: kqcontract.Result{Refused: kqcontract.ReasonUnknown}}
 	}
 	res, change := m.state.Apply(c)
+	if change != nil {
+		change.Proposed = c.Time.UnixMilli()
+	}
 	return outcome{res, change}
 }
 
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -14,6 +14,7 @@
 	"kumquatglade/internal/state/kqcontract"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -32,6 +33,7 @@
 	Clock    kq.Clock
 	Log      *kqlog.Log
 	Events   *kqevent.Recorder
+	Metrics  metrics.Registry // the library's default registry if nil
 	// OnView is called in order of revisions, with the follower's lock held,
 	// when a newer view takes effect on this host.
 	OnView func(*View)
@@ -53,6 +55,7 @@
 	wait   sync.WaitGroup
 	view   atomic.Pointer[View]
 	wakeup chan struct{}
+	delay  metrics.Timer // from the proposal of a change to its effect on this host, by the clocks of two hosts
 
 	listeners atomic.Pointer[[]EntryListener]
 
@@ -73,7 +76,9 @@
 // NewFollower returns a Follower; Run starts it.
 func NewFollower(cfg FollowerConfig) *Follower {
 	ctx, stop := context.WithCancel(context.Background())
-	return &Follower{cfg: cfg, ctx: ctx, stop: stop, wakeup: make(chan struct{}, 1)}
+	return &Follower{
+		cfg: cfg, ctx: ctx, stop: stop, wakeup: make(chan struct{}, 1), delay: metrics.GetOrRegisterTimer("feed.delay", cfg.Metrics),
+	}
 }
 
 // Run keeps the subscription and the lease up to date until Close.
@@ -253,7 +258,8 @@
 		return
 	}
 	if next.Revision > v.Revision {
-		f.cfg.Log.Infof("applying revisions %d to %d from control host %s", v.Revision+1, next.Revision, f.hub)
+		delay := f.recordDelay(list, v.Revision)
+		f.cfg.Log.Infof("applying revisions %d to %d from control host %s, at most %v after they were proposed", v.Revision+1, next.Revision, f.hub, delay)
 		f.applyView(&next)
 	}
 	if n := len(list); n > 0 && list[n-1].Revision > next.Revision {
@@ -261,6 +267,22 @@
 	}
 }
 
+// recordDelay records how long ago each change after the revision was proposed, and
+// returns the longest of these times.
+func (f *Follower) recordDelay(list []kqcontract.Change, after uint64) time.Duration {
+	var longest time.Duration
+	now := f.cfg.Clock.Now()
+	for _, c := range list {
+		if c.Revision <= after || c.Proposed == 0 {
+			continue
+		}
+		d := max(now.Sub(time.UnixMilli(c.Proposed)), 0)
+		f.delay.Update(d)
+		longest = max(longest, d)
+	}
+	return longest
+}
+
 // resubscribe marks the subscription as lost, so that the run loop subscribes again.
 func (f *Follower) resubscribe() {
 	f.subscribed = false
