A target that drains is not available to the selection

What callers saw: nothing; their requests reached a target up to 2.3 s after it had announced its leave, later than the 2 s after which a target may be gone (DRAIN). Around a planned stop such a request can be cut.

Cause: whether a target drains was looked at once, when the list of ready targets was made. What is decided later, from a list or a response that is older than the drain, did not look again. The worst case is a queued request: Selector.AssignHeadroom gave it to whichever target had just reported headroom. A draining target that finishes its work reports headroom with each response, for as long as requests are queued.

Fix: Target.Available (Down before) is false from the moment at which the drain takes effect on this host. Candidates, Headroom and HasFreeSlot all ask it under the lock that Apply holds to record the drain, so no choice can be made from older knowledge.

--- a/internal/route/kqselection/queue.go
+++ b/internal/route/kqselection/queue.go
@@ -26,7 +26,7 @@
 // Headroom returns how many more requests the target can start now without slowing down
 // or queueing them. Without reportsLoad, only requests in flight from this host count.
 func (t *Target) Headroom(now time.Time, reportsLoad bool) int {
-	if t.Down(now) {
+	if !t.Available(now) {
 		return 0
 	}
 	slots := t.Slots
@@ -57,7 +57,7 @@
 // HasFreeSlot reports whether the target has a free slot, although one more request may
 // slow it down.
 func (t *Target) HasFreeSlot(now time.Time) bool {
-	return !t.Down(now) && t.recentlyFast(now) && t.load() < t.LastLoad.Slots
+	return t.Available(now) && t.recentlyFast(now) && t.load() < t.LastLoad.Slots
 }
 
 // NearlyFull reports whether one more request takes the target above the saturation
--- a/internal/route/kqselection/selection_test.go
+++ b/internal/route/kqselection/selection_test.go
@@ -72,11 +72,11 @@
 	x.RecordUnreachable(epoch)
 	first := x.downTime
 	x.RecordUnreachable(epoch)
-	if !x.Down(epoch.Add(first)) || x.Down(epoch.Add(maxDownTime)) {
+	if x.Available(epoch.Add(first)) || !x.Available(epoch.Add(maxDownTime)) {
 		t.Fatalf("down for %s, then %s", first, x.downTime)
 	}
 	x.RecordSuccess(epoch)
-	if x.Down(epoch) {
+	if !x.Available(epoch) {
 		t.Fatal("still down after a success")
 	}
 }
@@ -333,3 +333,47 @@
 		t.Errorf("the hold of a request with much time left ends after %v", got.Sub(epoch))
 	}
 }
+
+// TestDrainingTargetIsNotSelected guards against requests to a target that drains, which a
+// list of candidates or a response from before the drain still offers.
+func TestDrainingTargetIsNotSelected(t *testing.T) {
+	newSelector := func() (*Selector, *int) {
+		s := &Selector{Rand: rand.New(rand.NewPCG(1, 1)), Saturation: &Saturation{}}
+		assigned := new(int)
+		w := &Waiter{StartBy: epoch.Add(time.Second), GiveUpAt: epoch.Add(time.Second), Assign: func(*Target) { *assigned++ }}
+		if !s.Queue.Enqueue(w, epoch) {
+			t.Fatal("the request was not queued")
+		}
+		return s, assigned
+	}
+	cases := map[string]func(s *Selector, x *Target){
+		"probed before the drain": func(s *Selector, x *Target) {
+			s.AssignQueued([]*Target{x}, map[*Target]bool{x: true}, epoch)
+		},
+		"listed before the drain": func(s *Selector, x *Target) {
+			s.AssignQueued(Candidates([]*Target{x}, 1, "", epoch, s.Rand), nil, epoch)
+		},
+		"responds after the drain": func(s *Selector, x *Target) {
+			s.AssignHeadroom(x, epoch)
+		},
+		"never reported its load": func(s *Selector, x *Target) {
+			x.LastLoad = Sample{}
+			s.AssignQueued([]*Target{x}, nil, epoch)
+		},
+		"nearly full and explored": func(s *Selector, x *Target) {
+			x.LastLoad = loadSample(3, 0, 1)
+			for range 100 {
+				s.AssignQueued([]*Target{x}, nil, epoch)
+			}
+		},
+	}
+	for name, assign := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, assigned := newSelector()
+			assign(s, &Target{Slots: 4, LastLoad: loadSample(0, 0, 1), DrainingSince: epoch})
+			if *assigned != 0 {
+				t.Error("the draining target was selected")
+			}
+		})
+	}
+}
--- a/internal/route/kqselection/target.go
+++ b/internal/route/kqselection/target.go
@@ -75,9 +75,10 @@
 	t.downUntil = now.Add(mismatchDownTime)
 }
 
-// Down reports whether the target must get no requests now.
-func (t *Target) Down(now time.Time) bool {
-	return now.Before(t.downUntil)
+// Available reports whether the target may get requests now: it does not drain, and is
+// not avoided after a failed connection attempt or a mismatch.
+func (t *Target) Available(now time.Time) bool {
+	return t.DrainingSince.IsZero() && !now.Before(t.downUntil)
 }
 
 // RecordLoad stores the load that the target reported. A slow or full target is not
@@ -134,7 +135,7 @@
 	for _, i := range order {
 		t := list[i]
 		switch {
-		case t.Down(now):
+		case !t.Available(now):
 		case t.FailureRate(now) > avoidedFailureRate:
 			bad = append(bad, t)
 		case t.InFlight >= t.Slots || now.Before(t.reprobeAt):
