Targets are looked up at each choice, not at the arrival of the request

What callers saw: a request whose body arrived slowly, or that was tried again, was offered only to targets that were ready when it arrived.

A body may take as long as the caller's deadline.

Fix: probeCandidates lists targets of the current routing state. Route, limits and health path stay those of the request's arrival, as a request is served by the routes that it met.

--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -91,7 +91,7 @@
 	h.Set(names.Target, t.ID)
 	out := kqtransport.Request{
 		Method: p.in.Method, URL: p.in.URL, Host: p.in.Host, Header: h, Body: p.body, BodyRest: p.bodyRest, BodyLength: p.in.ContentLength,
-		Addr: t.Addr, MaxConns: p.engine.maxConns(p.routing, p.service), AtMostOnce: !p.route.Kind.Repeatable(), AcceptCloseDelimited: true,
+		Addr: t.Addr, MaxConns: p.engine.maxConns(p.routing.table, p.service), AtMostOnce: !p.route.Kind.Repeatable(), AcceptCloseDelimited: true,
 	}
 	return out
 }
--- a/internal/call/kqproxy/drain_test.go
+++ b/internal/call/kqproxy/drain_test.go
@@ -1,9 +1,12 @@
 package kqproxy
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,3 +73,45 @@
 		t.Errorf("%d requests at the draining target and %d at the other one, want 1 and 1", left, right)
 	}
 }
+
+// TestSlowBodyUsesCurrentTargets guards against requests that are refused, or sent to
+// targets that left, because the targets are those of the request's arrival.
+func TestSlowBodyUsesCurrentTargets(t *testing.T) {
+	f := newFixture(t, kqroutes.Upload, 5*time.Second, replyOK, replyOK)
+	f.apply(2, f.targets[0])
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /filings/7 HTTP/1.1\r\nHost: index.example\r\n%s: id-1\r\nContent-Length: 2\r\n\r\no", DefaultHeaderNames.RequestID)
+	waitFor(t, "the request arrives", func() bool { return f.engine.InFlight() == 1 })
+	f.apply(3, inState(f.targets[0], kqtargets.Draining), f.targets[1])
+	io.WriteString(c, "k")
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if left, right := f.fakeTargets[0].arrivals.Load(), f.fakeTargets[1].arrivals.Load(); res.StatusCode != http.StatusOK || left != 0 || right != 1 {
+		t.Errorf("status %d, %d requests at the draining target and %d at the other one, want 200, 0 and 1", res.StatusCode, left, right)
+	}
+}
+
+// TestRetryUsesCurrentTargets guards against retries that find no target, because all
+// targets of the request's arrival have left and their successors are not looked up.
+func TestRetryUsesCurrentTargets(t *testing.T) {
+	var f *fixture
+	replaced := func(c net.Conn, r *http.Request) bool {
+		f.apply(3, inState(f.targets[0], kqtargets.Draining), f.targets[1])
+		return replyNotExecuted(c, r)
+	}
+	f = newFixture(t, kqroutes.Unsafe, 5*time.Second, replaced, replyOK)
+	f.apply(2, f.targets[0])
+	res, _, err := f.call("/filings/7", "filing")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if res.StatusCode != http.StatusOK || f.fakeTargets[1].arrivals.Load() != 1 {
+		t.Errorf("status %d, %d requests at the new target, want 200 and 1", res.StatusCode, f.fakeTargets[1].arrivals.Load())
+	}
+}
--- a/internal/call/kqproxy/probe.go
+++ b/internal/call/kqproxy/probe.go
@@ -11,6 +11,7 @@
 
 	"kumquatglade/internal/call/kqtransport"
 	"kumquatglade/internal/route/kqselection"
+	"kumquatglade/internal/state/kqroutes"
 )
 
 const (
@@ -33,18 +34,18 @@
 	return e.probeAllowance.Take()
 }
 
-// probeCandidates probes up to n of the targets that were not tried. It returns the
-// targets worth a send, and which of them reported their load just now. If none
-// answers within probeWait, it waits for the first answer, up to firstReplyWait in
-// all.
-func (e *Engine) probeCandidates(ctx context.Context, s *routingState, service string, tried []*kqselection.Target, n int, firstReplyWait time.Duration) (list []*kqselection.Target, result probeResult) {
+// probeCandidates probes up to n of the targets that are ready now and were not tried.
+// It returns the targets worth a send, and which of them reported their load just now.
+// If none answers within probeWait, it waits for the first answer, up to firstReplyWait
+// in all.
+func (e *Engine) probeCandidates(ctx context.Context, table *kqroutes.Table, service string, tried []*kqselection.Target, n int, firstReplyWait time.Duration) (list []*kqselection.Target, result probeResult) {
 	started := e.cfg.Clock.Now()
 	var toProbe []*kqselection.Target
 	e.mu.Lock()
-	list, toProbe, result.fresh = e.chooser(service).PlanProbes(s.untried(service, tried), n, started, func() bool { return e.takeProbe(started) })
+	list, toProbe, result.fresh = e.chooser(service).PlanProbes(e.routing.Load().untried(service, tried), n, started, func() bool { return e.takeProbe(started) })
 	e.mu.Unlock()
 	result.probed = len(toProbe)
-	for _, t := range e.probeAll(ctx, s, service, toProbe, firstReplyWait) {
+	for _, t := range e.probeAll(ctx, table, service, toProbe, firstReplyWait) {
 		result.fresh[t] = true
 		result.answered++
 	}
@@ -63,12 +64,12 @@
 
 // probeAll probes the targets concurrently and returns those that answered within
 // probeWait; if none did, the first one that answers within firstReplyWait.
-func (e *Engine) probeAll(ctx context.Context, s *routingState, service string, list []*kqselection.Target, firstReplyWait time.Duration) []*kqselection.Target {
+func (e *Engine) probeAll(ctx context.Context, table *kqroutes.Table, service string, list []*kqselection.Target, firstReplyWait time.Duration) []*kqselection.Target {
 	if len(list) == 0 {
 		return nil
 	}
-	path := s.table.Services[service].Health
-	conns := e.maxConns(s, service)
+	path := table.Services[service].Health
+	conns := e.maxConns(table, service)
 	replies := make(chan *kqselection.Target, len(list))
 	for _, t := range list {
 		go func() {
@@ -140,7 +141,7 @@
 func (p *proxiedRequest) holdLastByte(ctx context.Context, t *kqselection.Target) {
 	e := p.engine
 	started := e.cfg.Clock.Now()
-	path, conns := p.routing.table.Services[p.service].Health, e.maxConns(p.routing, p.service)
+	path, conns := p.routing.table.Services[p.service].Health, e.maxConns(p.routing.table, p.service)
 	limit := max(minProbeTimeout, p.route.Objective/holdProbeDivisor)
 	var until time.Time
 	for ctx.Err() == nil {
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -45,7 +45,7 @@
 	maxProbes := kqselection.ProbeCount(e.probeAllowance.Level())
 	e.mu.Unlock()
 	if c.queueLen == 0 {
-		list, result := e.probeCandidates(ctx, p.routing, p.service, tried, maxProbes, p.route.Objective/firstReplyDivisor)
+		list, result := e.probeCandidates(ctx, p.routing.table, p.service, tried, maxProbes, p.route.Objective/firstReplyDivisor)
 		c.probeResult = result
 		if len(list) == 0 {
 			return c, "no target"
@@ -135,9 +135,8 @@
 			e.mu.Unlock()
 			return
 		}
-		s := e.routing.Load()
 		e.mu.Unlock()
-		list, result := e.probeCandidates(ctx, s, service, nil, kqselection.QueueProbeCount(n), 0)
+		list, result := e.probeCandidates(ctx, e.routing.Load().table, service, nil, kqselection.QueueProbeCount(n), 0)
 		e.mu.Lock()
 		ch.AssignQueued(list, result.fresh, e.cfg.Clock.Now())
 		e.mu.Unlock()
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -33,7 +33,7 @@
 	firstTry time.Time // estimated time of the caller's first try
 	id       string
 	route    *kqroutes.Route
-	routing  *routingState
+	routing  *routingState // in force when the request arrived; targets are chosen from the current one
 
 	service  string
 	body     []byte
--- a/internal/call/kqproxy/routing.go
+++ b/internal/call/kqproxy/routing.go
@@ -91,8 +91,8 @@
 
 // maxConns returns how many connections this host may open to one target of the
 // service.
-func (e *Engine) maxConns(s *routingState, service string) int {
-	limit := s.table.Services[service].Connections
+func (e *Engine) maxConns(table *kqroutes.Table, service string) int {
+	limit := table.Services[service].Connections
 	if limit <= 0 {
 		return defaultConnections
 	}
