The state of a target is checked again before the first byte

What callers saw: a request could reach a target that had begun to drain while the host dialled it.

TestDrainBeforeFirstByte fails without the check (1 arrival at the draining target).

Fix: Request.BeforeFirstByte runs when the connection is there; an error ends the send as unsent, so that another target is chosen. The failure counts neither against the target nor as a send. routes.draining now counts these sends; before, it counted those that reached the target.

--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -43,7 +43,7 @@
 	e := p.engine
 	started := e.cfg.Clock.Now()
 	req := p.targetRequest(t)
-	req.OnFirstByte = func() { p.recordFirstByte(t) }
+	req.BeforeFirstByte = func() error { return p.checkDraining(t) }
 	if len(p.body) >= minHeldBody && p.bodyRest == nil {
 		req.BeforeLastByte = func(ctx context.Context) { p.holdLastByte(ctx, t) }
 	}
@@ -51,7 +51,7 @@
 	if err != nil {
 		e.finishSend(t, func(now time.Time) {
 			switch {
-			case isPoolExhausted(err) || ctx.Err() != nil:
+			case isPoolExhausted(err) || errors.Is(err, errDraining) || ctx.Err() != nil:
 			case isUnsent(err):
 				t.RecordUnreachable(now)
 			default:
@@ -66,20 +66,24 @@
 	return p.handleReply(ctx, t, reply, started)
 }
 
-// recordFirstByte records the time since the choice of the target, and the send if
-// this host knows that the target drains.
-func (p *proxiedRequest) recordFirstByte(t *kqselection.Target) {
+// errDraining means that the target began to drain after it was chosen, so that nothing
+// was sent to it.
+var errDraining = errors.New("target drains")
+
+// checkDraining returns errDraining if this host knows that the target drains.
+func (p *proxiedRequest) checkDraining(t *kqselection.Target) error {
 	e := p.engine
 	now := e.cfg.Clock.Now()
-	e.metrics.firstByte.Update(now.Sub(p.chosen.at))
 	e.mu.Lock()
 	since := t.DrainingSince
 	e.mu.Unlock()
 	if since.IsZero() {
-		return
+		e.metrics.firstByte.Update(now.Sub(p.chosen.at))
+		return nil
 	}
-	e.metrics.sentDraining.Inc(1)
-	p.logSendToDraining(t, now, since)
+	e.metrics.draining.Inc(1)
+	p.logDraining(t, now, since)
+	return errDraining
 }
 
 // targetRequest returns the request that is sent to the target.
--- a/internal/call/kqproxy/drain_test.go
+++ b/internal/call/kqproxy/drain_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -115,3 +116,27 @@
 		t.Errorf("status %d, %d requests at the new target, want 200 and 1", res.StatusCode, f.fakeTargets[1].arrivals.Load())
 	}
 }
+
+// TestDrainBeforeFirstByte guards against a request that reaches a target which began to
+// drain after it was chosen, while the connection was being established.
+func TestDrainBeforeFirstByte(t *testing.T) {
+	f := newFixture(t, kqroutes.Unsafe, 5*time.Second, replyOK)
+	s := f.engine.routing.Load()
+	route, _ := s.table.Find("index.example", "/filings/1")
+	p := &proxiedRequest{
+		engine: f.engine, w: httptest.NewRecorder(), in: httptest.NewRequest(http.MethodPost, "/filings/1", nil), header: http.Header{},
+		started: time.Now(), deadline: time.Now().Add(5 * time.Second), routing: s, route: route, service: "kekhai",
+	}
+	var cause string
+	if p.chosen, cause = p.choose(t.Context(), nil); p.chosen.Target == nil {
+		t.Fatal(cause)
+	}
+	f.apply(2, inState(f.targets[0], kqtargets.Draining))
+	out, answered := p.attempt(t.Context(), p.chosen.Target)
+	if answered || !out.unsent || out.mayHaveRun || f.arrivals() != 0 {
+		t.Errorf("answered %v, %+v, %d arrivals, want an unsent request", answered, out, f.arrivals())
+	}
+	if target := p.chosen.Target; target.InFlight != 0 || target.FailureRate(time.Now()) != 0 {
+		t.Errorf("%d in flight, failure rate %v, want 0 and 0", target.InFlight, target.FailureRate(time.Now()))
+	}
+}
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -59,9 +59,9 @@
 // engineMetrics are the engine's published metrics.
 type engineMetrics struct {
 	requests, answered, refused, failed, retries, probes, failedProbes metrics.Counter
-	sentDraining                                                       metrics.Counter // sends to targets that this host knew to drain
+	draining                                                           metrics.Counter // sends given up because the target began to drain after it was chosen
 	latency, probeTime                                                 metrics.Timer
-	firstByte                                                          metrics.Timer // from the choice of the target to the first byte
+	firstByte                                                          metrics.Timer // from the choice of a target to the first byte
 }
 
 // New returns an Engine that refuses all requests until Apply is called.
@@ -75,10 +75,10 @@
 	e.metrics = engineMetrics{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"), failed: counter("failed"),
 		retries: counter("second"), probes: counter("questions"), failedProbes: counter("unanswered"),
-		sentDraining: counter("draining"),
-		latency:      metrics.GetOrRegisterTimer("routes.latency", cfg.Metrics),
-		firstByte:    metrics.GetOrRegisterTimer("routes.firstbyte", cfg.Metrics),
-		probeTime:    metrics.GetOrRegisterTimer("routes.asking", cfg.Metrics),
+		draining:  counter("draining"),
+		latency:   metrics.GetOrRegisterTimer("routes.latency", cfg.Metrics),
+		firstByte: metrics.GetOrRegisterTimer("routes.firstbyte", cfg.Metrics),
+		probeTime: metrics.GetOrRegisterTimer("routes.asking", cfg.Metrics),
 	}
 	go e.closeExpired()
 	return e
--- a/internal/call/kqproxy/response.go
+++ b/internal/call/kqproxy/response.go
@@ -118,8 +118,8 @@
 	l.Msg("request: " + outcome)
 }
 
-// logSendToDraining logs a send to a target that this host learnt earlier to drain.
-func (p *proxiedRequest) logSendToDraining(t *kqselection.Target, now, since time.Time) {
+// logDraining logs that nothing is sent to a target that began to drain after it was chosen.
+func (p *proxiedRequest) logDraining(t *kqselection.Target, now, since time.Time) {
 	l := p.engine.cfg.Log.Warn()
 	if l == nil {
 		return
--- a/internal/call/kqtransport/conn.go
+++ b/internal/call/kqtransport/conn.go
@@ -26,7 +26,6 @@
 	idleSince    time.Time     // when it was put into the pool
 	idleLimit    time.Duration // longest time in the pool by the target's Keep-Alive field; 0 if the target named none
 	bytesWritten int64         // bytes written to the socket for the current request
-	onFirstByte  func()        // called before the first of them is written; nil for none
 }
 
 // Only connections in use have buffers, since a host keeps hundreds of idle
@@ -80,10 +79,6 @@
 type countingWriter struct{ c *conn }
 
 func (w countingWriter) Write(p []byte) (int, error) {
-	if f := w.c.onFirstByte; f != nil {
-		w.c.onFirstByte = nil
-		f()
-	}
 	n, err := w.c.Conn.Write(p)
 	w.c.bytesWritten += int64(n)
 	return n, err
--- a/internal/call/kqtransport/send.go
+++ b/internal/call/kqtransport/send.go
@@ -29,8 +29,9 @@
 	MaxConns   int    // limit of open connections from this host to the target
 	AtMostOnce bool   // must not be executed twice
 
-	// OnFirstByte, if not nil, is called just before the first byte is written.
-	OnFirstByte func()
+	// BeforeFirstByte, if not nil, is called when the connection is established, before
+	// the first byte is written. After an error nothing is sent.
+	BeforeFirstByte func() error
 
 	// BodyRest, if not nil, is sent after Body. BodyLength is then the length in
 	// bytes of both together, -1 if unknown.
@@ -86,7 +87,13 @@
 	if err != nil {
 		return nil, &Error{Unsent: true, PoolExhausted: errors.Is(err, errPoolExhausted), err: errors.Wrapf(err, "connect to %s", req.Addr)}
 	}
-	c.bytesWritten, c.onFirstByte = 0, req.OnFirstByte
+	if req.BeforeFirstByte != nil {
+		if err := req.BeforeFirstByte(); err != nil {
+			p.drop(c)
+			return nil, &Error{Unsent: true, err: errors.Wrapf(err, "call to %s", req.Addr)}
+		}
+	}
+	c.bytesWritten = 0
 	unwatchContext := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	reply, err := p.exchange(ctx, c, req)
 	if err == nil {
