An announcement without a boot keeps the target's boot

What callers would have seen: requests at a target that had announced its leave.

Cause: an announcement without a boot (the field is missing, as from another writer) counted as one of the current boot, but was stored with boot 0. The next announcement of the real boot then looked like a restart and made a draining or gone target ready again. An entry host would also take it for a new target.

Evidence: two new cases of TestAnnouncements failed: draining and gone turned ready.

Fix: such an announcement takes the boot that is known.

After: the cases pass.

--- a/internal/state/kqtargets/targets.go
+++ b/internal/state/kqtargets/targets.go
@@ -72,7 +72,10 @@
 		return nil
 	}
 	old := s.Targets[a.ID]
-	sameBoot := old != nil && (a.Boot == old.Boot || a.Boot == 0)
+	if old != nil && a.Boot == 0 {
+		a.Boot = old.Boot // otherwise the next announcement of this boot would count as a restart
+	}
+	sameBoot := old != nil && a.Boot == old.Boot
 	if sameBoot && a.State == Gone {
 		gone := *old
 		gone.State = Gone
--- a/internal/state/kqtargets/targets_test.go
+++ b/internal/state/kqtargets/targets_test.go
@@ -10,7 +10,7 @@
 }
 
 // TestAnnouncements applies sequences of announcements and checks the final states of
-// targets a and b.
+// targets a and b. It guards against a target that becomes ready again within one boot.
 func TestAnnouncements(t *testing.T) {
 	const x, y = "10.0.0.1:80", "10.0.0.2:80"
 	cases := []struct {
@@ -27,6 +27,8 @@
 		{"an earlier boot leaves", []Target{announcement("a", 2, 1, Ready, x), announcement("a", 1, 99, Gone, "")}, Ready, ""},
 		{"an address used again ends the earlier target", []Target{announcement("a", 1, 1, Ready, x), announcement("b", 2, 1, Ready, x)}, Gone, Ready},
 		{"a late announcement does not take an address back", []Target{announcement("b", 2, 1, Ready, x), announcement("a", 1, 4, Ready, x)}, Gone, Ready},
+		{"draining stays after an announcement without a boot", []Target{announcement("a", 1, 1, Ready, x), announcement("a", 0, 2, Draining, x), announcement("a", 1, 3, Ready, x)}, Draining, ""},
+		{"gone stays after an announcement without a boot", []Target{announcement("a", 1, 1, Ready, x), announcement("a", 0, 2, Draining, x), announcement("a", 0, 0, Gone, ""), announcement("a", 1, 3, Ready, x)}, Gone, ""},
 		{"two addresses", []Target{announcement("a", 1, 1, Ready, x), announcement("b", 2, 1, Ready, y)}, Ready, Ready},
 		{"an unknown target leaves", []Target{announcement("a", 0, 0, Gone, "")}, "", ""},
 	}
