The head of a response is limited to 64 KiB

What callers saw: a request whose target sent bytes without end and without the end of a head was answered at the route's timeout, and the host kept all of these bytes in memory until then: at the speed of its link, more than a host may use.

Cause: the parser of the standard library reads a head of any length, and any number of interim responses.

Evidence: TestEndlessHead (status line, header field, fields, interim responses) swallowed all 8 MB that its target writes, and waited for the 10 s of its context; in TestEndlessResponse 'no head' and 'head' gave 504 after 300 ms.

Fix: while a head is read, the connection yields at most maxHead bytes, all interim responses together. Then the connection is closed: 502 for a request that may have run, another target for one that may be repeated. Endless bodies needed no change: they end with the route's timeout, as a response that breaks off (TestEndlessResponse).

--- a/internal/call/kqtransport/conn.go
+++ b/internal/call/kqtransport/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -9,11 +10,13 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
 const (
 	bufferSize     = 4 << 10
+	maxHead        = 64 << 10        // bytes of a response before its body, interim responses included
 	unackedTimeout = 3 * time.Second // a connection with data unacknowledged for this long is closed
 )
 
@@ -26,6 +29,7 @@
 	idleSince    time.Time     // when it was put into the pool
 	idleLimit    time.Duration // longest time in the pool by the target's Keep-Alive field; 0 if the target named none
 	bytesWritten int64         // bytes written to the socket for the current request
+	readLimit    int64         // bytes that may still be read from the socket
 }
 
 // Only connections in use have buffers, since a host keeps hundreds of idle
@@ -38,7 +42,7 @@
 // attachBuffers takes buffers for the connection from the shared pools.
 func (c *conn) attachBuffers() {
 	c.r = readers.Get().(*bufio.Reader)
-	c.r.Reset(c.Conn)
+	c.r.Reset(limitedReader{c})
 	c.w = writers.Get().(*bufio.Writer)
 	c.w.Reset(countingWriter{c})
 }
@@ -74,6 +78,28 @@
 	}
 }
 
+// errHeadTooLong means that the target sent maxHead bytes without the end of a head.
+var errHeadTooLong = errors.New("head of the response is too long")
+
+// limitHead limits the bytes that are read from now on to those of one head; the
+// returned function ends the limit.
+func (c *conn) limitHead() (end func()) {
+	c.readLimit = maxHead
+	return func() { c.readLimit = math.MaxInt64 }
+}
+
+// limitedReader reads from the connection up to its readLimit.
+type limitedReader struct{ c *conn }
+
+func (r limitedReader) Read(p []byte) (int, error) {
+	if r.c.readLimit <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := r.c.Conn.Read(p[:min(int64(len(p)), r.c.readLimit)])
+	r.c.readLimit -= int64(n)
+	return n, err
+}
+
 // countingWriter writes to the connection and counts the bytes that may have
 // reached the target.
 type countingWriter struct{ c *conn }
--- /dev/null
+++ b/internal/call/kqtransport/endless_test.go
@@ -0,0 +1,70 @@
+package kqtransport
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// TestEndlessHead guards against a target whose bytes never form the head of a response:
+// the host must close the connection before they fill its memory.
+func TestEndlessHead(t *testing.T) {
+	cases := map[string]struct{ start, repeated string }{
+		"status line":       {"", strings.Repeat("x", 1<<10)},
+		"header field":      {"HTTP/1.1 200 OK\r\nX-Long: ", strings.Repeat("x", 1<<10)},
+		"header fields":     {"HTTP/1.1 200 OK\r\n", "X-Field: 1\r\n"},
+		"interim responses": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	}
+	for name, bytes := range cases {
+		t.Run(name, func(t *testing.T) {
+			const most = 8 << 20 // bytes that the target writes at most; the socket buffers take a part
+			var written atomic.Int64
+			s := serve(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+				n, err := io.WriteString(c, bytes.start)
+				for err == nil && written.Add(int64(n)) < most {
+					n, err = io.WriteString(c, bytes.repeated)
+				}
+				<-t.Context().Done()
+				return false
+			})
+			p := NewPool()
+			defer p.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err := p.Send(ctx, newRequest(s, http.MethodPost))
+			var e *Error
+			if !errors.As(err, &e) || !errors.Is(err, errHeadTooLong) || e.Unsent {
+				t.Errorf("%v, want an error that the head is too long", err)
+			}
+			if n := p.OpenConns(s.listener.Addr().String()); n != 0 {
+				t.Errorf("%d connections are open", n)
+			}
+		})
+	}
+}
+
+// TestLongHead checks that a head just below the limit is read, on a new and on a reused
+// connection, and that the limit does not apply to the body.
+func TestLongHead(t *testing.T) {
+	field, body := strings.Repeat("x", maxHead-bufferSize), strings.Repeat("y", 2*maxHead)
+	s := serve(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Long: "+field+"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+		return true
+	})
+	p := NewPool()
+	defer p.Close()
+	for range 3 {
+		got, err := send(t, p, newRequest(s, http.MethodPost))
+		if err != nil || got != body {
+			t.Errorf("body of %d bytes and error %v, want %d bytes", len(got), err, len(body))
+		}
+	}
+}
--- a/internal/call/kqtransport/send.go
+++ b/internal/call/kqtransport/send.go
@@ -223,10 +223,14 @@
 }
 
 // readFinalHead reads the header of the response and skips the interim (1xx) ones
-// before it.
+// before it. It returns errHeadTooLong if all heads together are longer than maxHead.
 func readFinalHead(c *conn, out *http.Request) (*http.Response, error) {
+	defer c.limitHead()()
 	for {
 		res, err := http.ReadResponse(c.r, out)
+		if err != nil && c.readLimit <= 0 {
+			return nil, errHeadTooLong // the parser may report that the last line is malformed
+		}
 		if err != nil {
 			return nil, err
 		}
