--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -53,7 +53,7 @@
 		now := e.cfg.Clock.Now()
 		e.mu.Lock()
 		if t := ch.Pick(list, result.fresh, now); t != nil {
-			c.Choice, c.at, c.revision = ch.ChoiceFor(t, now), now, e.routing.Load().revision
+			e.recordChoice(&c, ch, t, now)
 		}
 		e.mu.Unlock()
 		if c.Target != nil {
@@ -65,12 +65,18 @@
 	c.waited = now.Sub(started)
 	if t != nil {
 		e.mu.Lock()
-		c.Choice, c.at, c.revision = ch.ChoiceFor(t, now), now, e.routing.Load().revision
+		e.recordChoice(&c, ch, t, now)
 		e.mu.Unlock()
 	}
 	return c, cause
 }
 
+// recordChoice records the chosen target, to which a send has just been counted; e.mu
+// must be held.
+func (e *Engine) recordChoice(c *choice, ch *chooser, t *kqselection.Target, now time.Time) {
+	c.Choice, c.at, c.revision = ch.ChoiceFor(t, now), now, e.routing.Load().revision
+}
+
 // waitInQueue queues the request and returns the target that it was assigned, or nil
 // and the cause.
 func (p *proxiedRequest) waitInQueue(ctx context.Context, ch *chooser) (*kqselection.Target, string) {
--- a/internal/state/kqfeed/relay.go
+++ b/internal/state/kqfeed/relay.go
@@ -91,6 +91,7 @@
 		}
 		f.mu.Lock()
 		if v.Revision > f.revision() {
+			f.cfg.Log.Infof("applying view %d from entry host %s", v.Revision, a.peer)
 			f.applyView(&v)
 		}
 		f.mu.Unlock()
--- a/internal/state/kqfeed/subscribe.go
+++ b/internal/state/kqfeed/subscribe.go
@@ -72,6 +72,7 @@
 func (f *Follower) startFrom(v *View) {
 	f.failedSubscribes, f.awaitedRevision, f.earlyView = 0, nil, nil
 	if v != nil && (f.view.Load() == nil || v.Revision > f.revision()) {
+		f.cfg.Log.Infof("applying view %d from control host %s, held back %d changes", v.Revision, f.hub, len(f.pendingChanges))
 		f.applyView(v)
 	}
 	pending := f.pendingChanges
