A silent control host is noticed when its last confirmation becomes stale

What callers would have seen: requests at a target up to 2 s after its drain.

Cause: an entry host looked every 250 ms whether its control host's last confirmation was older than 1.1 s. With one attempt of 0.5 s at a second silent control host, up to 1.85 s passed, of the 2 s, before a third one was asked.

Three cases of TestNextCheck failed.

Fix: the next check is due when the confirmation becomes stale.

Two silent control hosts at once leave 0.4 s, three are not counted by the tolerance.

--- a/internal/state/kqfeed/changes_test.go
+++ b/internal/state/kqfeed/changes_test.go
@@ -146,3 +146,30 @@
 		t.Fatal(diff)
 	}
 }
+
+// TestNextCheck guards against a host that acts on an old view for longer than it must:
+// a silent control host is to be noticed when its last confirmation becomes stale.
+func TestNextCheck(t *testing.T) {
+	const staleAfter, ms = 1100 * time.Millisecond, time.Millisecond
+	clock := kqfake.NewClock()
+	cases := []struct {
+		name       string
+		subscribed bool
+		age        time.Duration // of the last confirmation
+		want       time.Duration
+	}{
+		{"no subscription", false, 0, searchInterval},
+		{"confirmed just now", true, 0, checkInterval},
+		{"stale after the next check", true, staleAfter - 251*ms, checkInterval},
+		{"stale before the next check", true, staleAfter - 50*ms, 51 * ms},
+		{"stale now", true, staleAfter, ms},
+		{"stale for a while", true, 2 * staleAfter, ms},
+	}
+	for _, c := range cases {
+		f := NewFollower(FollowerConfig{Clock: clock, StaleAfter: staleAfter})
+		f.subscribed, f.lastHeard = c.subscribed, clock.Now().Add(-c.age)
+		if got := f.nextCheckDelay(); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -178,14 +178,19 @@
 	}
 }
 
-// nextCheckDelay returns the time until the subscription is checked again.
+// nextCheckDelay returns the time until the subscription is checked again, at the latest
+// when the last confirmation becomes stale.
 func (f *Follower) nextCheckDelay() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.subscribed && f.cfg.StaleAfter > 0 {
+	switch {
+	case f.cfg.StaleAfter == 0:
+		return checkInterval
+	case !f.subscribed:
 		return searchInterval
 	}
-	return checkInterval
+	fresh := f.cfg.StaleAfter - f.cfg.Clock.Now().Sub(f.lastHeard)
+	return min(max(fresh, 0)+time.Millisecond, checkInterval)
 }
 
 // ensureSubscribed subscribes to the first control host that answers, unless the
