Routes have the kind download; slow callers of large responses free their target

Cause: a document with the kind download was refused. Large responses may run more than once, like safe ones.

Change: kqroutes.Download. The beginning of a large response (64 KiB) is held until it is there, so that another target can answer when it breaks off; before, the head went out at once. The rest is read ahead of a slow caller, in chunks whose number is bounded for a caller (512 KiB) and a host (4 MiB), so that the target is free as soon as the response is read, and a response that is read is delivered whole, also after the timeout of its route. A caller that receives nothing for 15 s is disconnected.

Tests: TestSlowCallerFreesTarget, TestSlowCallersMemoryIsBounded, TestDownloadOutcomes, TestKindsThatMayRunAgain, the golden document of the platform. go test -race ./internal/call/kqproxy: ok.

--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -155,8 +155,17 @@
 		return reject(record, outcome{mayHaveRun: true, cause: "the answer broke off: " + err.Error()})
 	}
 	if !complete {
-		p.deliver(reply, body, complete)
-		e.finishSend(t, func(now time.Time) { t.RecordSuccess(now) })
+		p.deliver(reply, body, e.readAheads.start(reply.Body, func(err error) {
+			reply.Close() // the caller may still receive for a while
+			e.finishSend(t, func(now time.Time) {
+				switch {
+				case err == nil:
+					t.RecordSuccess(now)
+				case ctx.Err() == nil && !errors.Is(err, io.ErrClosedPipe):
+					t.RecordFailure(now)
+				}
+			})
+		}))
 		return outcome{}, true
 	}
 	e.finishSend(t, func(now time.Time) {
@@ -171,7 +180,7 @@
 			ch.AssignHeadroom(t, now)
 		}
 	})
-	p.deliver(reply, body, complete)
+	p.deliver(reply, body, nil)
 	return outcome{}, true
 }
 
@@ -181,30 +190,23 @@
 	return p.sends+1 < p.route.Attempts && time.Until(p.deadline) > p.engine.cfg.Clock.Now().Sub(p.started)
 }
 
-// readReply reads a small response completely, and of a large one at most the
-// beginning.
+// readReply reads a small response completely, and of a large one the beginning.
 func readReply(reply *kqtransport.Reply) (body []byte, complete bool, err error) {
-	size := reply.BodyLength
-	if size > maxBufferedReply {
-		return nil, false, nil
-	}
 	var buf bytes.Buffer
-	if size > 0 {
+	if size := min(reply.BodyLength, maxBufferedReply); size > 0 {
 		buf.Grow(int(size) + bytes.MinRead)
 	}
 	n, err := io.Copy(&buf, io.LimitReader(reply.Body, maxBufferedReply))
 	if err != nil {
 		return nil, false, err
 	}
-	if n < maxBufferedReply {
-		return buf.Bytes(), true, nil
-	}
-	return buf.Bytes(), false, nil
+	return buf.Bytes(), n < maxBufferedReply, nil
 }
 
-// deliver writes the response to the caller. If the response is truncated on the
-// way, it aborts the caller's connection, so that the caller can tell.
-func (p *proxiedRequest) deliver(reply *kqtransport.Reply, body []byte, complete bool) {
+// deliver writes the response to the caller: body, and then what rest reads, if it is
+// not nil. If the response is truncated on the way, it aborts the caller's connection, so
+// that the caller can tell.
+func (p *proxiedRequest) deliver(reply *kqtransport.Reply, body []byte, rest *readAhead) {
 	e := p.engine
 	h := p.w.Header()
 	connection := h.Get("Connection")
@@ -221,25 +223,53 @@
 	bodyless := p.in.Method == http.MethodHead || reply.Status == http.StatusNoContent || reply.Status == http.StatusNotModified
 	switch {
 	case bodyless:
-	case complete:
+	case rest == nil:
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	case reply.BodyLength >= 0:
 		h.Set("Content-Length", strconv.FormatInt(reply.BodyLength, 10))
 	}
 	p.w.WriteHeader(reply.Status)
+	cause := "caller: "
 	_, err := p.w.Write(body)
-	if err == nil && !complete && !bodyless {
-		_, err = io.Copy(p.w, reply.Body)
+	if rest != nil {
+		failing := io.Writer(p.w)
+		if err != nil {
+			failing = failedWriter{err}
+		}
+		var fromTarget bool
+		if fromTarget, err = rest.writeTo(failing, p.boundStall); fromTarget {
+			cause = "target: "
+		}
+		p.endStallBound()
 	}
 	if err != nil && !bodyless {
 		e.metrics.failed.Inc(1)
-		p.logOutcome("broken", reply.Status, err.Error())
-		if !complete {
-			e.finishSend(p.chosen.Target, func(time.Time) {})
-		}
+		p.logOutcome("broken", reply.Status, cause+err.Error())
 		panic(http.ErrAbortHandler)
 	}
 	e.metrics.answered.Inc(1)
 	p.sends++
 	p.logOutcome("answered", reply.Status, "")
 }
+
+// failedWriter fails every write with an earlier error.
+type failedWriter struct{ err error }
+
+func (w failedWriter) Write([]byte) (int, error) { return 0, w.err }
+
+// maxCallerStall is how long a caller may receive nothing of a large response before its
+// connection is closed: slow callers make progress, and others would hold memory for ever.
+const maxCallerStall = 15 * time.Second
+
+// boundStall bounds the time of the next write to the caller.
+func (p *proxiedRequest) boundStall() {
+	_ = http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(maxCallerStall)) // not all writers support it
+}
+
+// endStallBound sends what is buffered within the current bound and removes the bound,
+// which would otherwise hold for the next request on the connection.
+func (p *proxiedRequest) endStallBound() {
+	rc := http.NewResponseController(p.w)
+	_ = rc.Flush()                       // an error shows at the next write
+	_ = rc.SetWriteDeadline(time.Time{}) // not all writers support it
+}
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -38,13 +38,14 @@
 
 // Engine forwards requests. It is safe for concurrent use.
 type Engine struct {
-	cfg      Config
-	pool     *kqtransport.Pool
-	routing  atomic.Pointer[routingState]
-	stopping atomic.Bool
-	inFlight atomic.Int64
-	metrics  engineMetrics
-	done     chan struct{}
+	cfg        Config
+	pool       *kqtransport.Pool
+	readAheads *readAheadPool
+	routing    atomic.Pointer[routingState]
+	stopping   atomic.Bool
+	inFlight   atomic.Int64
+	metrics    engineMetrics
+	done       chan struct{}
 
 	mu              sync.Mutex
 	doc             *kqroutes.Document
@@ -67,7 +68,7 @@
 // New returns an Engine that refuses all requests until Apply is called.
 func New(cfg Config) *Engine {
 	e := &Engine{
-		cfg: cfg, pool: kqtransport.NewPool(), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{},
+		cfg: cfg, pool: kqtransport.NewPool(), readAheads: newReadAheadPool(), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{},
 		retryBudgets: map[string]*kqselection.RetryBudget{},
 		choosers:     map[string]*chooser{}, serviceTimes: map[string]*kqselection.ServiceTime{}, longestTimeouts: map[string]time.Duration{},
 	}
--- a/internal/state/kqroutes/routes.go
+++ b/internal/state/kqroutes/routes.go
@@ -12,14 +12,15 @@
 
 // Kinds of routes.
 const (
-	Safe   Kind = "safe"   // may run more than once
-	Unsafe Kind = "unsafe" // each request runs at most once
-	Upload Kind = "upload" // like Unsafe, for requests with large bodies
+	Safe     Kind = "safe"     // may run more than once
+	Unsafe   Kind = "unsafe"   // each request runs at most once
+	Upload   Kind = "upload"   // like Unsafe, for requests with large bodies
+	Download Kind = "download" // like Safe, for large responses
 )
 
 // Repeatable reports whether a request of this kind may run more than once.
 func (k Kind) Repeatable() bool {
-	return k == Safe
+	return k == Safe || k == Download
 }
 
 const (
@@ -114,9 +115,9 @@
 		return errors.Newf("prefix %q: want a leading slash", r.Prefix)
 	}
 	switch r.Kind {
-	case Safe, Unsafe, Upload:
+	case Safe, Unsafe, Upload, Download:
 	default:
-		return errors.Newf("kind %q: want safe, unsafe or upload", r.Kind)
+		return errors.Newf("kind %q: want safe, unsafe, upload or download", r.Kind)
 	}
 	if r.Timeout <= 0 || r.Timeout > MaxTimeout {
 		return errors.Newf("timeout %s: want more than 0 and at most %s", r.Timeout, MaxTimeout)
--- a/internal/state/kqroutes/routes_test.go
+++ b/internal/state/kqroutes/routes_test.go
@@ -42,6 +42,7 @@
 		// A route without a timeout once was accepted and broke a rule in two simulated days.
 		{"timeout 0", func(d *Document) { d.Hosts[0].Routes[1].Timeout = 0 }, false},
 		{"too long a timeout", func(d *Document) { d.Hosts[0].Routes[1].Timeout = MaxTimeout + 1 }, false},
+		{"download", func(d *Document) { d.Hosts[0].Routes[0].Kind = Download }, true},
 		{"unknown kind", func(d *Document) { d.Hosts[0].Routes[1].Kind = "maybe" }, false},
 		{"prefix without a leading slash", func(d *Document) { d.Hosts[0].Routes[1].Prefix = "filings/" }, false},
 		{"host without a name", func(d *Document) { d.Hosts[1].Name = "" }, false},
@@ -57,6 +58,17 @@
 	}
 }
 
+// TestKindsThatMayRunAgain guards the promise that only requests whose kind says so are
+// sent to a second target after they may have run.
+func TestKindsThatMayRunAgain(t *testing.T) {
+	want := map[Kind]bool{Safe: true, Download: true, Unsafe: false, Upload: false, "maybe": false}
+	for kind, repeatable := range want {
+		if kind.Repeatable() != repeatable {
+			t.Errorf("kind %q: repeatable %v, want %v", kind, kind.Repeatable(), repeatable)
+		}
+	}
+}
+
 func TestFind(t *testing.T) {
 	table := NewTable(sampleDocument(1))
 	cases := []struct{ host, path, route string }{
