A response must answer its own request; targets that leave or ask for quiet get nothing

Cause: a refusal (Not-Executed, 421) was taken as the answer to the request at hand without a look at the ID it repeats, so that a copy of an earlier refusal on a kept connection told the caller 'not run' and sent the request to a second target. A copy of a success made the request fail, and a copy in front of a probe's answer gave a wrong load.

Change: kqtransport skips responses to earlier requests of the connection (two at most, then it fails) and does not reuse such a connection; connections belong to one start of a target. A refusal without an ID counts only on a connection that carried no other request: on a kept one nothing tells whose it is. A probe checks the ID of the target that answers. kqselection.Target.Barred is the one place that says that a target must get nothing (draining, leaving, quiet); all ways to a target ask it last before the first byte. While all targets of a service ask for quiet, callers are refused at once and told the earliest return.

--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -43,7 +43,7 @@
 	e := p.engine
 	started := e.cfg.Clock.Now()
 	req := p.targetRequest(t)
-	req.BeforeFirstByte = func() error { return p.checkDraining(t) }
+	req.BeforeFirstByte = func() error { return p.checkBarred(t) }
 	if len(p.body) >= minHeldBody && p.bodyRest == nil {
 		req.BeforeLastByte = func(ctx context.Context) { p.holdLastByte(ctx, t) }
 	}
@@ -51,7 +51,7 @@
 	if err != nil {
 		e.finishSend(t, func(now time.Time) {
 			switch {
-			case isPoolExhausted(err) || errors.Is(err, errDraining) || ctx.Err() != nil:
+			case isPoolExhausted(err) || errors.Is(err, errBarred) || ctx.Err() != nil:
 			case isUnsent(err):
 				t.RecordUnreachable(now)
 			default:
@@ -66,24 +66,24 @@
 	return p.handleReply(ctx, t, reply, started)
 }
 
-// errDraining means that the target began to drain after it was chosen, so that nothing
-// was sent to it.
-var errDraining = errors.New("target drains")
+// errBarred means that the target was barred after it was chosen, so that nothing was
+// sent to it.
+var errBarred = errors.New("target is barred")
 
-// checkDraining returns errDraining if this host knows that the target drains.
-func (p *proxiedRequest) checkDraining(t *kqselection.Target) error {
+// checkBarred returns errBarred if this host knows that the target must get nothing now.
+func (p *proxiedRequest) checkBarred(t *kqselection.Target) error {
 	e := p.engine
 	now := e.cfg.Clock.Now()
 	e.mu.Lock()
-	since := t.DrainingSince
+	reason, since := t.Barred(now), t.DrainingSince
 	e.mu.Unlock()
-	if since.IsZero() {
+	if reason == kqselection.NotBarred {
 		e.metrics.firstByte.Update(now.Sub(p.chosen.at))
 		return nil
 	}
-	e.metrics.draining.Inc(1)
-	p.logDraining(t, now, since)
-	return errDraining
+	e.metrics.barred.Inc(1)
+	p.logBarred(t, reason, now, since)
+	return errors.Wrap(errBarred, string(reason))
 }
 
 // targetRequest returns the request that is sent to the target.
@@ -95,7 +95,11 @@
 	h.Set(names.Target, t.ID)
 	out := kqtransport.Request{
 		Method: p.in.Method, URL: p.in.URL, Host: p.in.Host, Header: h, Body: p.body, BodyRest: p.bodyRest, BodyLength: p.in.ContentLength,
-		Addr: t.Addr, MaxConns: p.engine.maxConns(p.routing.table, p.service), AtMostOnce: !p.route.Kind.Repeatable(), AcceptCloseDelimited: true,
+		Addr: t.Addr, Instance: instanceKey(t), MaxConns: p.engine.maxConns(p.routing.table, p.service),
+		AtMostOnce: !p.route.Kind.Repeatable(), NoReuse: p.id == "", AcceptCloseDelimited: true,
+		IsForeign: func(earlier kqtransport.Exchanges, status int, header http.Header) bool {
+			return p.isForeign(t, earlier, status, header)
+		},
 	}
 	return out
 }
@@ -117,6 +121,7 @@
 	ch := e.chooser(p.service)
 	e.mu.Unlock()
 	sample, hasLoad := parseLoad(reply.Header.Get(names.Load), e.cfg.Clock.Now())
+	e.recordTerms(t, reply.Status, reply.Header)
 	reject := func(record func(time.Time), out outcome) (outcome, bool) {
 		e.finishSend(t, func(now time.Time) {
 			record(now)
@@ -129,16 +134,13 @@
 		p.logFailedSend(t, out, reply.Status)
 		return out, false
 	}
-	idMatches := p.id == "" || reply.Header.Get(names.RequestID) == p.id
 	switch {
+	case !p.isOwn(reply):
+		return reject(t.RecordFailure, outcome{mayHaveRun: true, cause: "the answer belongs to another request"})
 	case reply.Status == http.StatusMisdirectedRequest:
 		return reject(t.RecordMismatch, outcome{cause: "another target answers at the address"})
 	case reply.Header.Get(names.NotExecuted) != "":
-		// The target read the request from this connection, so its statement is
-		// valid even if it does not repeat the request ID.
 		return reject(t.RecordFailure, outcome{cause: "the target did not run it"})
-	case !idMatches:
-		return reject(t.RecordFailure, outcome{mayHaveRun: true, cause: "the answer belongs to another request"})
 	// A success without the seal was not made by the target, and one with a content
 	// encoding was changed on the way.
 	case reply.Status/100 == 2 && (reply.Header.Get(names.Seal) == "" || reply.Header.Get("Content-Encoding") != ""):
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -60,7 +60,9 @@
 // engineMetrics are the engine's published metrics.
 type engineMetrics struct {
 	requests, answered, refused, failed, retries, probes, failedProbes metrics.Counter
-	draining                                                           metrics.Counter // sends given up because the target began to drain after it was chosen
+	barred                                                             metrics.Counter // sends given up because the target was barred after it was chosen
+	foreign                                                            metrics.Counter // responses to other requests that were skipped
+	leaving, quiet, oddQuiet                                           metrics.Counter // targets that said they shut down, or asked for quiet, or for a time not understood
 	latency, probeTime                                                 metrics.Timer
 	firstByte                                                          metrics.Timer // from the choice of a target to the first byte
 }
@@ -76,7 +78,7 @@
 	e.metrics = engineMetrics{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"), failed: counter("failed"),
 		retries: counter("second"), probes: counter("questions"), failedProbes: counter("unanswered"),
-		draining:  counter("draining"),
+		barred: counter("barred"), foreign: counter("foreign"), leaving: counter("leaving"), quiet: counter("quiet"), oddQuiet: counter("oddquiet"),
 		latency:   metrics.GetOrRegisterTimer("routes.latency", cfg.Metrics),
 		firstByte: metrics.GetOrRegisterTimer("routes.firstbyte", cfg.Metrics),
 		probeTime: metrics.GetOrRegisterTimer("routes.asking", cfg.Metrics),
--- a/internal/call/kqproxy/names.go
+++ b/internal/call/kqproxy/names.go
@@ -9,10 +9,12 @@
 	Target      string // ID of the target that the request is meant for
 	Load        string // load of a target: running, waiting, slots, percentage of the usual service time
 	NotExecuted string // set by a target that did not execute the request
+	Instance    string // ID of the target in its answers to probes
+	Leaving     string // 1 in the responses of a target that is shutting down
 }
 
 // DefaultHeaderNames are the names that kumquatglade defines itself.
 var DefaultHeaderNames = HeaderNames{
 	RequestID: "Kumquat-Call", Deadline: "Kumquat-Deadline", Seal: "Kumquat-Seal", Target: "Kumquat-Target",
-	Load: "Kumquat-Load", NotExecuted: "Kumquat-Not-Run",
+	Load: "Kumquat-Load", NotExecuted: "Kumquat-Not-Run", Instance: "Kumquat-Instance", Leaving: "Kumquat-Leaving",
 }
--- a/internal/call/kqproxy/probe.go
+++ b/internal/call/kqproxy/probe.go
@@ -12,6 +12,8 @@
 	"kumquatglade/internal/call/kqtransport"
 	"kumquatglade/internal/route/kqselection"
 	"kumquatglade/internal/state/kqroutes"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -112,7 +114,12 @@
 	defer cancel()
 	e.metrics.probes.Inc(1)
 	reply, err := e.pool.Send(ctx, kqtransport.Request{
-		Method: http.MethodGet, URL: &url.URL{Path: path}, Host: t.Addr, Header: http.Header{}, Addr: t.Addr, MaxConns: conns,
+		Method: http.MethodGet, URL: &url.URL{Path: path}, Host: t.Addr, Header: http.Header{}, Addr: t.Addr, Instance: instanceKey(t), MaxConns: conns,
+		BeforeFirstByte: func() error { return e.checkProbeBarred(t) },
+		IsProbe:         true,
+		IsForeign: func(earlier kqtransport.Exchanges, status int, header http.Header) bool {
+			return e.isForeignToProbe(t, earlier, status, header)
+		},
 	})
 	now := e.cfg.Clock.Now()
 	if err != nil {
@@ -124,6 +131,15 @@
 		e.probeFailed(t, now, err)
 		return false
 	}
+	if id := reply.Header.Get(e.cfg.HeaderNames.Instance); id != "" && id != t.ID {
+		e.recordMismatch(t, id, now)
+		return false
+	}
+	e.recordTerms(t, reply.Status, reply.Header)
+	if reply.Header.Get(e.cfg.HeaderNames.RequestID) != "" {
+		e.probeFailed(t, now, kqtransport.ErrForeign)
+		return false
+	}
 	sample, ok := parseLoad(reply.Header.Get(e.cfg.HeaderNames.Load), now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -158,8 +174,9 @@
 			until = kqselection.BodyHoldDeadline(now, latest)
 		}
 		pause := kqselection.BodyHoldDelay(t, now, until)
+		barred := t.Barred(now) != kqselection.NotBarred
 		e.mu.Unlock()
-		if pause == 0 {
+		if pause == 0 || barred { // the target must not get its last byte any later
 			break
 		}
 		select {
@@ -191,11 +208,30 @@
 	e.metrics.failedProbes.Inc(1)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if isUnsent(err) && !isPoolExhausted(err) {
+	if isUnsent(err) && !isPoolExhausted(err) && !errors.Is(err, errBarred) {
 		t.RecordUnreachable(now)
 	}
 }
 
+// checkProbeBarred returns errBarred if the target must get no probe now.
+func (e *Engine) checkProbeBarred(t *kqselection.Target) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if reason := t.Barred(e.cfg.Clock.Now()); reason != kqselection.NotBarred {
+		return errors.Wrap(errBarred, string(reason))
+	}
+	return nil
+}
+
+// recordMismatch records that another target than t answered a probe.
+func (e *Engine) recordMismatch(t *kqselection.Target, id string, now time.Time) {
+	e.mu.Lock()
+	t.RecordMismatch(now)
+	e.mu.Unlock()
+	e.metrics.failedProbes.Inc(1)
+	e.cfg.Log.Warn().Str("target", t.ID).Str("addr", t.Addr).Str("answers", bounded(id)).Msg("probe: another target answers at the address")
+}
+
 // parseLoad parses the load field of a target: running requests, waiting requests,
 // slots and optionally the current service time as a percentage of the usual one,
 // separated by commas.
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -39,6 +39,9 @@
 func (p *proxiedRequest) choose(ctx context.Context, tried []*kqselection.Target) (c choice, cause string) {
 	e := p.engine
 	started := e.cfg.Clock.Now()
+	if p.quietUntil = e.quietEnd(p.service, started); !p.quietUntil.IsZero() {
+		return c, causeQuiet
+	}
 	e.mu.Lock()
 	ch := e.chooser(p.service)
 	c.queueLen = ch.Queue.Len()
@@ -63,6 +66,9 @@
 	t, cause := p.waitInQueue(ctx, ch)
 	now := e.cfg.Clock.Now()
 	c.waited = now.Sub(started)
+	if t == nil {
+		p.quietUntil = e.quietEnd(p.service, now)
+	}
 	if t != nil {
 		e.mu.Lock()
 		e.recordChoice(&c, ch, t, now)
@@ -71,6 +77,21 @@
 	return c, cause
 }
 
+// causeQuiet says why a request is refused while all targets of its service ask for quiet.
+const causeQuiet = "all targets asked for quiet"
+
+// quietEnd returns when the first target of the service may get requests again if all of
+// them are barred for a time that is not worth waiting for, and otherwise the zero time.
+func (e *Engine) quietEnd(service string, now time.Time) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	end, ok := kqselection.QuietEnd(e.routing.Load().targets[service], now)
+	if !ok || end.Sub(now) < minRetryDelay {
+		return time.Time{}
+	}
+	return end
+}
+
 // recordChoice records the chosen target, to which a send has just been counted; e.mu
 // must be held.
 func (e *Engine) recordChoice(c *choice, ch *chooser, t *kqselection.Target, now time.Time) {
@@ -99,7 +120,7 @@
 	defer timer.Stop()
 	select {
 	case t := <-assigned:
-		return t, ""
+		return assignment(t)
 	case <-ctx.Done():
 	case <-timer.C:
 	}
@@ -108,7 +129,16 @@
 	if ch.Queue.Remove(w) {
 		return nil, "no room in time"
 	}
-	return <-assigned, "" // assigned just before the request could leave the queue
+	return assignment(<-assigned) // assigned just before the request could leave the queue
+}
+
+// assignment returns the target that a queued request was assigned, or the cause if the
+// queue was cleared.
+func assignment(t *kqselection.Target) (*kqselection.Target, string) {
+	if t == nil {
+		return nil, causeQuiet
+	}
+	return t, ""
 }
 
 // waitLimits returns the time by which the request must start to meet the objective of
@@ -142,6 +172,12 @@
 			return
 		}
 		e.mu.Unlock()
+		if !e.quietEnd(service, e.cfg.Clock.Now()).IsZero() {
+			e.mu.Lock()
+			ch.Queue.Clear()
+			e.mu.Unlock()
+			continue
+		}
 		list, result := e.probeCandidates(ctx, e.routing.Load().table, service, nil, kqselection.QueueProbeCount(n), 0)
 		e.mu.Lock()
 		ch.AssignQueued(list, result.fresh, e.cfg.Clock.Now())
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -42,6 +42,8 @@
 	chosen   choice
 	heldFor  atomic.Int64 // time for which the last byte was held back, in nanoseconds
 	sends    int
+
+	quietUntil time.Time // when the first target of the service may get requests again, if all asked for quiet
 }
 
 // serve forwards the request and writes the response.
@@ -156,7 +158,7 @@
 		p.chosen, cause = p.choose(ctx, tried)
 		t := p.chosen.Target
 		if t == nil {
-			if p.sends == 0 && unreachable == 0 {
+			if p.sends == 0 && unreachable == 0 || cause == causeQuiet {
 				last.cause = cause
 			}
 			break
--- a/internal/call/kqproxy/response.go
+++ b/internal/call/kqproxy/response.go
@@ -46,11 +46,15 @@
 
 // retryAfter returns a random time after which a refused caller should retry, so
 // that retries are spread over a part of the time the callers have left. A caller
-// that only targets refused, while there was room, may retry almost at once.
+// that only targets refused, while there was room, may retry almost at once; one whose
+// service asked for quiet is told when the first target is back.
 func (p *proxiedRequest) retryAfter(hadRoom bool) time.Duration {
 	left := time.Until(p.deadline)
 	p.engine.mu.Lock()
 	defer p.engine.mu.Unlock()
+	if quiet := time.Until(p.quietUntil); quiet > 0 {
+		return quiet + time.Duration(p.engine.cfg.Rand.Float64()*retrySpread*float64(max(left-quiet, minRetryDelay)))
+	}
 	if hadRoom {
 		return time.Duration(p.engine.cfg.Rand.Float64() * float64(maxRetryDelayWithRoom))
 	}
@@ -118,15 +122,18 @@
 	l.Msg("request: " + outcome)
 }
 
-// logDraining logs that nothing is sent to a target that began to drain after it was chosen.
-func (p *proxiedRequest) logDraining(t *kqselection.Target, now, since time.Time) {
+// logBarred logs that nothing is sent to a target that was barred after it was chosen.
+func (p *proxiedRequest) logBarred(t *kqselection.Target, reason kqselection.Barred, now, draining time.Time) {
 	l := p.engine.cfg.Log.Warn()
 	if l == nil {
 		return
 	}
 	l.Str("id", p.id).Str("target", t.ID).Str("addr", t.Addr).Uint64("arrived", p.routing.revision).Uint64("revision", p.chosen.revision).
-		Dur("draining", now.Sub(since)).Dur("chosen", now.Sub(p.chosen.at)).Dur("waited", p.chosen.waited).
-		Dur("took", now.Sub(p.started)).Int("sends", p.sends).Msg("send: target drains")
+		Dur("chosen", now.Sub(p.chosen.at)).Dur("waited", p.chosen.waited).Dur("took", now.Sub(p.started)).Int("sends", p.sends)
+	if !draining.IsZero() {
+		l.Dur("draining", now.Sub(draining))
+	}
+	l.Msg("send: " + string(reason))
 }
 
 // logFailedSend logs a send that gave no response for the caller.
--- a/internal/call/kqproxy/routing.go
+++ b/internal/call/kqproxy/routing.go
@@ -38,11 +38,14 @@
 	targetsByID := map[string]*kqselection.Target{}
 	for _, t := range targets {
 		k := e.knownTargets[t.ID]
-		if k == nil || k.Boot != t.Boot || k.Addr != t.Addr {
+		if old := k; k == nil || k.Boot != t.Boot || k.Addr != t.Addr {
 			k = &kqselection.Target{ID: t.ID, Boot: t.Boot, Addr: t.Addr, Domain: t.Domain, Slots: t.Slots}
 			if t.ColdRemaining > 0 {
 				k.ColdUntil = now.Add(t.ColdRemaining)
 			}
+			if old != nil && old.Boot == t.Boot {
+				k.Succeed(old)
+			}
 		}
 		e.recordDraining(k, t.State != kqtargets.Ready, revision, now)
 		k.Saturation = e.chooser(t.Service).Saturation
@@ -75,7 +78,7 @@
 	for id, old := range e.knownTargets {
 		if k := current[id]; k != old {
 			e.recordDraining(old, true, revision, now)
-			e.pool.CloseIdle(old.Addr)
+			e.pool.CloseIdle(old.Addr, instanceKey(old))
 		}
 	}
 }
--- a/internal/call/kqtransport/conn.go
+++ b/internal/call/kqtransport/conn.go
@@ -23,7 +23,8 @@
 // conn is one connection to a target.
 type conn struct {
 	net.Conn
-	addr         string
+	target       target
+	carried      Exchanges // before the current request
 	r            *bufio.Reader
 	w            *bufio.Writer
 	idleSince    time.Time     // when it was put into the pool
--- a/internal/call/kqtransport/pool.go
+++ b/internal/call/kqtransport/pool.go
@@ -28,8 +28,8 @@
 // target are in use.
 var errPoolExhausted = errors.New("all connections to the target are in use")
 
-// addrConns holds the connections to one address.
-type addrConns struct {
+// targetConns holds the connections to one target.
+type targetConns struct {
 	idle []*conn // newest last
 	open int     // number of connections, idle and in use
 }
@@ -37,43 +37,52 @@
 // Pool holds connections to targets. The number of connections to each target is
 // limited. A Pool is safe for concurrent use.
 type Pool struct {
-	mu     sync.Mutex
-	addrs  map[string]*addrConns
-	closed bool
+	mu      sync.Mutex
+	targets map[target]*targetConns
+	closed  bool
+}
+
+// target is what connections belong to: a target that starts again at its address does
+// not get those of its earlier start.
+type target struct {
+	addr     string
+	instance string
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{addrs: map[string]*addrConns{}}
+	return &Pool{targets: map[target]*targetConns{}}
 }
 
 // get returns a connection that has been idle for at most maxIdle, or a new one
-// if fewer than limit are open to the address. It returns errPoolExhausted if
+// if fewer than limit are open to the target. It returns errPoolExhausted if
 // limit is reached.
-func (p *Pool) get(ctx context.Context, addr string, limit int, maxIdle time.Duration) (*conn, error) {
-	if c := p.reuse(addr, maxIdle); c != nil {
-		return c, nil
+func (p *Pool) get(ctx context.Context, to target, limit int, maxIdle time.Duration) (*conn, error) {
+	if maxIdle > 0 {
+		if c := p.reuse(to, maxIdle); c != nil {
+			return c, nil
+		}
 	}
-	if !p.reserve(addr, limit) {
+	if !p.reserve(to, limit) {
 		return nil, errPoolExhausted
 	}
 	d := net.Dialer{Timeout: dialTimeout}
-	raw, err := d.DialContext(ctx, "tcp", addr)
+	raw, err := d.DialContext(ctx, "tcp", to.addr)
 	if err != nil {
-		p.release(addr)
+		p.release(to)
 		return nil, err
 	}
 	kqsocket.BoundUnacked(raw, unackedTimeout)
-	c := &conn{Conn: raw, addr: addr}
+	c := &conn{Conn: raw, target: to}
 	c.attachBuffers()
 	return c, nil
 }
 
 // reuse takes the most recently used idle connection, nil if there is none. It
 // closes those that have been idle for too long or are no longer usable.
-func (p *Pool) reuse(addr string, maxIdle time.Duration) *conn {
+func (p *Pool) reuse(to target, maxIdle time.Duration) *conn {
 	for {
-		c := p.pop(addr)
+		c := p.pop(to)
 		if c == nil {
 			return nil
 		}
@@ -89,11 +98,11 @@
 	}
 }
 
-// pop takes the newest idle connection to the address, nil if there is none.
-func (p *Pool) pop(addr string) *conn {
+// pop takes the newest idle connection to the target, nil if there is none.
+func (p *Pool) pop(to target) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := p.addrs[addr]
+	b := p.targets[to]
 	if b == nil || len(b.idle) == 0 {
 		return nil
 	}
@@ -102,14 +111,14 @@
 	return c
 }
 
-// reserve counts a new connection to the address unless limit are open already.
-func (p *Pool) reserve(addr string, limit int) bool {
+// reserve counts a new connection to the target unless limit are open already.
+func (p *Pool) reserve(to target, limit int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := p.addrs[addr]
+	b := p.targets[to]
 	if b == nil {
-		b = &addrConns{}
-		p.addrs[addr] = b
+		b = &targetConns{}
+		p.targets[to] = b
 	}
 	if b.open >= limit {
 		return false
@@ -119,20 +128,20 @@
 }
 
 // release uncounts a connection that is closed or could not be opened.
-func (p *Pool) release(addr string) {
+func (p *Pool) release(to target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := p.addrs[addr]
+	b := p.targets[to]
 	b.open--
 	if b.open == 0 {
-		delete(p.addrs, addr)
+		delete(p.targets, to)
 	}
 }
 
-// drop closes a connection and makes room for another one to its address.
+// drop closes a connection and makes room for another one to its target.
 func (p *Pool) drop(c *conn) {
 	c.Close()
-	p.release(c.addr)
+	p.release(c.target)
 }
 
 // put returns a connection to the pool. It closes the connection if bytes are left
@@ -145,7 +154,7 @@
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	if !p.closed {
-		b := p.addrs[c.addr]
+		b := p.targets[c.target]
 		b.idle = append(b.idle, c)
 		p.mu.Unlock()
 		return
@@ -154,9 +163,10 @@
 	p.drop(c)
 }
 
-// CloseIdle closes the idle connections to the address.
-func (p *Pool) CloseIdle(addr string) {
-	for c := p.pop(addr); c != nil; c = p.pop(addr) {
+// CloseIdle closes the idle connections to the instance at the address.
+func (p *Pool) CloseIdle(addr, instance string) {
+	to := target{addr, instance}
+	for c := p.pop(to); c != nil; c = p.pop(to) {
 		p.drop(c)
 	}
 }
@@ -165,7 +175,7 @@
 func (p *Pool) CloseExpired() {
 	p.mu.Lock()
 	var expired []*conn
-	for _, b := range p.addrs {
+	for _, b := range p.targets {
 		n := 0
 		for n < len(b.idle) && time.Since(b.idle[n].idleSince) > MaxIdleTime {
 			n++
@@ -185,7 +195,7 @@
 	p.mu.Lock()
 	p.closed = true
 	var idle []*conn
-	for _, b := range p.addrs {
+	for _, b := range p.targets {
 		idle = append(idle, b.idle...)
 		b.idle = nil
 	}
@@ -199,8 +209,11 @@
 func (p *Pool) OpenConns(addr string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if b := p.addrs[addr]; b != nil {
-		return b.open
+	n := 0
+	for to, b := range p.targets {
+		if to.addr == addr {
+			n += b.open
+		}
 	}
-	return 0
+	return n
 }
--- a/internal/call/kqtransport/send.go
+++ b/internal/call/kqtransport/send.go
@@ -26,8 +26,16 @@
 	Body       []byte
 	Trailer    http.Header
 	Addr       string // IP:port of the target
+	Instance   string // start of the target; connections to another one at the address are not used
 	MaxConns   int    // limit of open connections from this host to the target
 	AtMostOnce bool   // must not be executed twice
+	NoReuse    bool   // needs a new connection, as its response could not be told from an earlier one's
+
+	IsProbe bool // asks for the load of the target
+
+	// IsForeign, if not nil, reports whether a response answers another request that the
+	// connection carried earlier. Such responses are skipped.
+	IsForeign func(earlier Exchanges, status int, h http.Header) bool
 
 	// BeforeFirstByte, if not nil, is called when the connection is established, before
 	// the first byte is written. After an error nothing is sent.
@@ -48,6 +56,12 @@
 	AcceptCloseDelimited bool
 }
 
+// Exchanges counts the requests that a connection has carried.
+type Exchanges struct {
+	Requests int
+	Probes   int
+}
+
 // Error is the failure of a request that got no response.
 type Error struct {
 	Unsent        bool // no byte has reached the target
@@ -67,6 +81,7 @@
 	Trailer    http.Header // complete once Body has returned io.EOF
 	Body       io.Reader   // returns io.EOF only after the complete response
 	BodyLength int64       // length of Body in bytes, -1 if unknown
+	Earlier    Exchanges   // on the connection before this request
 
 	pool           *Pool
 	conn           *conn
@@ -74,6 +89,7 @@
 	cancelWrite    context.CancelFunc // stops a write that waits in BeforeLastByte
 	reusable       bool
 	complete       bool
+	suspect        bool // the connection carried a response to another request
 }
 
 // Send sends the request once and returns the response when its header is read. It
@@ -83,7 +99,10 @@
 	if req.AtMostOnce {
 		maxIdle = MaxIdleTimeAtMostOnce
 	}
-	c, err := p.get(ctx, req.Addr, req.MaxConns, maxIdle)
+	if req.NoReuse {
+		maxIdle = 0
+	}
+	c, err := p.get(ctx, target{req.Addr, req.Instance}, req.MaxConns, maxIdle)
 	if err != nil {
 		return nil, &Error{Unsent: true, PoolExhausted: errors.Is(err, errPoolExhausted), err: errors.Wrapf(err, "connect to %s", req.Addr)}
 	}
@@ -124,7 +143,7 @@
 		}
 		writeDone <- nil
 	}
-	res, err := readFinalHead(c, out)
+	res, foreign, err := readOwnHead(c, out, req.IsForeign)
 	if err != nil {
 		cancelWrite()
 		c.Close() // unblocks a write that is still in progress
@@ -134,9 +153,47 @@
 	c.parseKeepAlive(res.Header.Get("Keep-Alive"))
 	reply := p.newReply(c, res, writeDone, req.AcceptCloseDelimited)
 	reply.cancelWrite = cancelWrite
+	reply.Earlier, reply.suspect = c.carried, foreign
+	if req.IsProbe {
+		c.carried.Probes++
+	} else {
+		c.carried.Requests++
+	}
 	return reply, nil
 }
 
+// maxForeign bounds the responses to other requests that are skipped, and maxForeignBody
+// the bytes of each. A target that sends more is out of step for good.
+const (
+	maxForeign     = 2
+	maxForeignBody = 1 << 20
+)
+
+// ErrForeign means that the target sent only responses to other requests.
+var ErrForeign = errors.New("responses to other requests only")
+
+// readOwnHead reads the head of the response and skips responses to other requests, which
+// a target may have sent twice or late. foreign tells that there were some.
+func readOwnHead(c *conn, out *http.Request, isForeign func(Exchanges, int, http.Header) bool) (res *http.Response, foreign bool, err error) {
+	for range maxForeign + 1 {
+		if res, err = readFinalHead(c, out); err != nil {
+			return nil, foreign, err
+		}
+		if isForeign == nil || !isForeign(c.carried, res.StatusCode, res.Header) {
+			return res, foreign, nil
+		}
+		foreign = true
+		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxForeignBody))
+		if err != nil {
+			return nil, foreign, errors.Wrap(err, "response to another request")
+		}
+		if res.Close || n == maxForeignBody {
+			break
+		}
+	}
+	return nil, foreign, ErrForeign
+}
+
 func (c *conn) write(out *http.Request) error {
 	if err := out.Write(c.w); err != nil {
 		return err
@@ -295,7 +352,7 @@
 	c := r.conn
 	r.conn = nil
 	r.cancelWrite()
-	if r.unwatchContext() && r.reusable && r.complete {
+	if r.unwatchContext() && r.reusable && r.complete && !r.suspect {
 		r.pool.put(c)
 		return
 	}
--- a/internal/call/kqtransport/send_test.go
+++ b/internal/call/kqtransport/send_test.go
@@ -229,10 +229,10 @@
 		if _, err := send(t, p, newRequest(s, http.MethodGet)); err != nil {
 			t.Fatal(err)
 		}
-		p.addrs[s.listener.Addr().String()].idle[0].idleSince = time.Now().Add(-2 * MaxIdleTimeAtMostOnce)
+		p.targets[target{addr: s.listener.Addr().String()}].idle[0].idleSince = time.Now().Add(-2 * MaxIdleTimeAtMostOnce)
 		req := newRequest(s, http.MethodPost)
 		req.AtMostOnce = true
-		c, err := p.get(context.Background(), req.Addr, req.MaxConns, MaxIdleTimeAtMostOnce)
+		c, err := p.get(context.Background(), target{addr: req.Addr}, req.MaxConns, MaxIdleTimeAtMostOnce)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -248,7 +248,7 @@
 func waitForRemoteClose(t *testing.T, p *Pool, s *scriptedTarget) {
 	t.Helper()
 	p.mu.Lock()
-	b := p.addrs[s.listener.Addr().String()]
+	b := p.targets[target{addr: s.listener.Addr().String()}]
 	p.mu.Unlock()
 	if b == nil {
 		return
--- a/internal/route/kqselection/queue.go
+++ b/internal/route/kqselection/queue.go
@@ -69,10 +69,10 @@
 
 // Waiter is one queued request.
 type Waiter struct {
-	Priority int       // 0 is the most urgent
-	StartBy  time.Time // latest start for an answer in time
-	GiveUpAt time.Time // when it leaves the queue without a target
-	Assign   func(*Target)
+	Priority int           // 0 is the most urgent
+	StartBy  time.Time     // latest start for an answer in time
+	GiveUpAt time.Time     // when it leaves the queue without a target
+	Assign   func(*Target) // called once with the target, or with nil to give up
 	seq      uint64
 }
 
@@ -158,6 +158,15 @@
 	return w
 }
 
+// Clear removes all requests; each is assigned no target.
+func (q *Queue) Clear() {
+	waiters := q.waiters
+	q.waiters = nil
+	for _, w := range waiters {
+		w.Assign(nil)
+	}
+}
+
 // ServiceTime is the smoothed time that the requests of one route take on an idle
 // target.
 type ServiceTime struct {
--- a/internal/route/kqselection/target.go
+++ b/internal/route/kqselection/target.go
@@ -38,6 +38,11 @@
 	// while the target accepts requests.
 	DrainingSince time.Time
 
+	// LeavingSince is when the target itself last was found to say that it shuts down,
+	// zero if it never did. No announcement takes it back until the next start.
+	LeavingSince time.Time
+
+	quietUntil    time.Time // the target asked for no requests before this time
 	failureRate   float64
 	failureRateAt time.Time
 	downUntil     time.Time // no requests are sent before this time
@@ -75,10 +80,80 @@
 	t.downUntil = now.Add(mismatchDownTime)
 }
 
-// Available reports whether the target may get requests now: it does not drain, and is
+// Barred is why a target must get nothing from this host, not even what was already
+// queued for it or assigned to it.
+type Barred string
+
+// Reasons for which a target is barred.
+const (
+	NotBarred Barred = ""
+	Draining  Barred = "target drains"
+	Leaving   Barred = "target is shutting down"
+	Quiet     Barred = "target asked for quiet"
+)
+
+// Barred returns why the target must get nothing now, NotBarred if it may get requests.
+// All ways to a target ask it last before the first byte.
+func (t *Target) Barred(now time.Time) Barred {
+	switch {
+	case !t.DrainingSince.IsZero():
+		return Draining
+	case !t.LeavingSince.IsZero():
+		return Leaving
+	case now.Before(t.quietUntil):
+		return Quiet
+	}
+	return NotBarred
+}
+
+// RecordLeaving records that the target says that it is shutting down; it returns false
+// if that was known.
+func (t *Target) RecordLeaving(now time.Time) bool {
+	if !t.LeavingSince.IsZero() {
+		return false
+	}
+	t.LeavingSince = now
+	return true
+}
+
+// maxQuiet is the longest time for which a target can ask for quiet. A target that needs
+// longer is better announced as draining.
+const maxQuiet = time.Hour
+
+// RecordQuiet records that the target asked for no requests for a time. It never shortens
+// what was asked before.
+func (t *Target) RecordQuiet(now time.Time, d time.Duration) {
+	if until := now.Add(min(d, maxQuiet)); until.After(t.quietUntil) {
+		t.quietUntil = until
+	}
+}
+
+// Succeed takes over what an earlier record of the same start of the target said that
+// binds until its next start.
+func (t *Target) Succeed(old *Target) {
+	t.LeavingSince, t.quietUntil = old.LeavingSince, old.quietUntil
+}
+
+// QuietEnd returns when the first of the targets may get requests again, if all of them
+// are barred and at least one of them only for a time.
+func QuietEnd(list []*Target, now time.Time) (end time.Time, ok bool) {
+	for _, t := range list {
+		switch t.Barred(now) {
+		case NotBarred:
+			return time.Time{}, false
+		case Quiet:
+			if !ok || t.quietUntil.Before(end) {
+				end, ok = t.quietUntil, true
+			}
+		}
+	}
+	return end, ok
+}
+
+// Available reports whether the target may get requests now: it is not barred, and is
 // not avoided after a failed connection attempt or a mismatch.
 func (t *Target) Available(now time.Time) bool {
-	return t.DrainingSince.IsZero() && !now.Before(t.downUntil)
+	return t.Barred(now) == NotBarred && !now.Before(t.downUntil)
 }
 
 // RecordLoad stores the load that the target reported. A slow or full target is not
