kqlistener: callers that leave with requests behind, closes without a reset, stops without a loss

Cause, read in net/http and shown by tests: (1) while a request is in progress the server reads one byte to notice that the caller leaves; if that byte belongs to a further request, it notices nothing more, and requests run for nobody. (2) A connection that is closed with unread requests is reset, and the reset can overtake the last response. (3) Shutdown closes connections that the server calls idle until the head of a request is parsed, also after bytes of it were read, and those accepted in the last moment from the backlog.

Change: the listener of callers reads ahead behind a request (64 KiB at most), ends the context when the caller leaves, half-closes before it closes, and ends connections at a stop only while no byte of a request was read; it goes on accepting until the last connection is gone, and gives new ones a second.

Tests: internal/call/kqlistener, -race -count=5 ok. Each part taken out makes a test fail: no lingering TestCloseDoesNotReset, no read-ahead TestCallerLeavesWithRequestsBehind (1 and 30 behind), ending connections with a pending request TestDrain and TestDrainUnderLoad. Not shown: the race of Shutdown itself, which needs a moment of a few microseconds.

--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -12,6 +12,7 @@
 	"kumquatglade/internal/admin/kqadmin"
 	"kumquatglade/internal/call/kqcall"
 	"kumquatglade/internal/call/kqidempotency"
+	"kumquatglade/internal/call/kqlistener"
 	"kumquatglade/internal/call/kqproxy"
 	"kumquatglade/internal/call/kqquota"
 	"kumquatglade/internal/host/kqclock"
@@ -65,6 +66,7 @@
 
 	admin     *kqadmin.Server
 	servers   []*http.Server
+	callers   *kqlistener.Listener // of a host with seeds
 	wg        sync.WaitGroup
 	ready     chan struct{} // closed when all components exist or the daemon closes
 	readyOnce sync.Once
@@ -282,14 +284,21 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	d.serveOn(l, newServer(h))
+	return nil
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+}
+
+func (d *Daemon) serveOn(l net.Listener, srv *http.Server) {
 	d.servers = append(d.servers, srv)
 	d.wg.Go(func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			d.fail(errors.Wrapf(err, "serve %s", addr))
+			d.fail(errors.Wrapf(err, "serve %s", l.Addr()))
 		}
 	})
-	return nil
 }
 
 // Close stops all components immediately and aborts calls in flight.
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"kumquatglade/internal/call/kqlistener"
 	"kumquatglade/internal/call/kqproxy"
 	"kumquatglade/internal/host/kqclock"
 	"kumquatglade/internal/host/kqdisk"
@@ -17,6 +18,7 @@
 	"kumquatglade/internal/state/kqfeed"
 	"kumquatglade/internal/state/kqreplica"
 
+	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 	"github.com/rcrowley/go-metrics"
 )
@@ -167,7 +169,20 @@
 	if d.proxy == nil {
 		return nil
 	}
-	return d.serve(d.settings.Listen.Calls, d.proxy)
+	return d.serveCallers()
+}
+
+// serveCallers accepts the connections of callers.
+func (d *Daemon) serveCallers() error {
+	l, err := net.Listen("tcp", d.settings.Listen.Calls)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	d.callers = kqlistener.New(l)
+	srv := newServer(d.proxy)
+	srv.ConnContext, srv.ConnState = d.callers.ConnContext, d.callers.ConnState
+	d.serveOn(d.callers, srv)
+	return nil
 }
 
 func (d *Daemon) writeMetrics(c echo.Context) error {
@@ -195,10 +210,8 @@
 		remaining := d.settings.Stop.Timeout.Or(drainTimeout) - time.Since(began)
 		ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
 		defer cancel()
-		for _, s := range d.servers {
-			if err := s.Shutdown(ctx); err != nil {
-				d.log.Warnf("stopping with %d requests in flight: %v", d.proxy.InFlight(), err)
-			}
+		if err := d.callers.Drain(ctx); err != nil {
+			d.log.Warnf("stopping with %d requests in flight: %v", d.proxy.InFlight(), err)
 		}
 	}
 	d.log.Infof("stopped after %s", time.Since(began))
