--- a/internal/route/kqapi/routes.go
+++ b/internal/route/kqapi/routes.go
@@ -57,7 +57,11 @@
 		}
 		ctx, cancel := context.WithTimeout(c.Request().Context(), announceTimeout)
 		defer cancel()
-		if err := a.Announce(ctx, t); err != nil {
+		err = a.Announce(ctx, t)
+		switch {
+		case errors.Is(err, kqtargets.ErrInvalid):
+			return c.JSON(http.StatusBadRequest, refusal{"malformed", err.Error()})
+		case err != nil:
 			return c.JSON(http.StatusServiceUnavailable, refusal{"undecided", err.Error()})
 		}
 		return c.JSON(http.StatusOK, renewal{renewInterval.String()})
--- a/internal/state/kqcontrol/store.go
+++ b/internal/state/kqcontrol/store.go
@@ -107,11 +107,15 @@
 
 // Announce applies an announcement that a target makes about itself. After nil, all
 // connected hosts receive the change. A renewal changes nothing and needs no quorum.
-// An error means an unknown service or an unknown outcome.
+// An error marked kqtargets.ErrInvalid means that it changed nothing and never will, any
+// other an unknown service, a full directory or an unknown outcome.
 func (l LocalStore) Announce(ctx context.Context, t kqtargets.Target) error {
-	changed, serviceKnown := false, true
+	if err := t.Validate(time.Now()); err != nil {
+		return err
+	}
+	changed, serviceKnown, hasRoom := false, true, true
 	err := l.View(func(s *kqcontract.State) {
-		changed = s.Targets.IsChange(t)
+		changed, hasRoom = s.Targets.IsChange(t), s.Targets.HasRoom(t)
 		if s.Routes.Current != nil && t.State != kqtargets.Gone {
 			serviceKnown = s.Routes.Current.Document.HasService(t.Service)
 		}
@@ -123,6 +127,8 @@
 		return errors.Newf("announcement of %s: service %q is unknown", t.ID, t.Service)
 	case !changed:
 		return nil
+	case !hasRoom:
+		return errors.Newf("announcement of %s: too many targets", t.ID)
 	}
 	_, err = l.Submit(ctx, kqcontract.Command{Op: kqcontract.OpTarget, Target: &t})
 	return err
