Long bodies are paced, and a late load report counts as old

A body of 60 kB fills the queue of a 2 Mbit/s link for 240 ms; probes and short requests wait behind it, and what a report says is out of date when it arrives. Choices also fell back to no knowledge at all when none of the four had ever reported.

The time of a probe beyond the fastest one of its failure domain makes the report older, so that the request waits for knowledge in the queue. Whether a service reports load is remembered for the service.

--- a/internal/call/kqcall/engine.go
+++ b/internal/call/kqcall/engine.go
@@ -63,7 +63,7 @@
 // NewEngine returns a running Engine.
 func NewEngine(cfg Config) *Engine {
 	e := &Engine{
-		cfg: cfg, started: cfg.Clock.Now().UnixNano(), pool: kqtransport.NewPool(), accounts: kqaccount.NewAccounts(cfg.Clock.Now),
+		cfg: cfg, started: cfg.Clock.Now().UnixNano(), pool: kqtransport.NewPool(kqtransport.Config{}), accounts: kqaccount.NewAccounts(cfg.Clock.Now),
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
 		served:   metrics.GetOrRegisterTimer("calls.served", cfg.Metrics),
 		refused:  metrics.GetOrRegisterCounter("calls.refused", cfg.Metrics),
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -27,6 +27,7 @@
 	Metrics     metrics.Registry
 	Hosts       func() int // returns the number of entry hosts, this one included, that share limits
 	Limits      Limits
+	LinkRate    float64 // bytes a second that the host's link carries; 0: unknown
 }
 
 // Limits are the limits that all entry hosts share.
@@ -41,6 +42,7 @@
 type Engine struct {
 	cfg        Config
 	pool       *kqtransport.Pool
+	pacer      *kqtransport.Pacer // of long bodies in both directions
 	readAheads *readAheadPool
 	routing    atomic.Pointer[routingState]
 	stopping   atomic.Bool
@@ -55,6 +57,7 @@
 	probeAllowance  kqselection.TokenBucket             // probes that this host may send
 	choosers        map[string]*chooser                 // by service name
 	serviceTimes    map[string]*kqselection.ServiceTime // by route name
+	shortestProbes  map[string]time.Duration            // by failure domain: the shortest time to the answer of a probe
 	longestTimeouts map[string]time.Duration            // by route name: the longest timeout of a caller so far
 }
 
@@ -62,6 +65,7 @@
 type engineMetrics struct {
 	requests, answered, refused, failed, retries, probes, failedProbes metrics.Counter
 	barred                                                             metrics.Counter // sends given up because the target was barred after it was chosen
+	uninformed                                                         metrics.Counter // sends without a load report in time
 	foreign                                                            metrics.Counter // responses to other requests that were skipped
 	leaving, quiet, oddQuiet                                           metrics.Counter // targets that said they shut down, or asked for quiet, or for a time not understood
 	latency, probeTime                                                 metrics.Timer
@@ -70,8 +74,9 @@
 
 // New returns an Engine that refuses all requests until Apply is called.
 func New(cfg Config) *Engine {
+	pacer := kqtransport.NewPacer(cfg.LinkRate)
 	e := &Engine{
-		cfg: cfg, pool: kqtransport.NewPool(), readAheads: newReadAheadPool(), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{},
+		cfg: cfg, pacer: pacer, pool: kqtransport.NewPool(kqtransport.Config{Pacer: pacer}), shortestProbes: map[string]time.Duration{}, readAheads: newReadAheadPool(), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{},
 		retryBudgets: map[string]*kqselection.RetryBudget{},
 		choosers:     map[string]*chooser{}, serviceTimes: map[string]*kqselection.ServiceTime{}, longestTimeouts: map[string]time.Duration{},
 	}
@@ -79,7 +84,7 @@
 	e.metrics = engineMetrics{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"), failed: counter("failed"),
 		retries: counter("second"), probes: counter("questions"), failedProbes: counter("unanswered"),
-		barred: counter("barred"), foreign: counter("foreign"), leaving: counter("leaving"), quiet: counter("quiet"), oddQuiet: counter("oddquiet"),
+		barred: counter("barred"), foreign: counter("foreign"), uninformed: counter("uninformed"), leaving: counter("leaving"), quiet: counter("quiet"), oddQuiet: counter("oddquiet"),
 		latency:   metrics.GetOrRegisterTimer("routes.latency", cfg.Metrics),
 		firstByte: metrics.GetOrRegisterTimer("routes.firstbyte", cfg.Metrics),
 		probeTime: metrics.GetOrRegisterTimer("routes.asking", cfg.Metrics),
--- a/internal/call/kqproxy/probe.go
+++ b/internal/call/kqproxy/probe.go
@@ -51,6 +51,11 @@
 		result.fresh[t] = true
 		result.answered++
 	}
+	if result.answered > 0 {
+		e.mu.Lock()
+		e.chooser(service).informedAt = e.cfg.Clock.Now()
+		e.mu.Unlock()
+	}
 	if len(toProbe) > 0 {
 		e.metrics.probeTime.Update(e.cfg.Clock.Now().Sub(started))
 	}
@@ -106,16 +111,17 @@
 	return answered
 }
 
-// probe asks one target for its load and reports whether the target reported it and is
-// healthy. It continues when the context ends, because the next request can use the
+// probe asks one target for its load and reports whether the target reported it, in time
+// to choose by it, and is healthy. It continues when the context ends, because the next request can use the
 // result.
 func (e *Engine) probe(ctx context.Context, t *kqselection.Target, path string, conns int, limit time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	e.metrics.probes.Inc(1)
+	var sentAt time.Time
 	reply, err := e.pool.Send(ctx, kqtransport.Request{
 		Method: http.MethodGet, URL: &url.URL{Path: path}, Host: t.Addr, Header: http.Header{}, Addr: t.Addr, Instance: instanceKey(t), MaxConns: conns,
-		BeforeFirstByte: func() error { return e.checkProbeBarred(t) },
+		BeforeFirstByte: func() error { sentAt = e.cfg.Clock.Now(); return e.checkProbeBarred(t) },
 		IsProbe:         true,
 		IsForeign: func(earlier kqtransport.Exchanges, status int, header http.Header) bool {
 			return e.isForeignToProbe(t, earlier, status, header)
@@ -144,9 +150,22 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if ok {
+		sample.At = now.Add(-e.probeDelay(t.Domain, now.Sub(sentAt)))
 		t.RecordLoad(sample)
 	}
-	return ok && reply.Status == http.StatusOK
+	return ok && reply.Status == http.StatusOK && t.Informed(now)
+}
+
+// probeDelay returns for how long the answer to a probe may have waited in the queues of
+// links, given the time that it took: how much longer than the fastest one in the failure
+// domain. The report is that much older than its arrival. e.mu must be held.
+func (e *Engine) probeDelay(domain string, took time.Duration) time.Duration {
+	shortest, ok := e.shortestProbes[domain]
+	if !ok || took < shortest {
+		e.shortestProbes[domain] = took
+		return 0
+	}
+	return took - shortest
 }
 
 // holdLastByte delays the last byte of a long body until the target is not slow, a
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -21,9 +21,14 @@
 // chooser chooses targets for one service. The engine's mutex guards it.
 type chooser struct {
 	kqselection.Selector
-	searching bool // serveQueue is running
+	searching  bool      // serveQueue is running
+	informedAt time.Time // when a probe was last answered in time to choose by it
 }
 
+// maxUninformed is how long after the last timely answer to a probe the queue counts as
+// uninformed: several rounds of probes.
+const maxUninformed = 8 * kqselection.QueueProbeInterval
+
 // chooser returns the chooser of the service; e.mu must be held.
 func (e *Engine) chooser(service string) *chooser {
 	c := e.choosers[service]
@@ -127,11 +132,28 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if ch.Queue.Remove(w) {
-		return nil, "no room in time"
+		return p.pickUninformed(ctx, ch)
 	}
 	return assignment(<-assigned) // assigned just before the request could leave the queue
 }
 
+// pickUninformed returns a target for a request that has waited as long as it can, if that
+// was only because no probe was answered in time, as when the host's link is busy. e.mu
+// must be held.
+func (p *proxiedRequest) pickUninformed(ctx context.Context, ch *chooser) (*kqselection.Target, string) {
+	e := p.engine
+	now := e.cfg.Clock.Now()
+	if ctx.Err() != nil || now.Sub(ch.informedAt) <= maxUninformed {
+		return nil, "no room in time"
+	}
+	t := ch.PickUninformed(e.routing.Load().targets[p.service], now)
+	if t == nil {
+		return nil, "no room in time"
+	}
+	e.metrics.uninformed.Inc(1)
+	return t, ""
+}
+
 // assignment returns the target that a queued request was assigned, or the cause if the
 // queue was cleared.
 func assignment(t *kqselection.Target) (*kqselection.Target, string) {
--- a/internal/call/kqtransport/pool.go
+++ b/internal/call/kqtransport/pool.go
@@ -37,6 +37,8 @@
 // Pool holds connections to targets. The number of connections to each target is
 // limited. A Pool is safe for concurrent use.
 type Pool struct {
+	pacer *Pacer
+
 	mu      sync.Mutex
 	targets map[target]*targetConns
 	closed  bool
@@ -49,9 +51,14 @@
 	instance string
 }
 
+// Config constructs a Pool.
+type Config struct {
+	Pacer *Pacer // of long request bodies; nil: they are written as fast as the connection takes them
+}
+
 // NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{targets: map[target]*targetConns{}}
+func NewPool(cfg Config) *Pool {
+	return &Pool{pacer: cfg.Pacer, targets: map[target]*targetConns{}}
 }
 
 // get returns a connection that has been idle for at most maxIdle, or a new one
--- a/internal/call/kqtransport/send.go
+++ b/internal/call/kqtransport/send.go
@@ -134,7 +134,7 @@
 		writeDone <- c.write(out)
 	} else {
 		// A target may respond before it has read a large body.
-		go func() { writeDone <- c.writeHoldingLastByte(writeCtx, out, req.BeforeLastByte) }()
+		go func() { writeDone <- c.writeLong(writeCtx, out, p.pacer, req.BeforeLastByte) }()
 	}
 	if inline {
 		if err := <-writeDone; err != nil {
@@ -201,13 +201,10 @@
 	return c.w.Flush()
 }
 
-// writeHoldingLastByte writes the request and calls beforeLastByte, if not nil,
-// before the last byte.
-func (c *conn) writeHoldingLastByte(ctx context.Context, out *http.Request, beforeLastByte func(context.Context)) error {
-	if beforeLastByte == nil {
-		return c.write(out)
-	}
-	holdback := &lastByteWriter{w: countingWriter{c}}
+// writeLong writes a request with a long body, paced, and calls beforeLastByte, if not
+// nil, before the last byte.
+func (c *conn) writeLong(ctx context.Context, out *http.Request, pacer *Pacer, beforeLastByte func(context.Context)) error {
+	holdback := &lastByteWriter{w: pacer.Writer(ctx, countingWriter{c})}
 	w := bufio.NewWriterSize(holdback, bufferSize)
 	if err := out.Write(w); err != nil {
 		return err
@@ -215,7 +212,9 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	beforeLastByte(ctx)
+	if beforeLastByte != nil {
+		beforeLastByte(ctx)
+	}
 	if err := ctx.Err(); err != nil {
 		return err
 	}
--- a/internal/host/kqsettings/settings.go
+++ b/internal/host/kqsettings/settings.go
@@ -37,6 +37,7 @@
 	Shared    SharedLimits `json:"shared"`                                       // limits that hold over all entry hosts together
 	Stop      Stop         `json:"stop"`                                         // times of a planned stop
 	Memory    int          `json:"memory,omitempty" validate:"min=0"`            // memory limit of the process in bytes, 0: none
+	Link      float64      `json:"link,omitempty" validate:"min=0"`              // rate of the host's network link in Mbit/s, 0: unknown
 }
 
 // SharedLimits are limits over all entry hosts together.
@@ -88,6 +89,15 @@
 	return s.Host
 }
 
+// bitsPerMegabit and bitsPerByte convert Link.
+const (
+	bitsPerMegabit = 1e6
+	bitsPerByte    = 8
+)
+
+// LinkRate returns how many bytes a second the host's network link carries, 0 if unknown.
+func (s *Settings) LinkRate() float64 { return s.Link * bitsPerMegabit / bitsPerByte }
+
 // HasRole reports whether the host has the role.
 func (s *Settings) HasRole(role string) bool {
 	return slices.Contains(s.Roles, role)
--- a/internal/route/kqselection/queue.go
+++ b/internal/route/kqselection/queue.go
@@ -46,7 +46,7 @@
 // recentlyFast reports whether a load report from the last maxLoadAge says that the
 // target is not slow.
 func (t *Target) recentlyFast(now time.Time) bool {
-	return !t.LastLoad.At.IsZero() && now.Sub(t.LastLoad.At) <= maxLoadAge && t.LastLoad.Slowdown <= maxSlowdown
+	return t.Informed(now) && t.LastLoad.Slowdown <= maxSlowdown
 }
 
 // load returns how many requests the target has, as far as this host knows.
--- a/internal/route/kqselection/selector.go
+++ b/internal/route/kqselection/selector.go
@@ -37,6 +37,8 @@
 	Rand       *rand.Rand
 	Queue      Queue
 	Saturation *Saturation // learned slowdown of nearly full targets
+
+	reportsLoad bool // a target of the service has reported its load
 }
 
 // PlanProbes returns up to n candidates for a send, those of them to probe, and the set
@@ -68,10 +70,11 @@
 
 // Pick returns the target with the lowest score among those with headroom and counts a
 // send to it, or returns nil if there is none. If none has headroom, Pick now and then
-// takes a target with a free slot, as Saturation.Explore decides. If no target ever
-// reported its load, only the requests in flight from this host count.
+// takes a target with a free slot, as Saturation.Explore decides. If no target of the
+// service ever reported its load, only the requests in flight from this host count.
 func (s *Selector) Pick(list []*Target, fresh map[*Target]bool, now time.Time) *Target {
-	reportsLoad := slices.ContainsFunc(list, func(t *Target) bool { return !t.LastLoad.At.IsZero() })
+	s.reportsLoad = s.reportsLoad || slices.ContainsFunc(list, func(t *Target) bool { return !t.LastLoad.At.IsZero() })
+	reportsLoad := s.reportsLoad
 	filter := func(keep func(*Target) bool) []*Target {
 		return slices.DeleteFunc(slices.Clone(list), func(t *Target) bool { return !keep(t) })
 	}
@@ -86,6 +89,18 @@
 	return t
 }
 
+// PickUninformed returns the target with the lowest score by what was known earlier and
+// counts a send to it, or returns nil if there is none. It is for requests that cannot
+// wait any longer while no load report comes in time.
+func (s *Selector) PickUninformed(list []*Target, now time.Time) *Target {
+	candidates := Candidates(list, MaxProbes, s.Domain, now, s.Rand)
+	t := LowestScore(candidates, func(*Target) bool { return true }, now, s.Domain)
+	if t != nil {
+		s.recordSend(t, now)
+	}
+	return t
+}
+
 func (s *Selector) recordSend(t *Target, now time.Time) {
 	t.InFlight++
 	t.LastLoad.Sent++
--- a/internal/route/kqselection/target.go
+++ b/internal/route/kqselection/target.go
@@ -159,9 +159,12 @@
 	return t.Barred(now) == NotBarred && !now.Before(t.downUntil)
 }
 
-// RecordLoad stores the load that the target reported. A slow or full target is not
-// probed again before its load can have changed.
+// RecordLoad stores the load that the target reported, unless a younger report is known.
+// A slow or full target is not probed again before its load can have changed.
 func (t *Target) RecordLoad(s Sample) {
+	if s.At.Before(t.LastLoad.At) {
+		return
+	}
 	t.LastLoad = s
 	switch {
 	case s.Slowdown > maxSlowdown:
@@ -173,6 +176,11 @@
 	}
 }
 
+// Informed reports whether a load report is young enough to choose by.
+func (t *Target) Informed(now time.Time) bool {
+	return !t.LastLoad.At.IsZero() && now.Sub(t.LastLoad.At) <= maxLoadAge
+}
+
 // ProbeDeferred reports whether the target reported a moment ago that it is slow or
 // full, so that it is not probed yet.
 func (t *Target) ProbeDeferred(now time.Time) bool {
