Candidates that wait for one more host do not split its votes

Change: while a majority is linked and without a leader for less than 0.6 s, a host grants its pre-vote to the candidate with the newer log and then the lower name, also against its own candidacy, which it then gives up for a while. After that time all are granted as before, so that a preferred candidate whose messages do not arrive holds nobody up. Pre-votes bind nothing: safety is as it was.

--- a/internal/state/kqreplica/elect.go
+++ b/internal/state/kqreplica/elect.go
@@ -9,6 +9,8 @@
 
 func (r *Replica) tick() {
 	r.elapsed++
+	r.now++
+	r.countLeaderless()
 	r.expireReads()
 	switch r.role {
 	case Unjoined:
@@ -27,6 +29,16 @@
 	}
 }
 
+// countLeaderless counts the ticks in which there could be a leader and is none.
+func (r *Replica) countLeaderless() {
+	switch {
+	case r.leader != "":
+		r.leaderless = 0
+	case r.hasQuorum(func(host string) bool { return host == r.cfg.Host || r.linked[host] }):
+		r.leaderless++
+	}
+}
+
 // isMember reports whether the member list names host with this incarnation of
 // its data folder.
 func (r *Replica) isMember(host, incarnation string) bool {
@@ -64,19 +76,41 @@
 	}
 }
 
-// yieldTo gives up this host's startup campaign, begun or not, in favor of
-// another candidate, because hosts that start at the same moment would split the
-// votes. Of two hosts in their startup pre-vote the one with the lower name goes
-// on. A host yields at most once, so that a candidate whose votes do not arrive
-// blocks nobody.
+// orderedTicks is how long after a majority was linked without a leader hosts prefer one
+// candidate over another. A preferred one that gets no further, because its messages do
+// not arrive, must not hold up the others for longer.
+const orderedTicks = electionTicks / 2
+
+// candidacy is the candidate that a host last granted a pre-vote.
+type candidacy struct {
+	host  string
+	until int // value of Replica.now up to which others have to be preferred over it
+}
+
+// prefers reports whether to grant the pre-vote although this host is a candidate itself
+// or has just granted one to another. Candidates that wait for one more host all ask it at
+// the same moment; if all of them won the pre-vote, they would split the votes. So the
+// newer log and then the lower name go first.
+func (r *Replica) prefers(from string, m Message) bool {
+	if r.leaderless >= orderedTicks {
+		return true
+	}
+	if r.role == Candidate && r.preVote {
+		isNewer := m.LogTerm != r.log.lastTerm() || m.Index != r.log.lastIndex() // it is not older
+		return isNewer || from < r.cfg.Host
+	}
+	return r.granted.host == "" || r.now > r.granted.until || from <= r.granted.host
+}
+
+// yieldTo records that another candidate got this host's pre-vote and gives up this host's
+// own pre-vote, begun or not, for a while.
 func (r *Replica) yieldTo(from string) {
-	if r.role == Candidate {
-		if r.startup != startupCampaigning || !r.preVote || r.cfg.Host < from {
-			return
-		}
+	r.startup = startupOver
+	r.granted = candidacy{host: from, until: r.now + preVoteTicks}
+	if r.role == Candidate && r.preVote && r.leaderless < orderedTicks {
 		r.role = Follower
+		r.shortenElectionTimeout()
 	}
-	r.startup = startupOver
 }
 
 // backOffVote sets the time to wait for the answers to a vote and doubles it for
@@ -200,7 +234,7 @@
 }
 
 func (r *Replica) onPreVote(from string, m Message) {
-	if m.Term > r.meta.Term && r.isUpToDate(m) && !r.heardLeaderRecently() {
+	if m.Term > r.meta.Term && r.isUpToDate(m) && !r.heardLeaderRecently() && r.prefers(from, m) {
 		r.yieldTo(from)
 		r.send(from, Message{Kind: kindPreVoteReply, Cluster: r.meta.Cluster, Term: m.Term, OK: true})
 		return
--- a/internal/state/kqreplica/replica.go
+++ b/internal/state/kqreplica/replica.go
@@ -115,6 +115,9 @@
 	preVote              bool            // votes holds replies to a pre-vote
 	voteBackoff          int             // doublings of the wait after failed votes since a leader was known, at most maxVoteBackoff
 	linked               map[string]bool // hosts with a link that is up
+	now                  int             // ticks since the start
+	leaderless           int             // ticks in which a majority was linked and there was no leader
+	granted              candidacy       // whose pre-vote was granted last
 	startup              startupElection // phase of the first election after the start
 	peers                map[string]*progress
 	round                uint64
