A fleet that starts together serves sooner: patient subscriptions, requests wait for the first routes

A subscription is given up after 500 ms, of which most passed while the control hosts waited for a leader; the view was then on its way over a link of 2 Mbit/s (80 ms), and the second control host sent another one behind it (a-11: link 31.285, subscribed 32.065). Hosts that linked later were in force first (c-2: link 31.491, view 31.856). Meanwhile requests were refused with a Retry-After of 1 s, though routes came 0.1 to 0.6 s later. The directory names nobody until no entry host announces itself for 250 ms, with hundreds of them up to 2 s after the start.

Change: without a view an attempt to subscribe lasts 1.3 s. In the first 5 s of a host requests wait for its first routes, 1 s or an eighth of the caller's time at most; refused callers come back after 0.3 to 0.6 s. A control host publishes as soon as three quarters of the linked entry hosts accept requests.

--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -50,6 +50,9 @@
 	metrics    engineMetrics
 	done       chan struct{}
 
+	started     time.Time
+	firstRoutes chan struct{} // closed once routes have been applied
+
 	mu              sync.Mutex
 	doc             *kqroutes.Document
 	knownTargets    map[string]*kqselection.Target
@@ -76,6 +79,7 @@
 func New(cfg Config) *Engine {
 	pacer := kqtransport.NewPacer(cfg.LinkRate)
 	e := &Engine{
+		started: cfg.Clock.Now(), firstRoutes: make(chan struct{}),
 		cfg: cfg, pacer: pacer, pool: kqtransport.NewPool(kqtransport.Config{Pacer: pacer}), shortestProbes: map[string]time.Duration{}, readAheads: newReadAheadPool(), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{},
 		retryBudgets: map[string]*kqselection.RetryBudget{},
 		choosers:     map[string]*chooser{}, serviceTimes: map[string]*kqselection.ServiceTime{}, longestTimeouts: map[string]time.Duration{},
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	maxBufferedBody    = 1 << 20              // bytes of a request body that are read before the request is sent
-	noRoutesRetryAfter = 1 * time.Second      // for a host that has no routes yet
-	maxUnreachable     = 3                    // number of unreachable targets after which a request is given up
-	minTimeLeft        = 5 * time.Millisecond // below this a send is pointless: a few round trips between failure domains
-	defaultTimeout     = time.Minute          // for a request whose caller names no deadline
+	maxBufferedBody    = 1 << 20                // bytes of a request body that are read before the request is sent
+	noRoutesRetryAfter = 300 * time.Millisecond // least time for a host that has no routes yet: an election and the transfer of a view
+	maxUnreachable     = 3                      // number of unreachable targets after which a request is given up
+	minTimeLeft        = 5 * time.Millisecond   // below this a send is pointless: a few round trips between failure domains
+	defaultTimeout     = time.Minute            // for a request whose caller names no deadline
 )
 
 // proxiedRequest is the state of one request that is forwarded.
@@ -48,9 +48,8 @@
 
 // serve forwards the request and writes the response.
 func (p *proxiedRequest) serve() {
-	p.routing = p.engine.routing.Load()
-	if p.routing == nil {
-		p.refuse(http.StatusServiceUnavailable, "no confirmed routes yet", noRoutesRetryAfter)
+	if p.routing = p.awaitRoutes(); p.routing == nil {
+		p.refuse(http.StatusServiceUnavailable, "no confirmed routes yet", p.retryAfterStart())
 		return
 	}
 	route, ok := p.routing.table.Find(p.in.Host, p.in.URL.Path)
@@ -75,13 +74,62 @@
 	p.send(ctx)
 }
 
+const (
+	// startupPeriod is how long after its start a host expects its routes at any moment.
+	startupPeriod = 5 * time.Second
+
+	// maxRoutesWait is how long a request waits for the first routes of a host that has
+	// just started, and routesWaitDivisor which part of the caller's time it may take. A
+	// refused caller would come back later than the routes, with one try less.
+	maxRoutesWait     = time.Second
+	routesWaitDivisor = 8
+)
+
+// awaitRoutes returns the routing state in force. On a host that has just started it waits
+// for the first one; it returns nil if that does not come in time.
+func (p *proxiedRequest) awaitRoutes() *routingState {
+	e := p.engine
+	if s := e.routing.Load(); s != nil || p.started.Sub(e.started) > startupPeriod {
+		return s
+	}
+	limit := maxRoutesWait
+	if left, ok := p.callerTimeout(); ok {
+		limit = min(limit, left/routesWaitDivisor)
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-e.firstRoutes:
+	case <-timer.C:
+	case <-p.in.Context().Done():
+	}
+	return e.routing.Load()
+}
+
+// retryAfterStart returns when a caller should come back to a host that has no routes yet.
+func (p *proxiedRequest) retryAfterStart() time.Duration {
+	e := p.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return noRoutesRetryAfter + time.Duration(e.cfg.Rand.Float64()*float64(noRoutesRetryAfter))
+}
+
+// callerTimeout returns how long the caller still waits, if it says so.
+func (p *proxiedRequest) callerTimeout() (time.Duration, bool) {
+	ms, err := strconv.ParseInt(p.in.Header.Get(p.engine.cfg.HeaderNames.Deadline), 10, 64)
+	if err != nil || ms < 0 {
+		return 0, false
+	}
+	return time.Duration(min(ms, kqroutes.MaxTimeout.Milliseconds())) * time.Millisecond, true
+}
+
 // computeDeadline returns when the request is given up: when the caller stops
 // waiting, or earlier if the route's timeout ends before. It also sets firstTry.
 func (p *proxiedRequest) computeDeadline() time.Time {
 	timeout := defaultTimeout
 	p.firstTry = p.started
-	if ms, err := strconv.ParseInt(p.in.Header.Get(p.engine.cfg.HeaderNames.Deadline), 10, 64); err == nil && ms >= 0 {
-		timeout = min(time.Duration(ms)*time.Millisecond, kqroutes.MaxTimeout)
+	if left, ok := p.callerTimeout(); ok {
+		timeout = left
 		p.firstTry = p.started.Add(-p.engine.timeInEarlierTries(p.route.Name, timeout))
 	}
 	return p.started.Add(min(timeout, p.route.Timeout))
--- a/internal/call/kqproxy/routing.go
+++ b/internal/call/kqproxy/routing.go
@@ -59,7 +59,9 @@
 	}
 	e.retireReplaced(targetsByID, revision, now)
 	e.knownTargets = targetsByID
-	e.routing.Store(next)
+	if e.routing.Swap(next) == nil {
+		close(e.firstRoutes)
+	}
 }
 
 // recordDraining records and logs whether the target drains; e.mu must be held.
--- a/internal/run/kqdaemon/presence.go
+++ b/internal/run/kqdaemon/presence.go
@@ -23,8 +23,10 @@
 	directoryTTL = time.Second
 
 	// settleTime is how long after the last presence message a starting control host
-	// publishes the entry hosts; they dial it at about the same time.
+	// publishes the entry hosts; they dial it at about the same time. It does not wait
+	// any longer once settledShare of the linked ones accept requests.
 	settleTime    = 250 * time.Millisecond
+	settledShare  = 0.75
 	maxSettleTime = 2 * time.Second // upper bound, counted from the start
 
 	publishInterval = 50 * time.Millisecond // between updates of the list of ready entry hosts
@@ -85,9 +87,9 @@
 	return !leaving && d.proxy.Ready()
 }
 
-// readyEntryHosts returns the entry hosts that accept requests now, and the time
-// since one last announced itself to this control host.
-func (d *Daemon) readyEntryHosts() (list []kqfeed.EntryListener, sinceLast time.Duration) {
+// readyEntryHosts returns the entry hosts that accept requests now, how many are linked,
+// and the time since one last announced itself to this control host.
+func (d *Daemon) readyEntryHosts() (list []kqfeed.EntryListener, linked int, sinceLast time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for host, p := range d.presence {
@@ -101,7 +103,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b kqfeed.EntryListener) int { return strings.Compare(a.Addr, b.Addr) })
-	return list, time.Since(d.lastPresence)
+	return list, len(d.presence), time.Since(d.lastPresence)
 }
 
 // publishEntryHosts keeps telling the followers which entry hosts accept requests.
@@ -117,14 +119,26 @@
 			return
 		case <-tick.C:
 		}
-		list, sinceLast := d.readyEntryHosts()
-		settled = settled || time.Since(d.started) > maxSettleTime || len(list) > 0 && sinceLast > settleTime
+		list, linked, sinceLast := d.readyEntryHosts()
+		settled = settled || hasSettled(len(list), linked, sinceLast, time.Since(d.started))
 		if settled {
 			d.hub.SetListeners(list)
 		}
 	}
 }
 
+// hasSettled reports whether a control host that has just started may publish the ready
+// ones of the linked entry hosts.
+func hasSettled(ready, linked int, sinceLast, sinceStart time.Duration) bool {
+	switch {
+	case sinceStart > maxSettleTime:
+		return true
+	case ready == 0:
+		return false
+	}
+	return sinceLast > settleTime || sinceStart > settleTime && float64(ready) >= settledShare*float64(linked)
+}
+
 func (d *Daemon) stopPublishing() {
 	d.stopOnce.Do(func() { close(d.stopped) })
 }
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -33,7 +33,12 @@
 	// it stays below the 2 s within which a change must be in force.
 	staleTimeout = 1100 * time.Millisecond
 
-	subscribeTimeout      = 500 * time.Millisecond // one attempt to subscribe
+	subscribeTimeout = 500 * time.Millisecond // one attempt to subscribe
+
+	// firstSubscribeTimeout is the time of one attempt before there is a view: as long as a
+	// control host waits for a leader, and the transfer of a view over a slow link. Giving
+	// up earlier would make several views compete for that link.
+	firstSubscribeTimeout = 1300 * time.Millisecond
 	linkHeartbeatInterval = 500 * time.Millisecond // per link
 
 	defaultRetryWindow  = 10 * time.Second
@@ -121,7 +126,7 @@
 	ready := false
 	d.follower = kqfeed.NewFollower(kqfeed.FollowerConfig{
 		Host: d.self(), Controls: d.feedControls, Link: d.mesh, Clock: kqclock.System{},
-		Log: d.log.Component("feed"), Events: d.events, Metrics: d.metrics, OnControls: d.setHubControls, StaleAfter: staleTimeout, SubscribeTimeout: subscribeTimeout,
+		Log: d.log.Component("feed"), Events: d.events, Metrics: d.metrics, OnControls: d.setHubControls, StaleAfter: staleTimeout, SubscribeTimeout: subscribeTimeout, FirstTimeout: firstSubscribeTimeout,
 		OnView: func(v *kqfeed.View) {
 			d.proxy.Apply(v.Revision, v.Routes, v.Targets)
 			if !ready && d.proxy.Ready() {
--- a/internal/state/kqfeed/changes_test.go
+++ b/internal/state/kqfeed/changes_test.go
@@ -173,3 +173,19 @@
 		}
 	}
 }
+
+// TestFirstSubscriptionIsPatient guards against a host that gives up a control host which
+// only waits for a leader, so that several views compete for its slow link.
+func TestFirstSubscriptionIsPatient(t *testing.T) {
+	f := NewFollower(FollowerConfig{
+		Link: &fakeLink{}, Clock: kqclock.System{}, Log: kqlog.Discard(), Events: kqevent.NewRecorder("e1", time.Now),
+		SubscribeTimeout: 500 * time.Millisecond, FirstTimeout: 1300 * time.Millisecond,
+	})
+	if got := f.subscribeTimeout(); got != 1300*time.Millisecond {
+		t.Errorf("%v without a view, want 1.3 s", got)
+	}
+	f.view.Store(&View{Revision: 1})
+	if got := f.subscribeTimeout(); got != 500*time.Millisecond {
+		t.Errorf("%v with a view, want 500 ms: changes must be in force within two seconds", got)
+	}
+}
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -45,6 +45,8 @@
 	StaleAfter time.Duration
 	// SubscribeTimeout bounds one attempt to subscribe, defaultSubscribeTimeout if 0.
 	SubscribeTimeout time.Duration
+	// FirstTimeout bounds an attempt of a host that has no view yet, SubscribeTimeout if 0.
+	FirstTimeout time.Duration
 }
 
 // Follower holds the current view on one entry host.
--- a/internal/state/kqfeed/subscribe.go
+++ b/internal/state/kqfeed/subscribe.go
@@ -50,6 +50,9 @@
 	if limit == 0 {
 		limit = defaultSubscribeTimeout
 	}
+	if f.view.Load() == nil {
+		limit = max(limit, f.cfg.FirstTimeout)
+	}
 	return min(limit<<min(f.failedSubscribes/triesPerTimeout, 8), max(limit, defaultSubscribeTimeout))
 }
 
