A host stays with its control host while a large message of it is arriving

Five hosts lost patience (no confirmation for 1.1 s), left their control host in the middle of the transfer and had the same sent by another one: in force after 1.05 to 2.59 s (e-39). Links to other control hosts were closed meanwhile because heartbeats waited behind it (e-33).

Change: kq.Link.Receiving tells that a message has begun to arrive and its bytes still come. For 2 s at most such a host does not count as silent, nor does an answer that is arriving time out, nor an awaited view. Bytes are signs of life for the heartbeat of a link. A control host that sends confirmations without a quorum is left as before: small messages arrive at once.

--- a/internal/peer/kqlink/mesh.go
+++ b/internal/peer/kqlink/mesh.go
@@ -140,18 +140,19 @@
 	stop := context.AfterFunc(m.ctx, func() { raw.Close() })
 	defer stop()
 	kqsocket.BoundUnacked(raw, unackedTimeout)
-	r := bufio.NewReader(raw)
+	watched := &watchedConn{Conn: raw}
+	r := bufio.NewReader(watched)
 	peer, err := serverHandshake(raw, r, m.cfg.Host, m.cfg.Secret)
 	if err != nil {
 		m.rejected.Inc(1)
 		m.log.Warnf("rejected %s: %v", raw.RemoteAddr(), err)
 		return
 	}
-	m.serveLink(peer, raw, r)
+	m.serveLink(peer, watched, r)
 }
 
 // serveLink uses the connection as the link to the peer until it breaks.
-func (m *Mesh) serveLink(peer string, raw net.Conn, r *bufio.Reader) {
+func (m *Mesh) serveLink(peer string, raw *watchedConn, r *bufio.Reader) {
 	c := m.newConn(peer, raw, r)
 	if !m.addLink(c) {
 		c.rpc.Close()
@@ -285,11 +286,12 @@
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	defer stop()
 	kqsocket.BoundUnacked(raw, unackedTimeout)
-	r := bufio.NewReader(raw)
+	watched := &watchedConn{Conn: raw}
+	r := bufio.NewReader(watched)
 	if err := clientHandshake(raw, r, m.cfg.Host, peer, m.cfg.Secret); err != nil {
 		return err
 	}
-	m.serveLink(peer, raw, r)
+	m.serveLink(peer, watched, r)
 	return nil
 }
 
@@ -316,6 +318,12 @@
 	return peer == m.cfg.Host || m.conn(peer) != nil
 }
 
+// Receiving reports whether a message of the peer is arriving now.
+func (m *Mesh) Receiving(peer string) bool {
+	c := m.conn(peer)
+	return c != nil && c.receiving(time.Now())
+}
+
 // Host returns the name of this host.
 func (m *Mesh) Host() string {
 	return m.cfg.Host
--- a/internal/peer/kqlink/peer.go
+++ b/internal/peer/kqlink/peer.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,13 +15,14 @@
 )
 
 const (
-	minHeartbeatInterval = 2 * time.Second // per link
-	fullRateLinks        = 16              // with more links the interval grows, so that the total rate stays the same
-	maxSilentHeartbeats  = 2.5             // heartbeat intervals without a message after which a link is closed
-	unackedTimeout       = 5 * time.Second // a connection with data unacknowledged for longer is closed
-	queueLength          = 512             // one-way messages waiting for one peer
-	methodHeartbeat      = "b"             // heartbeat
-	methodHeartbeatReply = "h"             // reply to a heartbeat
+	minHeartbeatInterval = 2 * time.Second        // per link
+	fullRateLinks        = 16                     // with more links the interval grows, so that the total rate stays the same
+	maxSilentHeartbeats  = 2.5                    // heartbeat intervals without a message after which a link is closed
+	unackedTimeout       = 5 * time.Second        // a connection with data unacknowledged for longer is closed
+	maxReadPause         = 500 * time.Millisecond // between bytes of a message that is still arriving; an upload in between takes 300 ms on the slowest link
+	queueLength          = 512                    // one-way messages waiting for one peer
+	methodHeartbeat      = "b"                    // heartbeat
+	methodHeartbeatReply = "h"                    // reply to a heartbeat
 )
 
 // envelope carries a message with the sender's hybrid time.
@@ -35,7 +35,7 @@
 type conn struct {
 	mesh         *Mesh
 	peer         string
-	raw          net.Conn
+	raw          *watchedConn
 	rpc          *jsonrpc2.Conn
 	stream       *stream
 	sendQueue    chan outgoing
@@ -57,7 +57,7 @@
 // Printf implements jsonrpc2.Logger.
 func (discardLogger) Printf(string, ...any) {}
 
-func (m *Mesh) newConn(peer string, raw net.Conn, r *bufio.Reader) *conn {
+func (m *Mesh) newConn(peer string, raw *watchedConn, r *bufio.Reader) *conn {
 	c := &conn{mesh: m, peer: peer, raw: raw, sendQueue: make(chan outgoing, queueLength)}
 	now := time.Now().UnixNano()
 	c.lastReceived.Store(now)
@@ -81,7 +81,7 @@
 				return
 			}
 		case now := <-ticker.C:
-			if now.UnixNano()-c.lastReceived.Load() > int64(maxSilentHeartbeats*float64(interval)) {
+			if now.UnixNano()-c.lastSign() > int64(maxSilentHeartbeats*float64(interval)) {
 				c.mesh.log.Warnf("peer %s sent nothing for too long; closing the link", c.peer)
 				return
 			}
@@ -96,6 +96,15 @@
 	}
 }
 
+// lastSign returns when the peer last gave a sign of life, in Unix nanoseconds: a message, or
+// some bytes of one that takes long.
+func (c *conn) lastSign() int64 { return max(c.lastReceived.Load(), c.raw.lastRead.Load()) }
+
+// receiving reports whether a message is arriving: it has begun, and its bytes still come.
+func (c *conn) receiving(now time.Time) bool {
+	return c.stream.inFrame.Load() && now.UnixNano()-c.raw.lastRead.Load() < int64(maxReadPause)
+}
+
 // notifyEmpty sends a message without a body. A heartbeat and its reply serve both
 // ends: an end that received a message recently sends no heartbeat of its own.
 func (c *conn) notifyEmpty(method string) error {
--- a/internal/peer/kqlink/stream.go
+++ b/internal/peer/kqlink/stream.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // stream reads and writes the objects of one connection for jsonrpc2, and writes
@@ -13,6 +15,23 @@
 	r     *bufio.Reader // shared with the handshake, may hold buffered bytes
 	codec codec
 	mu    sync.Mutex // held while writing
+
+	inFrame atomic.Bool // a frame has begun to arrive and is not complete
+}
+
+// watchedConn records when bytes were last read from the connection.
+type watchedConn struct {
+	net.Conn
+	lastRead atomic.Int64 // Unix time in nanoseconds, 0: never
+}
+
+// Read implements net.Conn.
+func (c *watchedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.lastRead.Store(time.Now().UnixNano())
+	}
+	return n, err
 }
 
 // WriteObject implements jsonrpc2.ObjectStream.
@@ -31,7 +50,14 @@
 }
 
 // ReadObject implements jsonrpc2.ObjectStream.
-func (s *stream) ReadObject(v any) error { return s.codec.ReadObject(s.r, v) }
+func (s *stream) ReadObject(v any) error {
+	if _, err := s.r.Peek(1); err != nil {
+		return err
+	}
+	s.inFrame.Store(true)
+	defer s.inFrame.Store(false)
+	return s.codec.ReadObject(s.r, v)
+}
 
 // Close implements jsonrpc2.ObjectStream.
 func (s *stream) Close() error { return s.raw.Close() }
--- a/internal/route/kqregistry/handlers_test.go
+++ b/internal/route/kqregistry/handlers_test.go
@@ -55,6 +55,8 @@
 
 func (l *stubLink) Up(string) bool { return true }
 
+func (l *stubLink) Receiving(string) bool { return false }
+
 func (l *stubLink) Host() string { return "e1" }
 
 func newTestRegistry(tb testing.TB, view *kqfeed.View) (*TargetRegistry, *stubLink, http.Handler) {
--- a/internal/state/kqcontrol/batch_test.go
+++ b/internal/state/kqcontrol/batch_test.go
@@ -50,6 +50,7 @@
 func (noLink) SendEncoded([]string, []byte)                         {}
 func (noLink) Call(context.Context, string, string, any, any) error { return errRetry }
 func (noLink) Up(string) bool                                       { return false }
+func (noLink) Receiving(string) bool                                { return false }
 func (noLink) Host() string                                         { return "c1" }
 
 // TestTargetsThatJoinAtOnceShareSyncs: 1,000 targets announce themselves to a
--- a/internal/state/kqfeed/changes_test.go
+++ b/internal/state/kqfeed/changes_test.go
@@ -20,6 +20,7 @@
 type fakeLink struct {
 	sent      int
 	encoded   int
+	receiving bool // a message is arriving
 	followers map[string]*Follower
 }
 
@@ -63,6 +64,7 @@
 
 func (w *fakeLink) Call(context.Context, string, string, any, any) error { return nil }
 func (w *fakeLink) Up(string) bool                                       { return true }
+func (w *fakeLink) Receiving(string) bool                                { return w.receiving }
 func (w *fakeLink) Host() string                                         { return "c1" }
 
 func targetChange(id string, rev uint64, state kqtargets.State) kqcontract.Change {
@@ -189,3 +191,28 @@
 		t.Errorf("%v with a view, want 500 ms: changes must be in force within two seconds", got)
 	}
 }
+
+// TestStaysWhileReceiving guards against a host that leaves its control host while a large
+// document of it is arriving over a slow link: the next one would send the same again.
+func TestStaysWhileReceiving(t *testing.T) {
+	for _, receiving := range []bool{true, false} {
+		link := &fakeLink{receiving: receiving}
+		f := NewFollower(FollowerConfig{
+			Link: link, Clock: kqclock.System{}, Log: kqlog.Discard(), Events: kqevent.NewRecorder("e1", time.Now),
+			Controls: func() []ControlHost { return []ControlHost{{Host: "c1"}, {Host: "c2"}} }, StaleAfter: time.Second,
+		})
+		f.view.Store(&View{Revision: 1})
+		silentSince := func(d time.Duration) string {
+			f.hub, f.subscribed, f.lastHeard = "c1", true, time.Now().Add(-d)
+			f.ensureSubscribed()
+			return f.hub
+		}
+		want := map[bool]string{true: "c1", false: "c2"}[receiving]
+		if got := silentSince(1500 * time.Millisecond); got != want {
+			t.Errorf("receiving %v: subscribed to %s, want %s", receiving, got, want)
+		}
+		if got := silentSince(2 * maxTransfer); got != "c2" {
+			t.Errorf("receiving %v for too long: subscribed to %s, want c2", receiving, got)
+		}
+	}
+}
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -192,6 +192,9 @@
 		return searchInterval
 	}
 	fresh := f.cfg.StaleAfter - f.cfg.Clock.Now().Sub(f.lastHeard)
+	if fresh < 0 && f.receiving(f.hub) {
+		return searchInterval
+	}
 	return min(max(fresh, 0)+time.Millisecond, checkInterval)
 }
 
@@ -201,8 +204,9 @@
 func (f *Follower) ensureSubscribed() {
 	f.mu.Lock()
 	hub, subscribed := f.hub, f.subscribed
-	stale := f.cfg.StaleAfter > 0 && f.cfg.Clock.Now().Sub(f.lastHeard) > f.cfg.StaleAfter
-	if f.awaitedRevision != nil && f.cfg.Clock.Now().Sub(f.awaitedSince) > f.subscribeTimeout() {
+	receiving := f.receiving(hub)
+	stale := f.cfg.StaleAfter > 0 && f.cfg.Clock.Now().Sub(f.lastHeard) > f.cfg.StaleAfter && !receiving
+	if f.awaitedRevision != nil && !receiving && f.cfg.Clock.Now().Sub(f.awaitedSince) > f.subscribeTimeout() {
 		f.cfg.Log.Warnf("view %d announced by control host %s did not arrive in time; subscribing again", *f.awaitedRevision, hub)
 		f.failedSubscribes++
 		f.subscribed, subscribed = false, false
@@ -225,6 +229,17 @@
 	}
 }
 
+// maxTransfer bounds how long a message that is arriving keeps this host at its control
+// host without a confirmation.
+const maxTransfer = 2 * time.Second
+
+// receiving reports whether a message of the control host is on its way here. Its link is
+// slow then, not the control host, and another one would send the same again over the same
+// link. The lock is held.
+func (f *Follower) receiving(hub string) bool {
+	return f.cfg.Link.Receiving(hub) && f.cfg.Clock.Now().Sub(f.lastHeard) < maxTransfer
+}
+
 // controlsByPreference returns the control hosts in the order in which to try them:
 // this host first, because its own replica costs no message, then hosts of its own
 // failure domain, then the rest in an order that differs from host to host.
--- a/internal/state/kqfeed/subscribe.go
+++ b/internal/state/kqfeed/subscribe.go
@@ -10,7 +10,7 @@
 	f.hub, f.subscribed, f.pendingChanges, f.earlyView, f.awaitedRevision = control, false, nil, nil, nil
 	limit := f.subscribeTimeout()
 	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(f.ctx, limit)
+	ctx, cancel := f.callContext(control, limit)
 	defer cancel()
 	startedAt := f.cfg.Clock.Now()
 	var reply subscribeReply
@@ -39,6 +39,25 @@
 	return true
 }
 
+// callContext returns a context that ends after the time limit, or later if the answer of
+// the control host is arriving then.
+func (f *Follower) callContext(control string, limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(f.ctx, limit+maxTransfer)
+	var check func()
+	check = func() {
+		if f.cfg.Link.Receiving(control) {
+			time.AfterFunc(searchInterval, check)
+			return
+		}
+		cancel()
+	}
+	timer := time.AfterFunc(limit, check)
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
 // triesPerTimeout is how many attempts to subscribe fail before the timeout doubles. A
 // full view takes long on a slow link, and a transfer that is given up half way loads
 // the link for nothing.
--- a/link.go
+++ b/link.go
@@ -20,6 +20,9 @@
 	Call(ctx context.Context, peer, kind string, body, out any) error
 	// Up reports whether the peer is connected now.
 	Up(peer string) bool
+	// Receiving reports whether a message of the peer is arriving now, which can take long
+	// on a slow network link.
+	Receiving(peer string) bool
 	// Host returns the name of this host, which is a peer of itself.
 	Host() string
 }
