--- a/internal/state/kqfeed/changes_test.go
+++ b/internal/state/kqfeed/changes_test.go
@@ -168,7 +168,7 @@
 		{"stale for a while", true, 2 * staleAfter, ms},
 	}
 	for _, c := range cases {
-		f := NewFollower(FollowerConfig{Clock: clock, StaleAfter: staleAfter})
+		f := NewFollower(FollowerConfig{Link: &fakeLink{}, Clock: clock, StaleAfter: staleAfter})
 		f.subscribed, f.lastHeard = c.subscribed, clock.Now().Add(-c.age)
 		if got := f.nextCheckDelay(); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
