A message that a component cannot handle ends no process

Cause, by reading: the presence of an entry host that reaches a control host with a fixed list of control hosts was written into a nil map: a panic in the goroutine of a link, which ends the process. Any other panic there did the same.

Change: such a presence is malformed there; a panic while a peer's message or request is handled becomes an error, with the stack in the log and a counter (peers.panics). The replica's own loop is not contained, as its state may then be wrong.

--- a/internal/run/kqdaemon/receiver.go
+++ b/internal/run/kqdaemon/receiver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"runtime/debug"
 
 	"kumquatglade/internal/admin/kqadmin"
 	"kumquatglade/internal/call/kqidempotency"
@@ -23,12 +24,26 @@
 // Receive handles a one-way message of a peer.
 func (r receiver) Receive(peer, kind string, body json.RawMessage) {
 	<-r.d.ready
-	if err := r.receive(peer, kind, body); err != nil {
+	if err := r.contain(func() error { return r.receive(peer, kind, body) }); err != nil {
 		metrics.GetOrRegisterCounter("peers.malformed", r.d.metrics).Inc(1)
 		r.d.log.Warnf("peer %s: %v", peer, err)
 	}
 }
 
+// contain returns a panic of f as an error: a message that a component cannot handle must
+// not end the process, which serves others. What the replica decides runs elsewhere and is
+// not contained, as its state may then be wrong.
+func (r receiver) contain(f func() error) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			metrics.GetOrRegisterCounter("peers.panics", r.d.metrics).Inc(1)
+			r.d.log.Errorf("a message made a component panic: %v\n%s", p, debug.Stack())
+			err = errors.Newf("panic: %v", p)
+		}
+	}()
+	return f()
+}
+
 func (r receiver) receive(peer, kind string, body json.RawMessage) error {
 	d := r.d
 	switch kind {
@@ -41,7 +56,7 @@
 			return d.hub.Receive(peer, kind, body)
 		}
 	case kqfeed.MethodPresence:
-		if d.hub != nil {
+		if d.presence != nil {
 			return d.handlePresence(peer, body)
 		}
 	case kqfeed.MethodChanges, kqfeed.MethodFullView, kqfeed.MethodConfirmation, kqfeed.MethodControls, kqfeed.MethodListeners:
@@ -57,8 +72,16 @@
 }
 
 // HandleRequest handles a request of a peer and returns the response.
-func (r receiver) HandleRequest(ctx context.Context, peer, kind string, body json.RawMessage) (any, error) {
+func (r receiver) HandleRequest(ctx context.Context, peer, kind string, body json.RawMessage) (answer any, err error) {
 	<-r.d.ready
+	err = r.contain(func() error {
+		answer, err = r.handleRequest(ctx, peer, kind, body)
+		return err
+	})
+	return answer, err
+}
+
+func (r receiver) handleRequest(ctx context.Context, peer, kind string, body json.RawMessage) (any, error) {
 	d := r.d
 	switch kind {
 	case kqcontrol.MethodSubmit, kqcontrol.MethodCommand, kqcontrol.MethodRead, kqcontrol.MethodReached:
