--- a/internal/route/kqselection/target.go
+++ b/internal/route/kqselection/target.go
@@ -41,8 +41,8 @@
 	// while the target accepts requests.
 	DrainingSince time.Time
 
-	// LeavingSince is when the target itself last was found to say that it shuts down,
-	// zero if it never did. No announcement takes it back until the next start.
+	// LeavingSince is when the target first said that it shuts down, zero if it never did.
+	// It holds until the next start, whatever is announced.
 	LeavingSince time.Time
 
 	quietUntil    time.Time // the target asked for no requests before this time
