--- a/internal/call/kqproxy/barred_test.go
+++ b/internal/call/kqproxy/barred_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -72,16 +71,7 @@
 			}
 		}},
 		{"chosen target", func(t *testing.T, f *fixture, bar func()) {
-			s := f.engine.routing.Load()
-			route, _ := s.table.Find("index.example", "/filings/1")
-			p := &proxiedRequest{
-				engine: f.engine, w: httptest.NewRecorder(), in: httptest.NewRequest(http.MethodPost, "/filings/1", nil), header: http.Header{},
-				started: time.Now(), deadline: time.Now().Add(5 * time.Second), routing: s, route: route, service: "kekhai",
-			}
-			var cause string
-			if p.chosen, cause = p.choose(t.Context(), nil); p.chosen.Target == nil {
-				t.Fatal(cause)
-			}
+			p := f.chosenRequest(t)
 			bar()
 			if out, answered := p.attempt(t.Context(), p.chosen.Target); answered || !out.unsent {
 				t.Errorf("answered %v, %+v, want an unsent request", answered, out)
--- a/internal/call/kqproxy/drain_test.go
+++ b/internal/call/kqproxy/drain_test.go
@@ -117,10 +117,9 @@
 	}
 }
 
-// TestDrainBeforeFirstByte guards against a request that reaches a target which began to
-// drain after it was chosen, while the connection was being established.
-func TestDrainBeforeFirstByte(t *testing.T) {
-	f := newFixture(t, kqroutes.Unsafe, 5*time.Second, replyOK)
+// chosenRequest returns a request for which a target was chosen and nothing was sent yet.
+func (f *fixture) chosenRequest(t *testing.T) *proxiedRequest {
+	t.Helper()
 	s := f.engine.routing.Load()
 	route, _ := s.table.Find("index.example", "/filings/1")
 	p := &proxiedRequest{
@@ -131,6 +130,14 @@
 	if p.chosen, cause = p.choose(t.Context(), nil); p.chosen.Target == nil {
 		t.Fatal(cause)
 	}
+	return p
+}
+
+// TestDrainBeforeFirstByte guards against a request that reaches a target which began to
+// drain after it was chosen, while the connection was being established.
+func TestDrainBeforeFirstByte(t *testing.T) {
+	f := newFixture(t, kqroutes.Unsafe, 5*time.Second, replyOK)
+	p := f.chosenRequest(t)
 	f.apply(2, inState(f.targets[0], kqtargets.Draining))
 	out, answered := p.attempt(t.Context(), p.chosen.Target)
 	if answered || !out.unsent || out.mayHaveRun || f.arrivals() != 0 {
