A full disk is waited for instead of ending the process

A failed sync is that kind; a refused write isn't, as the bytes up to the last synced record are known.

Change: kq.ErrFull marks a refused write. The effects of the replica wait in order and are tried again every 50 ms; meanwhile the host is as if cut off. A leader resigns first.

--- a/disk.go
+++ b/disk.go
@@ -1,5 +1,12 @@
 package kq
 
+import "github.com/cockroachdb/errors"
+
+// ErrFull marks the error of an operation that a full disk refused. The operation may
+// have written a part of its bytes, and may succeed once there is room again. Errors of
+// syncs are never marked: after one it is unknown which data is durable.
+var ErrFull = errors.New("no space left on the disk")
+
 // Disk is the data folder of one host: flat file names, no sub-folders.
 //
 // Changes survive a crash only once they are synced: the content of a file by
--- a/internal/admin/kqcommand/inspect.go
+++ b/internal/admin/kqcommand/inspect.go
@@ -56,6 +56,9 @@
 		role, term := "", ""
 		if h.Replica != nil {
 			role, term = h.Replica.Role, fmt.Sprint(h.Replica.Term)
+			if h.Replica.Full {
+				role = "disk full"
+			}
 		}
 		t.row(h.Host, h.Domain, strings.Join(h.Roles, ","), h.Serving, h.Revision, h.Hub, role, term, h.Calls)
 	}
@@ -74,6 +77,7 @@
 		Leader  string `json:"leader"`
 		Commit  uint64 `json:"commit"`
 		Applied uint64 `json:"applied"`
+		Full    bool   `json:"full"`
 	} `json:"replica,omitempty"`
 }
 
--- a/internal/fake/kqfake/disk.go
+++ b/internal/fake/kqfake/disk.go
@@ -14,9 +14,13 @@
 var (
 	ErrCrashed = errors.New("disk: the host crashed")
 	ErrSync    = errors.New("disk: sync failed")
-	ErrFull    = errors.New("disk: no space left")
 )
 
+// errFull returns the error of an operation that the full disk refuses.
+func errFull() error {
+	return errors.Wrap(kq.ErrFull, "disk")
+}
+
 // inode is the content of one file; a crash may lose the bytes after the synced ones.
 type inode struct {
 	data   []byte
@@ -57,11 +61,17 @@
 	d.failSync = true
 }
 
-// Fill makes every write fail from now on.
+// Fill makes every write, and the creation of files, fail until Free. A refused write
+// leaves a random part of its bytes.
 func (d *Disk) Fill() {
 	d.full = true
 }
 
+// Free ends the effect of Fill.
+func (d *Disk) Free() {
+	d.full = false
+}
+
 // Syncs returns the number of successful syncs of files.
 func (d *Disk) Syncs() int {
 	return d.syncs
@@ -157,6 +167,9 @@
 	}
 	n := d.names[name]
 	if n == nil {
+		if d.full {
+			return nil, errFull()
+		}
 		n = &inode{}
 		d.changeName(nameOp{name, n})
 	}
@@ -168,6 +181,9 @@
 	if err := d.countOperation(); err != nil {
 		return nil, err
 	}
+	if d.full {
+		return nil, errFull()
+	}
 	n := &inode{}
 	d.changeName(nameOp{name, n})
 	return &file{d, n}, nil
@@ -237,10 +253,11 @@
 }
 
 func (f *file) Write(p []byte) (int, error) {
-	if f.d.full {
-		return 0, ErrFull
+	err := f.d.countOperation()
+	if err == nil && f.d.full {
+		err = errFull()
 	}
-	if err := f.d.countOperation(); err != nil {
+	if err != nil {
 		written := f.d.rng.IntN(len(p) + 1)
 		f.n.data = append(f.n.data, p[:written]...)
 		return written, err
--- a/internal/host/kqdisk/folder.go
+++ b/internal/host/kqdisk/folder.go
@@ -27,11 +27,11 @@
 // holds the lock.
 func Open(path string) (*Folder, error) {
 	if err := os.MkdirAll(path, folderMode); err != nil {
-		return nil, errors.Wrap(err, "data folder")
+		return nil, errors.Wrap(markFull(err), "data folder")
 	}
 	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, fileMode)
 	if err != nil {
-		return nil, errors.Wrap(err, "data folder")
+		return nil, errors.Wrap(markFull(err), "data folder")
 	}
 	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
 		lock.Close()
@@ -51,12 +51,20 @@
 
 // OpenAppend opens the named file for appending and creates it if missing.
 func (d *Folder) OpenAppend(name string) (kq.File, error) {
-	return os.OpenFile(d.at(name), os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
+	return d.open(name, os.O_APPEND)
 }
 
 // Create opens an empty file of that name.
 func (d *Folder) Create(name string) (kq.File, error) {
-	return os.OpenFile(d.at(name), os.O_CREATE|os.O_WRONLY|os.O_TRUNC, fileMode)
+	return d.open(name, os.O_TRUNC)
+}
+
+func (d *Folder) open(name string, flag int) (kq.File, error) {
+	f, err := os.OpenFile(d.at(name), os.O_CREATE|os.O_WRONLY|flag, fileMode)
+	if err != nil {
+		return nil, markFull(err)
+	}
+	return file{f}, nil
 }
 
 // ReadFile returns the whole content of the named file.
@@ -66,7 +74,7 @@
 
 // Rename replaces the file newName by oldName.
 func (d *Folder) Rename(oldName, newName string) error {
-	return os.Rename(d.at(oldName), d.at(newName))
+	return markFull(os.Rename(d.at(oldName), d.at(newName)))
 }
 
 // Remove deletes the named file.
--- a/internal/state/kqcontrol/control.go
+++ b/internal/state/kqcontrol/control.go
@@ -70,6 +70,7 @@
 	newProposals     []kqreplica.Proposal // not yet passed to the replica
 	pendingEffects   []kqreplica.Effect   // not yet performed
 	failed           bool                 // an effect failed, so no later one may be performed
+	fullSince        time.Time            // when the disk refused the first pending effect, zero: it did not
 	pendingChanges   []kqcontract.Change  // in force, not yet reported
 	pendingReads     map[string]chan kqreplica.ReadResult
 	indexWaiters     []indexWaiter
@@ -120,7 +121,7 @@
 		pendingProposals: map[string]chan proposalResult{}, pendingReads: map[string]chan kqreplica.ReadResult{},
 		syncTimer: metrics.GetOrRegisterTimer("control.sync", cfg.Metrics),
 	}
-	if err := c.perform(effects); err != nil {
+	if err := c.performOrWait(effects); err != nil {
 		return nil, err
 	}
 	go c.loop()
@@ -156,8 +157,7 @@
 			c.runTask(t)
 			c.drainInbox()
 		case <-tick.C:
-			c.reduce(kqreplica.Tick{})
-			c.flush()
+			c.tick()
 		}
 	}
 }
@@ -176,6 +176,15 @@
 	t.run()
 }
 
+func (c *Control) tick() {
+	if c.isFull() {
+		c.retryFull()
+		return
+	}
+	c.reduce(kqreplica.Tick{})
+	c.flush()
+}
+
 // drainInbox runs the tasks that queued up during the last one. All commands among
 // them are proposed together, so that they share one sync.
 func (c *Control) drainInbox() {
@@ -206,24 +215,35 @@
 
 // reduce passes one event to the replica; it must run in the loop.
 func (c *Control) reduce(ev kqreplica.Event) {
+	if c.isFull() {
+		c.reduceWhileFull(ev)
+		return
+	}
 	c.pendingEffects = append(c.pendingEffects, c.replica.Reduce(c.cfg.Clock.Now(), ev)...)
 }
 
-// flush performs the pending effects.
+// flush performs the pending effects, unless they wait for room on the disk.
 func (c *Control) flush() {
+	if c.isFull() {
+		return
+	}
 	list := kqreplica.Merge(c.pendingEffects)
 	c.pendingEffects = nil
 	if c.failed {
 		return
 	}
-	if err := c.perform(list); err != nil {
-		c.failed = true
-		c.cfg.Log.Errorf("replica stopped: %v", err)
-		c.stop()
-		c.cfg.Fatal(err)
+	if err := c.performOrWait(list); err != nil {
+		c.fail(err)
 	}
 }
 
+func (c *Control) fail(err error) {
+	c.failed = true
+	c.cfg.Log.Errorf("replica stopped: %v", err)
+	c.stop()
+	c.cfg.Fatal(err)
+}
+
 // Receive passes a message of another control host to the replica.
 func (c *Control) Receive(from string, m kqreplica.Message) {
 	c.enqueue(task{event: kqreplica.Received{From: from, Message: m}})
@@ -239,15 +259,26 @@
 }
 
 // View calls f with the state, in the loop; f must neither keep nor change the state.
-// It returns an error if the replica has stopped.
+// It returns an error if the replica has stopped, or cannot follow because the disk is
+// full.
 func (c *Control) View(f func(*kqcontract.State)) error {
-	ran := make(chan struct{})
-	view := func() {
+	full := false
+	err := c.runInLoop(func() {
 		c.flush() // reports all changes that f will see
-		f(c.machine.state)
-		close(ran)
+		if full = c.isFull(); !full {
+			f(c.machine.state)
+		}
+	})
+	if err == nil && full {
+		return errFull
 	}
-	if !c.post(view) {
+	return err
+}
+
+// runInLoop returns once f has run in the loop, or an error if the loop has ended.
+func (c *Control) runInLoop(f func()) error {
+	ran := make(chan struct{})
+	if !c.post(func() { f(); close(ran) }) {
 		return errors.New("control: stopped")
 	}
 	select {
@@ -258,11 +289,17 @@
 	}
 }
 
+// Status is the state of a control host as shown to operators.
+type Status struct {
+	kqreplica.Status
+	Full bool `json:"full,omitempty"` // the disk has no room, so the host takes no part
+}
+
 // Status returns the status of the replica as shown to operators. It returns an
 // error if the replica has stopped.
-func (c *Control) Status() (kqreplica.Status, error) {
-	var s kqreplica.Status
-	err := c.View(func(*kqcontract.State) { s = c.replica.Status() })
+func (c *Control) Status() (Status, error) {
+	var s Status
+	err := c.runInLoop(func() { s = Status{c.replica.Status(), c.isFull()} })
 	return s, err
 }
 
@@ -320,6 +357,10 @@
 	}
 	ready := make(chan proposalResult, 1)
 	c.post(func() {
+		if c.isFull() {
+			ready <- proposalResult{err: errFull}
+			return
+		}
 		id := c.newID()
 		c.pendingProposals[id] = ready
 		c.newProposals = append(c.newProposals, kqreplica.Proposal{ID: id, Data: data})
@@ -364,6 +405,10 @@
 func (c *Control) confirmOnce(ctx context.Context, lazy bool) error {
 	ready := make(chan kqreplica.ReadResult, 1)
 	c.post(func() {
+		if c.isFull() {
+			ready <- kqreplica.ReadResult{}
+			return
+		}
 		id := c.newID()
 		c.pendingReads[id] = ready
 		c.reduce(kqreplica.Read{ID: id, Lazy: lazy})
--- a/internal/state/kqcontrol/perform.go
+++ b/internal/state/kqcontrol/perform.go
@@ -15,15 +15,15 @@
 }
 
 // perform performs effects in order: data to save is synced before the next effect
-// starts. After an error the replica must stop.
-func (c *Control) perform(effects []kqreplica.Effect) error {
-	for _, e := range effects {
+// starts. It returns how many were performed before an error.
+func (c *Control) perform(effects []kqreplica.Effect) (done int, err error) {
+	for i, e := range effects {
 		if err := c.performOne(e); err != nil {
-			return err
+			return i, err
 		}
 	}
 	c.reportChanges()
-	return nil
+	return len(effects), nil
 }
 
 // reportChanges passes on the changes that came into force since the last call.
--- a/internal/state/kqjournal/journal.go
+++ b/internal/state/kqjournal/journal.go
@@ -63,19 +63,23 @@
 	TruncatedBytes int     // bytes of an incomplete last record that were removed
 }
 
-// Journal writes the files. After any error the process must stop, because a
-// failed sync leaves unknown which data is durable.
+// Journal writes the files. An operation that failed with kq.ErrFull has saved nothing
+// and may be repeated once there is room; no other may be carried out before. After any
+// other error the process must stop, because a failed sync leaves unknown which data is
+// durable.
 type Journal struct {
 	disk           kq.Disk
-	file           kq.File
-	size           int
+	file           kq.File  // nil: there is no segment yet
+	size           int      // bytes of the complete records in the open segment
+	torn           bool     // a part of a record may follow them
 	segment        string   // name of the open segment
 	closedSegments []string // names of the earlier segments
 	metaFrame      []byte   // frame of the newest Meta in the log, nil if there is none
 }
 
-// Open reads all files, truncates an incomplete last record and opens the last
-// segment for appending. It returns ErrCorrupt if synced data is damaged.
+// Open reads all files and opens the last segment for appending. It needs no room on the
+// disk: an incomplete last record is removed, and a missing segment created, by the first
+// operation that writes. It returns ErrCorrupt if synced data is damaged.
 func Open(disk kq.Disk) (*Journal, Loaded, error) {
 	j := &Journal{disk: disk}
 	var l Loaded
@@ -131,11 +135,6 @@
 	if len(l.Entries) > 0 && l.Entries[0].Index != l.Snapshot.Index+1 {
 		return errors.Wrapf(ErrCorrupt, "journal: log starts at %d after snapshot %d", l.Entries[0].Index, l.Snapshot.Index)
 	}
-	if len(segments) == 0 {
-		if err := j.rotate(); err != nil {
-			return err
-		}
-	}
 	return j.removeFiles(covered)
 }
 
@@ -163,7 +162,12 @@
 		j.closedSegments = append(j.closedSegments, name)
 		return nil
 	}
-	return j.openNewest(name, offset, l.TruncatedBytes)
+	f, err := j.disk.OpenAppend(name)
+	if err != nil {
+		return errors.Wrapf(err, "journal: open %s", name)
+	}
+	j.file, j.size, j.segment, j.torn = f, offset, name, l.TruncatedBytes > 0
+	return nil
 }
 
 // metaMajorType is the CBOR major type of an encoded Meta, a map, in the upper three
@@ -200,21 +204,6 @@
 	return nil
 }
 
-func (j *Journal) openNewest(name string, size, cut int) error {
-	f, err := j.disk.OpenAppend(name)
-	if err != nil {
-		return errors.Wrapf(err, "journal: open %s", name)
-	}
-	j.file, j.size, j.segment = f, size, name
-	if cut == 0 {
-		return nil
-	}
-	if err := f.Truncate(int64(size)); err != nil {
-		return errors.Wrapf(err, "journal: truncate %s", name)
-	}
-	return errors.Wrapf(f.Sync(), "journal: sync %s", name)
-}
-
 // Append writes one batch of entries and syncs it.
 func (j *Journal) Append(batch []Entry) error {
 	payload, err := cbor.Marshal(batch)
@@ -231,7 +220,16 @@
 
 // write appends to the open segment and syncs it.
 func (j *Journal) write(p []byte) error {
+	if j.file == nil {
+		if err := j.rotate(); err != nil {
+			return err
+		}
+	}
+	if err := j.removeTorn(); err != nil {
+		return err
+	}
 	if _, err := j.file.Write(p); err != nil {
+		j.torn = true
 		return errors.Wrap(err, "journal: write")
 	}
 	if err := j.file.Sync(); err != nil {
@@ -241,20 +239,40 @@
 	return nil
 }
 
-// rotate closes the open segment and starts a new one, whose name sorts after all
-// earlier ones.
+// removeTorn removes a part of a record from the end of the open segment. Records behind
+// it would be lost, and in a segment that is no longer the newest it counts as damage, so
+// the removal is synced.
+func (j *Journal) removeTorn() error {
+	if !j.torn {
+		return nil
+	}
+	if err := j.file.Truncate(int64(j.size)); err != nil {
+		return errors.Wrapf(err, "journal: truncate %s", j.segment)
+	}
+	if err := j.file.Sync(); err != nil {
+		return errors.Wrapf(err, "journal: sync %s", j.segment)
+	}
+	j.torn = false
+	return nil
+}
+
+// rotate starts a new segment, whose name sorts after all earlier ones, and closes the
+// open one.
 func (j *Journal) rotate() error {
-	if j.file != nil {
-		j.closedSegments = append(j.closedSegments, j.segment)
-		if err := j.file.Close(); err != nil {
-			return errors.Wrap(err, "journal: close")
-		}
+	if err := j.removeTorn(); err != nil {
+		return err
 	}
 	name := fmt.Sprintf("%s%016x", segmentPrefix, j.nextNumber())
 	f, err := j.disk.OpenAppend(name)
 	if err != nil {
 		return errors.Wrapf(err, "journal: open %s", name)
 	}
+	if j.file != nil {
+		j.closedSegments = append(j.closedSegments, j.segment)
+		if err := j.file.Close(); err != nil {
+			return errors.Wrap(err, "journal: close")
+		}
+	}
 	j.file, j.size, j.segment = f, 0, name
 	return errors.Wrap(j.disk.SyncFolder(), "journal: sync folder")
 }
@@ -274,19 +292,25 @@
 	if err != nil {
 		return errors.Wrap(err, "journal: encode meta")
 	}
-	j.metaFrame = frame(payload)
-	return j.write(j.metaFrame)
+	p := frame(payload)
+	if err := j.write(p); err != nil {
+		return err
+	}
+	j.metaFrame = p
+	return nil
 }
 
 // SaveSnapshot replaces the snapshot and removes the earlier segments; keep holds
 // the entries after the snapshot. The new segment is written first, so that a crash
 // at any step leaves either the old snapshot with the old log or the new snapshot
-// with the new log.
+// with the new log. It needs room before it gives any.
 func (j *Journal) SaveSnapshot(s Snapshot, keep []Entry) error {
-	old := j.segmentNames()
-	if err := j.rotate(); err != nil {
-		return err
+	if j.file == nil || j.size > 0 || j.torn { // otherwise an earlier try left an empty segment
+		if err := j.rotate(); err != nil {
+			return err
+		}
 	}
+	old := slices.Clone(j.closedSegments)
 	if j.metaFrame != nil { // the segment that holds it is removed below
 		if err := j.write(j.metaFrame); err != nil {
 			return err
@@ -314,27 +338,13 @@
 	return errors.Wrap(j.disk.SyncFolder(), "journal: sync folder")
 }
 
-func (j *Journal) segmentNames() []string {
-	return append(slices.Clone(j.closedSegments), j.segment)
-}
-
 func (j *Journal) replaceFile(name string, v any) error {
 	payload, err := cbor.Marshal(v)
 	if err != nil {
 		return errors.Wrapf(err, "journal: encode %s", name)
 	}
-	f, err := j.disk.Create(name + newSuffix)
-	if err != nil {
-		return errors.Wrapf(err, "journal: create %s", name)
-	}
-	if _, err := f.Write(frame(payload)); err != nil {
-		return errors.Wrapf(err, "journal: write %s", name)
-	}
-	if err := f.Sync(); err != nil {
-		return errors.Wrapf(err, "journal: sync %s", name)
-	}
-	if err := f.Close(); err != nil {
-		return errors.Wrapf(err, "journal: close %s", name)
+	if err := j.writeFile(name+newSuffix, frame(payload)); err != nil {
+		return err
 	}
 	if err := j.disk.Rename(name+newSuffix, name); err != nil {
 		return errors.Wrapf(err, "journal: rename %s", name)
@@ -342,7 +352,23 @@
 	return errors.Wrap(j.disk.SyncFolder(), "journal: sync folder")
 }
 
+// writeFile writes and syncs a file that holds p and nothing else.
+func (j *Journal) writeFile(name string, p []byte) error {
+	f, err := j.disk.Create(name)
+	if err != nil {
+		return errors.Wrapf(err, "journal: create %s", name)
+	}
+	defer f.Close() // nothing is written after the sync
+	if _, err := f.Write(p); err != nil {
+		return errors.Wrapf(err, "journal: write %s", name)
+	}
+	return errors.Wrapf(f.Sync(), "journal: sync %s", name)
+}
+
 // Close closes the open segment.
 func (j *Journal) Close() error {
+	if j.file == nil {
+		return nil
+	}
 	return j.file.Close()
 }
--- a/internal/state/kqjournal/journal_test.go
+++ b/internal/state/kqjournal/journal_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
+	kq "kumquatglade"
 	"kumquatglade/internal/fake/kqfake"
 
 	"github.com/cockroachdb/errors"
@@ -189,7 +190,7 @@
 		want  error
 	}{
 		{"sync fails", (*kqfake.Disk).FailSync, kqfake.ErrSync},
-		{"disk is full", (*kqfake.Disk).Fill, kqfake.ErrFull},
+		{"disk is full", (*kqfake.Disk).Fill, kq.ErrFull},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -217,3 +218,67 @@
 		}
 	})
 }
+
+// TestFullDiskLosesNothing fills the disk at random, so that operations leave a part of
+// what they write, and repeats them until there is room. Then the host crashes: all that
+// was saved must be loaded. It guards against records that follow an incomplete one.
+func TestFullDiskLosesNothing(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		d := kqfake.NewDisk(rng)
+		j, _ := open(t, d)
+		repeat := func(save func() error) {
+			t.Helper()
+			for {
+				err := save()
+				if err == nil {
+					return
+				}
+				if !errors.Is(err, kq.ErrFull) {
+					t.Fatalf("seed %d: %v", seed, err)
+				}
+				if rng.IntN(3) == 0 {
+					d.Free()
+				}
+				if rng.IntN(10) == 0 { // the process is killed meanwhile
+					j.Close()
+					j, _ = open(t, d)
+				}
+			}
+		}
+		fill := func() {
+			if rng.IntN(4) == 0 {
+				d.Fill()
+			}
+		}
+		term, last := uint64(0), uint64(5+rng.IntN(30))
+		for i := uint64(1); i <= last; i++ {
+			fill()
+			repeat(func() error { return j.Append([]Entry{entry(i)}) })
+			if i%3 == 0 {
+				fill()
+				term = i
+				repeat(func() error { return j.SaveMeta(Meta{Term: i}) })
+			}
+			if i%7 == 0 {
+				fill()
+				repeat(func() error {
+					return j.SaveSnapshot(Snapshot{Index: i - 2, Term: 1, State: []byte("s")}, []Entry{entry(i - 1), entry(i)})
+				})
+			}
+		}
+		d.Crash()
+		_, l := open(t, d)
+		if got := l.Snapshot.Index + uint64(len(l.Entries)); got != last || l.Meta.Term != term {
+			t.Fatalf("seed %d: loaded up to entry %d and term %d, want %d and %d", seed, got, l.Meta.Term, last, term)
+		}
+		for i, e := range l.Entries {
+			if diff := cmp.Diff(entry(l.Snapshot.Index+1+uint64(i)), e); diff != "" {
+				t.Fatalf("seed %d: %s", seed, diff)
+			}
+		}
+		if names, _ := d.List(); len(names) > 8 {
+			t.Errorf("seed %d: repeated snapshots left %d files", seed, len(names))
+		}
+	}
+}
--- a/internal/state/kqreplica/elect.go
+++ b/internal/state/kqreplica/elect.go
@@ -354,6 +354,24 @@
 	r.advanceCommit()
 }
 
+// resign gives up leadership or a candidacy and tells the other members, so that they
+// elect a leader without waiting for this one to fall silent. It saves nothing and
+// reports on nothing that is not saved.
+func (r *Replica) resign() {
+	wasLeader := r.role == Leader
+	if wasLeader || r.role == Candidate {
+		r.becomeFollower(r.meta.Term, "")
+	}
+	if !wasLeader {
+		return
+	}
+	for _, m := range r.members {
+		if m.Host != r.cfg.Host {
+			r.send(m.Host, Message{Kind: kindResigned, Cluster: r.meta.Cluster, Term: r.meta.Term})
+		}
+	}
+}
+
 func (r *Replica) linkUp(peer string) {
 	r.linked[peer] = true
 	if r.role == Candidate {
@@ -368,10 +386,15 @@
 	r.sendAppend(peer, p)
 }
 
-// linkDown shortens the election timeout when the link to the leader breaks. A
-// broken connection is stronger evidence of a failed leader than a late heartbeat.
 func (r *Replica) linkDown(peer string) {
 	delete(r.linked, peer)
+	r.loseLeader(peer)
+}
+
+// loseLeader shortens the election timeout if the peer was the leader, because its link
+// broke or it resigned. Both are stronger evidence of a failed leader than a late
+// heartbeat.
+func (r *Replica) loseLeader(peer string) {
 	if r.role != Follower || peer != r.leader {
 		return
 	}
--- a/internal/state/kqreplica/faults_test.go
+++ b/internal/state/kqreplica/faults_test.go
@@ -10,6 +10,9 @@
 
 // injectFaults causes random faults that the replicas must tolerate.
 func (r *historyRun) injectFaults() {
+	if r.fillInterval > 0 && r.rng.IntN(r.fillInterval) == 0 {
+		r.fill(r.pickNode(), 1+r.rng.IntN(150))
+	}
 	if r.open {
 		r.injectOpenFaults()
 		return
--- a/internal/state/kqreplica/follow.go
+++ b/internal/state/kqreplica/follow.go
@@ -61,6 +61,8 @@
 		r.onSnapshot(from, m)
 	case kindForwardHello:
 		r.onForwardedHello(m)
+	case kindResigned:
+		r.onResigned(from, m)
 	case kindRead:
 		r.onRead(from, m)
 	case kindReadReply:
@@ -152,8 +154,20 @@
 	return true
 }
 
-// acceptLeader follows the sender unless its term is older than this host's.
+// onResigned gives up a leader that resigned.
+func (r *Replica) onResigned(from string, m Message) {
+	if m.Term == r.meta.Term {
+		r.resignedTerm = m.Term
+		r.loseLeader(from)
+	}
+}
+
+// acceptLeader follows the sender unless its term is older than this host's. Messages of
+// a leader that has resigned since are ignored: they may arrive late.
 func (r *Replica) acceptLeader(from string, m Message) bool {
+	if m.Term == r.resignedTerm {
+		return false
+	}
 	if m.Term < r.meta.Term {
 		r.send(from, Message{Kind: kindAppendReply, Cluster: r.meta.Cluster, Term: r.meta.Term, Index: r.log.lastIndex()})
 		return false
--- a/internal/state/kqreplica/history_test.go
+++ b/internal/state/kqreplica/history_test.go
@@ -110,6 +110,7 @@
 	knownVersions map[string]uint64 // newest version of each owner that the clients know
 	contentNames  map[string]string // name of a test content by the hash of its contract
 	faultInterval int               // slots between two faults of one kind, on average
+	fillInterval  int               // slots between two disks that become full, on average; 0: none does
 	lostHost      *node             // host whose folder was lost and that is not a voter again yet
 }
 
@@ -290,6 +291,7 @@
 	}
 	for _, name := range r.names {
 		r.nodes[name].disk.CrashAfter(-1)
+		r.nodes[name].fullUntil = min(r.nodes[name].fullUntil, r.slot+1)
 	}
 	equal := func() bool {
 		l := r.leader()
--- a/internal/state/kqreplica/message.go
+++ b/internal/state/kqreplica/message.go
@@ -20,6 +20,7 @@
 	kindSnapshot     = "snapshot" // state that replaces log entries
 	kindRead         = "read"     // asks the leader for a commit index confirmed by a quorum
 	kindReadReply    = "readable" // reply to read
+	kindResigned     = "resigned" // a leader gave up its term
 )
 
 // Message is sent between replicas. Fields marked omitempty are not sent if empty.
@@ -73,12 +74,17 @@
 // LinkDown reports that the link to the peer broke.
 type LinkDown struct{ Peer string }
 
+// DiskFull reports that the effects carried out last failed for want of room and wait for
+// it. Until they are carried out, no other event may be passed on but LinkUp and LinkDown.
+type DiskFull struct{}
+
 func (Tick) replicaEvent()     {}
 func (Received) replicaEvent() {}
 func (Propose) replicaEvent()  {}
 func (Read) replicaEvent()     {}
 func (LinkUp) replicaEvent()   {}
 func (LinkDown) replicaEvent() {}
+func (DiskFull) replicaEvent() {}
 
 // Effect is an output of the Replica. The caller carries out effects in order.
 type Effect interface{ replicaEffect() }
--- a/internal/state/kqreplica/mutation_test.go
+++ b/internal/state/kqreplica/mutation_test.go
@@ -13,16 +13,18 @@
 	cases := []struct {
 		mutant mutation
 		first  uint64 // first seed to try, close before one that detects the mutation, so that CI need not search
+		check  func(seed uint64, mutant mutation) string
 	}{
-		{voteUnsynced, 1398},
-		{lostDiskVotes, 12},
-		{commitsEarlierTerm, 760},
+		{voteUnsynced, 1398, checkHistory},
+		{lostDiskVotes, 12, checkHistory},
+		{commitsEarlierTerm, 760, checkHistory},
+		{fullDiskIgnored, 1, checkFullHistory},
 	}
 	for _, c := range cases {
 		t.Run(string(c.mutant), func(t *testing.T) {
 			t.Parallel()
 			for seed := c.first; seed < c.first+maxMutationSeeds; seed++ {
-				if msg := checkHistory(seed, c.mutant); msg != "" && msg != statesDiverge {
+				if msg := c.check(seed, c.mutant); msg != "" && msg != statesDiverge {
 					t.Logf("caught by seed %d: %s", seed, msg)
 					return
 				}
--- a/internal/state/kqreplica/replica.go
+++ b/internal/state/kqreplica/replica.go
@@ -102,6 +102,7 @@
 
 	role               Role
 	leader             string
+	resignedTerm       uint64   // term whose leader resigned, 0: none
 	members            []Member // newest member list in the log, committed or not
 	membersIndex       uint64   // log index of that list
 	commit             uint64
@@ -234,6 +235,8 @@
 		r.linkUp(ev.Peer)
 	case LinkDown:
 		r.linkDown(ev.Peer)
+	case DiskFull:
+		r.resign()
 	}
 	r.reportStatus()
 	return r.takeEffects()
--- a/internal/state/kqreplica/simulation_test.go
+++ b/internal/state/kqreplica/simulation_test.go
@@ -7,9 +7,12 @@
 	"slices"
 	"time"
 
+	kq "kumquatglade"
 	"kumquatglade/internal/fake/kqfake"
 	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqjournal"
+
+	"github.com/cockroachdb/errors"
 )
 
 // mutation is a fault built into a replica on purpose, which the history check must
@@ -21,6 +24,7 @@
 	voteUnsynced       mutation = "vote not synced"
 	lostDiskVotes      mutation = "host with a lost disk votes at once"
 	commitsEarlierTerm mutation = "commits an earlier term by count"
+	fullDiskIgnored    mutation = "acknowledges what a full disk refused"
 )
 
 // testMachine is a state machine that holds contracts and applies JSON commands.
@@ -82,6 +86,8 @@
 	removed   bool         // permanently stopped
 	joinOnly  bool         // its folder was lost, or it was started after the founding
 	pending   []Effect     // effects of events handled together, not carried out yet
+	full      bool         // the disk refused the first of them
+	fullUntil int          // slot until which the disk is full
 }
 
 // simulation runs replicas with fake disks and links. One slot lasts one tick.
@@ -163,7 +169,7 @@
 	if s.mutant == commitsEarlierTerm {
 		r.canCommitTerm = func(uint64) bool { return true }
 	}
-	n.replica, n.up, n.pending = r, true, nil
+	n.replica, n.up, n.pending, n.full = r, true, nil, false
 	s.perform(n, effects)
 	s.announceLinks(n)
 }
@@ -213,6 +219,10 @@
 	if !n.up {
 		return
 	}
+	if n.full {
+		s.feedFull(n, ev)
+		return
+	}
 	n.pending = append(n.pending, n.replica.Reduce(time.Time{}, ev)...)
 	if s.batchEvents && s.rng.IntN(2) == 0 {
 		return // further events may be handled before the effects of this one are carried out
@@ -230,8 +240,13 @@
 // perform carries out effects in order. A disk that fails crashes the host before any
 // later effect is carried out.
 func (s *simulation) perform(n *node, effects []Effect) {
-	for _, e := range effects {
-		if err := s.performOne(n, e); err != nil {
+	for i, e := range effects {
+		err := s.performOne(n, e)
+		if errors.Is(err, kq.ErrFull) {
+			s.becomeFull(n, effects[i:])
+			return
+		}
+		if err != nil {
 			s.crash(n, 5+s.rng.IntN(60))
 			return
 		}
@@ -248,7 +263,11 @@
 		n.meta = e.Meta
 		return n.journal.SaveMeta(e.Meta)
 	case SaveEntries:
-		return n.journal.Append(e.Entries)
+		err := n.journal.Append(e.Entries)
+		if s.mutant == fullDiskIgnored && errors.Is(err, kq.ErrFull) {
+			return nil
+		}
+		return err
 	case SaveSnapshot:
 		return n.journal.SaveSnapshot(e.Snapshot, e.Keep)
 	case Send:
@@ -305,6 +324,7 @@
 			s.start(n)
 		}
 	}
+	s.stepFullDisks()
 	s.rng.Shuffle(len(s.queue), func(i, j int) { s.queue[i], s.queue[j] = s.queue[j], s.queue[i] })
 	due := s.queue
 	s.queue = nil
