--- a/internal/state/kqroutes/routes.go
+++ b/internal/state/kqroutes/routes.go
@@ -1,6 +1,7 @@
 package kqroutes
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -138,6 +139,7 @@
 	if r.Service != "" {
 		return errors.New("both a service and a split")
 	}
+	total := 0.0
 	for _, p := range r.Split {
 		if !known[p.Service] {
 			return errors.Newf("service %q is unknown", p.Service)
@@ -145,6 +147,10 @@
 		if !(p.Weight >= 0) { // also refuses NaN
 			return errors.Newf("weight %v: want 0 or more", p.Weight)
 		}
+		total += p.Weight
+	}
+	if math.IsInf(total, 0) {
+		return errors.New("the weights add up to more than can be counted")
 	}
 	return nil
 }
