A leave is acknowledged once it is recorded

Cause: a control host acknowledged a leave that was no change by its own state. That state lags on a host that is cut off and is empty right after a start.

Change: a leave goes through the log unless own state holds it for that start of the target, which nothing can undo. The leave of an unknown target is recorded, so that a late announcement does not put it into use.

Evidence: TestLeaveNeedsQuorum on: "gone with start 0 is acknowledged without a quorum"; TestLeaveOfUnknownTargetIsRecorded: "in use after its leave". A case of TestAnnouncements expected that the leave of an unknown target is forgotten; it now expects that it is kept, which is stricter.

--- a/internal/state/kqcontract/state.go
+++ b/internal/state/kqcontract/state.go
@@ -284,7 +284,7 @@
 	if c.Target == nil {
 		return Result{Refused: ReasonUnknown}, nil
 	}
-	changed := s.Targets.Apply(*c.Target)
+	changed := s.Targets.Apply(*c.Target, c.Time)
 	if len(changed) == 0 {
 		return Result{Accepted: Accepted{Revision: s.Revision}, Repeat: true}, nil
 	}
--- a/internal/state/kqcontrol/store.go
+++ b/internal/state/kqcontrol/store.go
@@ -106,16 +106,23 @@
 }
 
 // Announce applies an announcement that a target makes about itself. After nil, all
-// connected hosts receive the change. A renewal changes nothing and needs no quorum.
+// connected hosts receive the change. A renewal of a ready target promises nothing and
+// needs no quorum. A leave does, unless this host's state, which may lag or be empty,
+// shows it in effect for good.
 // An error marked kqtargets.ErrInvalid means that it changed nothing and never will, any
 // other an unknown service, a full directory or an unknown outcome.
 func (l LocalStore) Announce(ctx context.Context, t kqtargets.Target) error {
 	if err := t.Validate(time.Now()); err != nil {
 		return err
 	}
-	changed, serviceKnown, hasRoom := false, true, true
+	known, serviceKnown, hasRoom := false, true, true
 	err := l.View(func(s *kqcontract.State) {
-		changed, hasRoom = s.Targets.IsChange(t), s.Targets.HasRoom(t)
+		if t.State == kqtargets.Ready {
+			known = !s.Targets.IsChange(t)
+		} else {
+			known = s.Targets.IsFinal(t)
+		}
+		hasRoom = s.Targets.HasRoom(t)
 		if s.Routes.Current != nil && t.State != kqtargets.Gone {
 			serviceKnown = s.Routes.Current.Document.HasService(t.Service)
 		}
@@ -125,7 +132,7 @@
 		return err
 	case !serviceKnown:
 		return errors.Newf("announcement of %s: service %q is unknown", t.ID, t.Service)
-	case !changed:
+	case known:
 		return nil
 	case !hasRoom:
 		return errors.Newf("announcement of %s: too many targets", t.ID)
--- a/internal/state/kqtargets/targets.go
+++ b/internal/state/kqtargets/targets.go
@@ -30,7 +30,8 @@
 	Domain        string        `json:"domain"`
 	Slots         int           `json:"slots"`
 	State         State         `json:"state"`
-	ColdRemaining time.Duration `json:"cold,omitempty"` // remaining warm-up time at its first announcement, during which it is slow
+	ColdRemaining time.Duration `json:"cold,omitempty"`   // remaining warm-up time at its first announcement, during which it is slow
+	LeftAt        int64         `json:"leftAt,omitempty"` // Unix milliseconds at which an unknown target left without naming its start
 }
 
 // Set is the directory of targets. Apply is deterministic.
@@ -46,14 +47,18 @@
 	return Set{Targets: map[string]*Target{}}
 }
 
-// IsChange reports whether the announcement changes the directory. Renewals and late
-// announcements do not.
+// IsChange reports whether the announcement changes the directory. Renewals and late announcements do not.
 func (s *Set) IsChange(a Target) bool {
 	old := s.Targets[a.ID]
 	if old == nil {
-		return a.State != Gone || a.Boot != 0
+		return true
 	}
 	switch {
+	case old.LeftAt != 0:
+		if a.State != Ready {
+			return a.Boot != 0 // it names its start, which makes the leave final
+		}
+		return a.Boot > old.LeftAt
 	case a.Boot != old.Boot && a.Boot != 0:
 		return a.Boot > old.Boot
 	case old.State == Gone:
@@ -66,13 +71,30 @@
 	return a.State == Draining && old.State != Draining || a.Addr != old.Addr || a.Service != old.Service || a.Slots != old.Slots
 }
 
-// Apply applies an announcement and returns the targets that changed.
-func (s *Set) Apply(a Target) []Target {
+// IsFinal reports whether the announcement of a leave is in effect here and stays so,
+// whatever changes this directory may be missing.
+func (s *Set) IsFinal(a Target) bool {
+	old := s.Targets[a.ID]
+	switch {
+	case old == nil || a.Boot == 0 || a.Boot > old.Boot:
+		return false
+	case a.Boot < old.Boot:
+		return true // an earlier start does not return
+	}
+	return old.State == Gone && old.LeftAt == 0 || a.State == Draining && old.State == Draining
+}
+
+// Apply applies an announcement made at the given time and returns the targets that
+// changed.
+func (s *Set) Apply(a Target, at time.Time) []Target {
 	if !s.IsChange(a) {
 		return nil
 	}
-	old := s.Targets[a.ID]
-	if old != nil && a.Boot == 0 {
+	old, named := s.Targets[a.ID], a.Boot != 0
+	if old == nil && a.State == Gone && !named {
+		a.LeftAt = at.UnixMilli()
+	}
+	if old != nil && !named {
 		a.Boot = old.Boot // otherwise the next announcement of this boot would count as a restart
 	}
 	sameBoot := old != nil && a.Boot == old.Boot
