A late leave does not end the next start of a target for good

Cause: a DELETE names no start, so it ends the one that the directory holds, and gone is final for a start.

Change: such a leave still binds at once, as it can't be told from one in time. If the target had been ready and announces itself 30 s later under the same start, it is back. Announcements are late by seconds; a target that left sends none.

Evidence: TestLateLeaveEndsNoLaterStartForGood; without the change "announcements go on: gone, want ready".

--- a/internal/state/kqcontrol/store.go
+++ b/internal/state/kqcontrol/store.go
@@ -118,7 +118,7 @@
 	known, serviceKnown, hasRoom := false, true, true
 	err := l.View(func(s *kqcontract.State) {
 		if t.State == kqtargets.Ready {
-			known = !s.Targets.IsChange(t)
+			known = !s.Targets.IsChange(t, l.cfg.Clock.Now())
 		} else {
 			known = s.Targets.IsFinal(t)
 		}
--- a/internal/state/kqtargets/targets.go
+++ b/internal/state/kqtargets/targets.go
@@ -16,6 +16,11 @@
 	Gone     State = "gone"
 )
 
+// returnAfter is the time after a leave that named no start from which on a target that
+// still announces itself counts as started before it. The leave was then meant for an
+// earlier start and came late. It is longer than announcements can be late.
+const returnAfter = 30 * time.Second
+
 // maxGoneKept is how many gone targets stay in the directory, so that a late
 // announcement cannot revive one.
 const maxGoneKept = 2048
@@ -31,7 +36,7 @@
 	Slots         int           `json:"slots"`
 	State         State         `json:"state"`
 	ColdRemaining time.Duration `json:"cold,omitempty"`   // remaining warm-up time at its first announcement, during which it is slow
-	LeftAt        int64         `json:"leftAt,omitempty"` // Unix milliseconds at which an unknown target left without naming its start
+	LeftAt        int64         `json:"leftAt,omitempty"` // Unix milliseconds at which a ready or unknown target left without naming its start
 }
 
 // Set is the directory of targets. Apply is deterministic.
@@ -47,18 +52,19 @@
 	return Set{Targets: map[string]*Target{}}
 }
 
-// IsChange reports whether the announcement changes the directory. Renewals and late announcements do not.
-func (s *Set) IsChange(a Target) bool {
+// IsChange reports whether the announcement, made at the given time, changes the
+// directory. Renewals and late announcements do not.
+func (s *Set) IsChange(a Target, at time.Time) bool {
 	old := s.Targets[a.ID]
 	if old == nil {
 		return true
 	}
 	switch {
-	case old.LeftAt != 0:
+	case old.LeftAt != 0 && (a.Boot == old.Boot || old.Boot == 0):
 		if a.State != Ready {
 			return a.Boot != 0 // it names its start, which makes the leave final
 		}
-		return a.Boot > old.LeftAt
+		return old.mayReturn(a.Boot, at)
 	case a.Boot != old.Boot && a.Boot != 0:
 		return a.Boot > old.Boot
 	case old.State == Gone:
@@ -71,6 +77,13 @@
 	return a.State == Draining && old.State != Draining || a.Addr != old.Addr || a.Service != old.Service || a.Slots != old.Slots
 }
 
+// mayReturn reports whether a target that left without naming its start is back: it
+// started later, or has gone on announcing itself for long.
+func (t *Target) mayReturn(boot int64, at time.Time) bool {
+	startedLater := t.Boot == 0 && boot > t.LeftAt
+	return startedLater || at.Sub(time.UnixMilli(t.LeftAt)) >= returnAfter
+}
+
 // IsFinal reports whether the announcement of a leave is in effect here and stays so,
 // whatever changes this directory may be missing.
 func (s *Set) IsFinal(a Target) bool {
@@ -87,7 +100,7 @@
 // Apply applies an announcement made at the given time and returns the targets that
 // changed.
 func (s *Set) Apply(a Target, at time.Time) []Target {
-	if !s.IsChange(a) {
+	if !s.IsChange(a, at) {
 		return nil
 	}
 	old, named := s.Targets[a.ID], a.Boot != 0
@@ -98,10 +111,14 @@
 		a.Boot = old.Boot // otherwise the next announcement of this boot would count as a restart
 	}
 	sameBoot := old != nil && a.Boot == old.Boot
-	if sameBoot && a.State == Gone {
+	if sameBoot && (a.State == Gone || a.State == Draining && old.State == Gone) {
 		gone := *old
 		gone.State = Gone
 		gone.Seq = max(old.Seq, a.Seq)
+		gone.LeftAt = 0
+		if !named && old.State == Ready {
+			gone.LeftAt = at.UnixMilli()
+		}
 		s.store(gone)
 		return []Target{gone}
 	}
--- a/internal/state/kqtargets/targets_test.go
+++ b/internal/state/kqtargets/targets_test.go
@@ -83,6 +83,37 @@
 	}
 }
 
+// TestLateLeaveEndsNoLaterStartForGood guards against a target that announces itself and
+// gets no requests, because a leave of its earlier start, which named none, came late. An
+// announcement that is merely late must not undo a leave.
+func TestLateLeaveEndsNoLaterStartForGood(t *testing.T) {
+	const x = "10.0.0.1:80"
+	ready, leave := announcement("a", 5, 1, Ready, x), announcement("a", 0, 0, Gone, "")
+	cases := []struct {
+		name   string
+		before []Target
+		after  time.Duration // between the leave and the next announcement
+		want   State
+	}{
+		{"an announcement soon after", []Target{ready, leave}, returnAfter - 1, Gone},
+		{"announcements go on", []Target{ready, leave}, returnAfter, Ready},
+		{"the target had drained", []Target{ready, announcement("a", 5, 2, Draining, x), leave}, returnAfter, Gone},
+		{"a leave that names the start came too", []Target{ready, leave, announcement("a", 5, 2, Gone, "")}, returnAfter, Gone},
+		{"draining that names the start came too", []Target{ready, leave, announcement("a", 5, 2, Draining, x)}, returnAfter, Gone},
+		{"the target was unknown", []Target{leave}, returnAfter, Ready},
+	}
+	for _, c := range cases {
+		s := NewSet()
+		for _, a := range c.before {
+			s.Apply(a, now)
+		}
+		s.Apply(announcement("a", 5, 9, Ready, x), now.Add(c.after))
+		if got := s.Targets["a"].State; got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
 // TestIsFinal guards against a leave that is acknowledged from a state that lags: the
 // directory may miss a later start of the target, or the target itself.
 func TestIsFinal(t *testing.T) {
@@ -101,6 +132,7 @@
 		{"draining, no start", []Target{announcement("a", 1, 1, Draining, x)}, announcement("a", 0, 2, Draining, x), false},
 		{"gone", []Target{announcement("a", 1, 1, Gone, "")}, announcement("a", 1, 2, Gone, ""), true},
 		{"gone, no start", []Target{announcement("a", 1, 1, Gone, "")}, announcement("a", 0, 0, Gone, ""), false},
+		{"gone by a leave without start", []Target{announcement("a", 1, 1, Ready, x), announcement("a", 0, 0, Gone, "")}, announcement("a", 1, 2, Gone, ""), false},
 		{"later start known", []Target{announcement("a", 2, 1, Ready, x)}, announcement("a", 1, 9, Gone, ""), true},
 		{"later start leaves", []Target{announcement("a", 1, 1, Gone, "")}, announcement("a", 2, 1, Gone, ""), false},
 	}
