What the state machine refuses is not acknowledged

Found by the review by reading: PUT /config answered 200 whatever the state machine's result was. The same held for the product's own routes and for announcements. Only a command that cannot be decoded is refused there today, so no caller is known to have met it.

--- a/internal/admin/kqadmin/routes.go
+++ b/internal/admin/kqadmin/routes.go
@@ -32,6 +32,9 @@
 	if err != nil {
 		return c.JSON(http.StatusGatewayTimeout, errorBody{Error: "unknown", Detail: err.Error(), Unknown: true})
 	}
+	if res.Refused != "" {
+		return respondRefused(c, res)
+	}
 	return c.JSON(http.StatusOK, routesAnswer{Version: res.Accepted.Version, Hash: res.Accepted.Hash, Taken: !res.Repeat})
 }
 
--- a/internal/state/kqcontrol/store.go
+++ b/internal/state/kqcontrol/store.go
@@ -137,7 +137,10 @@
 	case !hasRoom:
 		return errors.Newf("announcement of %s: too many targets", t.ID)
 	}
-	_, err = l.Submit(ctx, kqcontract.Command{Op: kqcontract.OpTarget, Target: &t})
+	res, err := l.Submit(ctx, kqcontract.Command{Op: kqcontract.OpTarget, Target: &t})
+	if err == nil && res.Refused != "" {
+		err = errors.Newf("announcement of %s: refused: %s", t.ID, res.Refused)
+	}
 	return err
 }
 
