kqlistener: a connection that ends as idle takes what has arrived on it

What callers could see: a request on a kept connection gets no response, because the host ends idle connections while it shuts down and its server had no time to read the bytes that were there.

Cause: a read whose deadline has passed returns nothing, even if bytes are there.

Change: before a retiring connection ends, it reads what has arrived without waiting.

Evidence: TestRetiredConnectionReadsWhatArrived; without the change: read "", EOF.

--- a/internal/call/kqlistener/conn.go
+++ b/internal/call/kqlistener/conn.go
@@ -6,9 +6,11 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -76,8 +78,8 @@
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
-	if err != nil {
-		err = c.readFailed(err)
+	if n == 0 && err != nil {
+		n, err = c.readFailed(p, err)
 	}
 	if n == 0 {
 		return n, err
@@ -93,17 +95,41 @@
 	return n, err
 }
 
-// readFailed records that a read failed and returns what to tell the reader. The lock is
-// held.
-func (c *conn) readFailed(err error) error {
+// readFailed records that a read failed and returns what to tell the reader. Before a
+// retiring connection ends, it takes what has arrived on it. The lock is held.
+func (c *conn) readFailed(p []byte, err error) (int, error) {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended = err
-		return err
+		return 0, err
 	}
-	if c.retiring && !c.pending {
-		return io.EOF
+	if !c.retiring || c.pending {
+		return 0, err
+	}
+	if n := c.readArrived(p); n > 0 {
+		return n, nil
+	}
+	return 0, io.EOF
+}
+
+// readArrived reads without waiting. A read whose deadline has passed returns nothing, even
+// if a request has arrived, whose caller would then get no response.
+func (c *conn) readArrived(p []byte) (n int) {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok || c.Conn.SetReadDeadline(time.Time{}) != nil {
+		return 0
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	err = rc.Read(func(fd uintptr) bool {
+		n, err = unix.Read(int(fd), p)
+		return true // whether or not something was there
+	})
+	if err != nil {
+		return 0
 	}
-	return err
+	return max(n, 0)
 }
 
 // readAhead reads further requests until the caller leaves or a deadline passes.
@@ -172,11 +198,12 @@
 }
 
 // retire makes the server close the connection as soon as no request is pending. A
-// request that arrives first is served.
-func (c *conn) retire() {
+// request that arrives first is served. Unless in a hurry, it leaves a connection alone
+// that was just accepted.
+func (c *conn) retire(hurry bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retiring || !c.served && time.Since(c.accepted) < newConnGrace {
+	if c.retiring || !hurry && !c.served && time.Since(c.accepted) < newConnGrace {
 		return
 	}
 	c.retiring = true
--- a/internal/call/kqlistener/listener.go
+++ b/internal/call/kqlistener/listener.go
@@ -23,8 +23,10 @@
 type Listener struct {
 	net.Listener
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu      sync.Mutex
+	conns   map[*conn]struct{}
+	closing bool // StopAccepting was called, so a connection without a request need not be waited for
+	closed  bool // all connections that were accepted are in conns
 }
 
 // New returns a Listener that accepts from l.
@@ -36,6 +38,9 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
 	if err != nil {
+		l.mu.Lock()
+		l.closed = l.closing
+		l.mu.Unlock()
 		return nil, err
 	}
 	c := newConn(raw, l)
@@ -68,13 +73,13 @@
 }
 
 // Drain ends all connections, each after the response to the request that was read from
-// it, and goes on accepting meanwhile. It returns when none is left, or with the
-// context's error.
+// it, and goes on accepting meanwhile, unless StopAccepting was called. It returns when
+// none is left, or with the context's error.
 func (l *Listener) Drain(ctx context.Context) error {
 	tick := time.NewTicker(retireInterval)
 	defer tick.Stop()
 	for {
-		if l.retire() == 0 {
+		if l.retire() {
 			return nil
 		}
 		select {
@@ -85,14 +90,23 @@
 	}
 }
 
-// retire ends the idle connections and returns the number of open ones.
-func (l *Listener) retire() int {
+// retire ends the idle connections and reports whether none is open.
+func (l *Listener) retire() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		c.retire()
+		c.retire(l.closing)
 	}
-	return len(l.conns)
+	return len(l.conns) == 0 && l.closing == l.closed
+}
+
+// StopAccepting closes the listening socket; open connections go on. A server must be
+// accepting.
+func (l *Listener) StopAccepting() error {
+	l.mu.Lock()
+	l.closing = true
+	l.mu.Unlock()
+	return l.Listener.Close()
 }
 
 func (l *Listener) remove(c *conn) {
--- a/internal/call/kqlistener/listener_test.go
+++ b/internal/call/kqlistener/listener_test.go
@@ -258,3 +258,68 @@
 		}
 	}
 }
+
+// TestRetiredConnectionReadsWhatArrived guards against a connection that is closed as idle
+// although a request has arrived on it, which its server had no time to read.
+func TestRetiredConnectionReadsWhatArrived(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := New(raw)
+	defer l.Close()
+	caller, err := net.Dial("tcp", raw.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	l.ConnState(c, http.StateIdle) // a request was served
+	io.WriteString(caller, "GET")
+	time.Sleep(20 * time.Millisecond) // the bytes arrive
+	l.retire()
+	p := make([]byte, 16)
+	if n, err := c.Read(p); err != nil || string(p[:n]) != "GET" {
+		t.Errorf("read %q, %v, want what arrived", p[:n], err)
+	}
+	l.ConnState(c, http.StateIdle) // answered
+	if n, err := c.Read(p); n != 0 || err != io.EOF {
+		t.Errorf("read %d bytes, %v, want the end", n, err)
+	}
+}
+
+// TestStopAccepting checks that open connections go on once nothing is accepted any more,
+// and that connections without a request are not waited for.
+func TestStopAccepting(t *testing.T) {
+	s := start(t)
+	busy, fresh := s.dial(t), s.dial(t)
+	io.WriteString(busy, request("/wait"))
+	waitFor(t, "the request runs", func() bool { return len(s.served()) == 1 })
+	if err := s.listener.StopAccepting(); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := net.Dial("tcp", s.addr); err == nil {
+		c.Close()
+		t.Error("a connection is accepted")
+	}
+	began := time.Now()
+	drained := make(chan error, 1)
+	go func() { drained <- s.listener.Drain(t.Context()) }()
+	if _, err := fresh.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("connection without a request: %v, want its end", err)
+	}
+	if took := time.Since(began); took > newConnGrace/2 {
+		t.Errorf("the connection without a request ended after %s", took)
+	}
+	close(s.release)
+	if bodies, _ := readAll(busy); len(bodies) != 1 || bodies[0] != "/wait" {
+		t.Errorf("request in progress: %v", bodies)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
