A host that shuts down takes only requests that end before it does

Cause: a stopping host took requests until its time was over and then closed all connections, with what was in progress at that moment.

Change: a request is sent to a target only if its route's timeout or its caller's time is over before the host ends; any other is refused at once as not run, with a connection that closes. One place (kqshutdown) decides, when the head is read and before each send; hosts with contracts obey it too. Nothing is accepted in the last 50 ms. A second SIGTERM refuses all further requests and ends once those in progress are answered. The soak has planned work only (--planned) and callers that stay until a host is gone (--stayers); its stand-in repeats the request's ID in refusals, as the platform's instances do.

--- a/internal/bench/kqbench/soak.go
+++ b/internal/bench/kqbench/soak.go
@@ -24,6 +24,8 @@
 	targets  int
 	control  int
 	entries  int
+	planned  bool
+	stayers  int
 }
 
 func newSoakCommand() command {
@@ -38,6 +40,8 @@
 	sub.Int(&s.seconds, "", "seconds", "in which rounds of faults begin")
 	sub.Float64(&s.rate, "", "rate", "requests a second")
 	sub.Int(&s.targets, "", "targets", "stand-ins of targets")
+	sub.Bool(&s.planned, "", "planned", "only planned work, which may cut no request")
+	sub.Int(&s.stayers, "", "stayers", "callers for each entry host that stay until it is gone")
 	sub.Int(&s.control, "", "control", "control hosts, with --settings")
 	sub.Int(&s.entries, "", "entries", "entry hosts, with --settings")
 }
@@ -53,7 +57,8 @@
 		return kqsoak.WriteSettings(s.dir, s.control, s.entries)
 	}
 	broken, err := kqsoak.Run(ctx, kqsoak.Config{
-		Dir: s.dir, Seed: s.seed, RunTime: time.Duration(s.seconds) * time.Second, Rate: s.rate, Targets: s.targets, Out: out,
+		Dir: s.dir, Seed: s.seed, RunTime: time.Duration(s.seconds) * time.Second, Rate: s.rate, Targets: s.targets,
+		Planned: s.planned, Stayers: s.stayers, Out: out,
 	})
 	if err != nil {
 		return err
--- a/internal/bench/kqsoak/drive.go
+++ b/internal/bench/kqsoak/drive.go
@@ -21,6 +21,8 @@
 	operatorTimeout  = 2 * time.Second // for one attempt of an operator
 	operatorInterval = 700 * time.Millisecond
 	uploadSize       = 64 << 10 // bytes
+	safePrefix       = "/read/"
+	unsafePrefix     = "/file/"
 )
 
 // requestKinds are the kinds of requests by the prefix of their route; those with
@@ -32,8 +34,8 @@
 	size   int
 	once   bool
 }{
-	{"/read/", "safe", http.MethodGet, 0, false},
-	{"/file/", "unsafe", http.MethodPost, 300, true},
+	{safePrefix, "safe", http.MethodGet, 0, false},
+	{unsafePrefix, "unsafe", http.MethodPost, 300, true},
 	{"/ledger/", "upload", http.MethodPost, uploadSize, true},
 }
 
@@ -99,9 +101,9 @@
 	version atomic.Uint64
 }
 
-// routes returns a routes document that contains its version as a route prefix, so
+// Routes returns a routes document that contains its version as a route prefix, so
 // that documents of different versions differ in content.
-func routes(version uint64) []byte {
+func Routes(version uint64) []byte {
 	type route struct {
 		Name      string `json:"name"`
 		Prefix    string `json:"prefix"`
@@ -146,7 +148,7 @@
 // apply sends one version to the control hosts in turn until one acknowledges it,
 // as an operator does when responses are lost, and reports whether one did.
 func (o *operator) apply(ctx context.Context, v uint64) bool {
-	doc := routes(v)
+	doc := Routes(v)
 	first := rand.IntN(len(o.control))
 	for i := range 3 * len(o.control) {
 		status, _ := o.do(ctx, http.MethodPut, o.control[(first+i)%len(o.control)], doc)
@@ -173,7 +175,7 @@
 	if status != http.StatusOK {
 		return 0, false
 	}
-	if err := json.Unmarshal(p, &doc); err != nil || !bytes.Equal(p, routes(doc.Version)) {
+	if err := json.Unmarshal(p, &doc); err != nil || !bytes.Equal(p, Routes(doc.Version)) {
 		o.ledger.AddViolation("%s shows routes that nobody sent: %.80s", addr, p)
 		return 0, false
 	}
--- a/internal/bench/kqsoak/fault.go
+++ b/internal/bench/kqsoak/fault.go
@@ -16,6 +16,8 @@
 	FreezeEntry        Kind = "freeze an entry host"
 	FreezeControl      Kind = "freeze a control host"
 	StopEntry          Kind = "stop an entry host as planned"
+	StopEntryTwice     Kind = "stop an entry host as planned, with two signals"
+	StopControl        Kind = "stop a control host as planned"
 	LoseDisk           Kind = "lose folders of control hosts"
 	TargetCrash        Kind = "crash a target"
 	TargetLeaves       Kind = "a target leaves"
@@ -43,20 +45,23 @@
 // target leaves in the same round.
 func delaysLeave(k Kind) bool {
 	switch k {
-	case KillControl, KillAll, FreezeEntry, FreezeControl, LoseDisk:
+	case KillControl, KillAll, StopControl, FreezeEntry, FreezeControl, LoseDisk:
 		return true
 	}
 	return false
 }
 
-// Round draws the faults of one round at random. Two faults for which delaysLeave
+// Round draws the faults of one round at random, or planned work only. Two faults for which delaysLeave
 // holds never share a round: more data folders than the tolerance might be lost
 // while other control hosts are still catching up.
-func Round(rng *rand.Rand) []Fault {
+func Round(rng *rand.Rand, planned bool) []Fault {
 	kinds := []Kind{
 		KillEntry, KillControl, KillAll, FreezeEntry, FreezeControl, StopEntry, LoseDisk,
 		TargetCrash, TargetLeaves, TargetSlow, TargetRejects, TargetDropsAnswers,
 	}
+	if planned {
+		kinds = []Kind{StopEntry, StopEntry, StopEntryTwice, StopControl, TargetLeaves}
+	}
 	var list []Fault
 	for range 1 + rng.IntN(maxFaults) {
 		f := Fault{
--- a/internal/bench/kqsoak/fault_test.go
+++ b/internal/bench/kqsoak/fault_test.go
@@ -12,8 +12,8 @@
 func TestRound(t *testing.T) {
 	seen := map[Kind]int{}
 	for seed := range uint64(500) {
-		list := Round(rand.New(rand.NewPCG(seed, 1)))
-		if diff := cmp.Diff(list, Round(rand.New(rand.NewPCG(seed, 1)))); diff != "" || len(list) == 0 {
+		list := Round(rand.New(rand.NewPCG(seed, 1)), false)
+		if diff := cmp.Diff(list, Round(rand.New(rand.NewPCG(seed, 1)), false)); diff != "" || len(list) == 0 {
 			t.Fatal(seed, diff)
 		}
 		disruptive, leaves := 0, 0
@@ -37,3 +37,17 @@
 		t.Errorf("kinds %v", seen)
 	}
 }
+
+// TestPlannedRound checks that planned rounds contain planned work only, and every kind.
+func TestPlannedRound(t *testing.T) {
+	seen := map[Kind]bool{}
+	for seed := range uint64(100) {
+		for _, f := range Round(rand.New(rand.NewPCG(seed, 1)), true) {
+			seen[f.Kind] = true
+		}
+	}
+	want := map[Kind]bool{StopEntry: true, StopEntryTwice: true, StopControl: true, TargetLeaves: true}
+	if diff := cmp.Diff(want, seen); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/bench/kqsoak/ledger.go
+++ b/internal/bench/kqsoak/ledger.go
@@ -2,14 +2,16 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
 
 // Time limits of the guarantees, as the users require them.
 const (
-	drainBound = 2 * time.Second // until a leaving target gets no new requests
-	applyBound = 2 * time.Second // until every control host returns accepted routes
+	lossSlack  = 200 * time.Millisecond // a request may cross the close of its connection
+	drainBound = 2 * time.Second        // until a leaving target gets no new requests
+	applyBound = 2 * time.Second        // until every control host returns accepted routes
 )
 
 // maxViolations limits the violations that the ledger keeps; the first ones suffice
@@ -25,6 +27,7 @@
 	accepted   []acceptance         // in order of acknowledgement
 	violations []string
 	counts     Counts
+	planned    bool // all faults are planned work, which may cut no request
 }
 
 // call is one request, identified by its request ID.
@@ -119,6 +122,27 @@
 		}
 	default:
 		l.counts.Unknown++
+		if l.planned && status == http.StatusBadGateway {
+			l.violate("%s was answered %d, though nothing failed", id, status)
+		}
+	}
+}
+
+// SetPlanned says whether all faults are planned work.
+func (l *Ledger) SetPlanned(planned bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.planned = planned
+}
+
+// Cut records that the connection of a request ended without a complete answer, which a
+// host may do only with a request that it had no time to read.
+func (l *Ledger) Cut(id string, sinceSent time.Duration, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.Broken++
+	if ran := l.call(id).runs > 0; l.planned && (ran || sinceSent > lossSlack) {
+		l.violate("%s was cut %v after it was sent, passed on: %t: %v", id, sinceSent.Round(time.Millisecond), ran, err)
 	}
 }
 
--- a/internal/bench/kqsoak/ledger_test.go
+++ b/internal/bench/kqsoak/ledger_test.go
@@ -1,6 +1,7 @@
 package kqsoak
 
 import (
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -29,6 +30,16 @@
 		{"work long after a leave", func(l *Ledger) { l.Sent("a", true); l.Left("t", epoch); l.Ran("a", "t", at(drainBound+1)) }, "after its leave"},
 		{"read in time", func(l *Ledger) { l.Accepted(3, epoch); l.Read("h", 2, at(applyBound-1)) }, ""},
 		{"read of old routes", func(l *Ledger) { l.Accepted(3, epoch); l.Accepted(2, epoch); l.Read("h", 2, at(applyBound)) }, "showed routes 2, though 3"},
+		{"cut after it ran", func(l *Ledger) { l.SetPlanned(true); l.Sent("a", true); l.Ran("a", "t", epoch); l.Cut("a", 0, io.EOF) }, "passed on: true"},
+		{"cut long after it was sent", func(l *Ledger) { l.SetPlanned(true); l.Sent("a", true); l.Cut("a", lossSlack+1, io.EOF) }, "passed on: false"},
+		{"crossed the close", func(l *Ledger) { l.SetPlanned(true); l.Sent("a", true); l.Cut("a", lossSlack, io.EOF) }, ""},
+		{"cut by an unplanned fault", func(l *Ledger) { l.Sent("a", true); l.Ran("a", "t", epoch); l.Cut("a", time.Second, io.EOF) }, ""},
+		{"answered in place of the target", func(l *Ledger) {
+			l.SetPlanned(true)
+			l.Sent("a", true)
+			l.Ran("a", "t", epoch)
+			l.Answered("a", 502, true, false)
+		}, "answered 502"},
 		{"did not come back", func(l *Ledger) { l.AddViolation("host %s", "e1") }, "host e1"},
 	}
 	for _, c := range cases {
--- a/internal/bench/kqsoak/soak.go
+++ b/internal/bench/kqsoak/soak.go
@@ -29,6 +29,8 @@
 	RunTime time.Duration
 	Rate    float64 // requests per second
 	Targets int
+	Planned bool // only planned work, during which no request may be lost
+	Stayers int  // callers for each entry host that stay until it is gone
 	Out     io.Writer
 }
 
@@ -42,7 +44,7 @@
 	targetCount int
 
 	mu      sync.Mutex
-	targets []*target
+	targets []*Target
 }
 
 // Run injects rounds of faults until cfg.RunTime has passed and returns the
@@ -53,6 +55,7 @@
 		return nil, err
 	}
 	s := &soak{cfg: cfg, ledger: NewLedger(), hosts: h}
+	s.ledger.SetPlanned(cfg.Planned)
 	var calls, admins []string
 	for _, e := range h.Entries {
 		calls = append(calls, e.Settings.Listen.Calls)
@@ -73,6 +76,12 @@
 	var workload sync.WaitGroup
 	workload.Go(func() { s.callers.run(ctx, cfg.Rate) })
 	workload.Go(func() { s.operator.run(ctx) })
+	for i, addr := range calls {
+		for n := range cfg.Stayers {
+			stayer := &Stayer{Name: fmt.Sprintf("s%d-%d", i+1, n+1), Addr: addr, Ledger: s.ledger}
+			workload.Go(func() { stayer.Run(ctx) })
+		}
+	}
 	s.runRounds(ctx)
 	stop()
 	workload.Wait()
@@ -83,14 +92,14 @@
 	return violations, nil
 }
 
-func (s *soak) newTarget() *target {
+func (s *soak) newTarget() *Target {
 	s.targetCount++
-	return startTarget(fmt.Sprintf("t%d", s.targetCount), s.ledger, s.hosts.controlAddrs())
+	return StartTarget(TargetConfig{ID: fmt.Sprintf("t%d", s.targetCount), Ledger: s.ledger, ControlAddrs: s.hosts.controlAddrs()})
 }
 
 func (s *soak) killTargets() {
 	for _, t := range s.targets {
-		t.kill()
+		t.Kill()
 	}
 }
 
@@ -112,7 +121,7 @@
 func (s *soak) runRounds(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(s.cfg.Seed, 1))
 	for n := 1; ctx.Err() == nil; n++ {
-		list := Round(rng)
+		list := Round(rng, s.cfg.Planned)
 		fmt.Fprintf(s.cfg.Out, "round %d: %+v\n", n, list)
 		var faults sync.WaitGroup
 		for _, f := range list {
@@ -144,6 +153,14 @@
 		return entry.Signal(syscall.SIGKILL)
 	case StopEntry:
 		return entry.Signal(syscall.SIGTERM)
+	case StopEntryTwice:
+		if err := entry.Signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		wait(ctx, f.For)
+		return entry.Signal(syscall.SIGTERM)
+	case StopControl:
+		return control(0).Signal(syscall.SIGTERM)
 	case FreezeEntry:
 		return freeze(ctx, entry, f.For)
 	case FreezeControl:
@@ -187,11 +204,11 @@
 	s.mu.Unlock()
 	switch f.Kind {
 	case TargetCrash:
-		t.kill()
+		t.Kill()
 	case TargetLeaves:
 		t.leave(ctx)
 		wait(ctx, f.For+drainBound)
-		t.kill()
+		t.Kill()
 	case TargetSlow:
 		t.slowdown.Store(900)
 		wait(ctx, f.For)
--- a/internal/bench/kqsoak/target.go
+++ b/internal/bench/kqsoak/target.go
@@ -20,7 +20,7 @@
 
 const (
 	service          = "kekhai"
-	slots            = 6
+	defaultSlots     = 6
 	serviceTime      = 60 * time.Millisecond
 	announceInterval = time.Second // between two announcements, also the timeout of one attempt
 	padding          = 3000        // bytes that follow the ID and checksum in an answer
@@ -31,14 +31,21 @@
 	return fmt.Sprintf("%s %08x %s", id, crc32.ChecksumIEEE([]byte(id)), strings.Repeat("-", padding))
 }
 
-// target is a simulated back end that announces itself and records in the ledger
+// TargetConfig configures a Target.
+type TargetConfig struct {
+	ID           string
+	Ledger       *Ledger
+	ControlAddrs []string             // at which control hosts accept announcements
+	Slots        int                  // requests at a time, defaultSlots if 0
+	Work         func() time.Duration // time that a request takes, serviceTime if nil
+}
+
+// Target is a simulated back end that announces itself and records in the ledger
 // which requests it runs.
-type target struct {
-	id           string
+type Target struct {
+	cfg          TargetConfig
 	boot         int64
-	ledger       *Ledger
 	server       *httptest.Server
-	controlAddrs []string     // of control hosts
 	slowdown     atomic.Int64 // added service time in percent
 	rejects      atomic.Bool
 	dropsAnswers atomic.Bool // runs requests but breaks the connection instead of answering
@@ -51,25 +58,32 @@
 	state string
 }
 
-func startTarget(id string, ledger *Ledger, controlAddrs []string) *target {
+// StartTarget starts a target that announces itself until Kill.
+func StartTarget(cfg TargetConfig) *Target {
+	if cfg.Slots == 0 {
+		cfg.Slots = defaultSlots
+	}
+	if cfg.Work == nil {
+		cfg.Work = func() time.Duration { return serviceTime }
+	}
 	ctx, stop := context.WithCancel(context.Background())
-	t := &target{id: id, boot: time.Now().UnixMilli(), ledger: ledger, controlAddrs: controlAddrs, stop: stop, state: "ready"}
+	t := &Target{cfg: cfg, boot: time.Now().UnixMilli(), stop: stop, state: "ready"}
 	t.server = httptest.NewServer(t)
 	t.done.Go(func() { t.announceLoop(ctx) })
 	return t
 }
 
-func (t *target) addr() string { return strings.TrimPrefix(t.server.URL, "http://") }
+func (t *Target) addr() string { return strings.TrimPrefix(t.server.URL, "http://") }
 
-// kill stops the target without announcing that it leaves.
-func (t *target) kill() {
+// Kill stops the target without announcing that it leaves.
+func (t *Target) Kill() {
 	t.stop()
 	t.server.CloseClientConnections()
 	t.server.Listener.Close()
 	t.done.Wait()
 }
 
-func (t *target) announceLoop(ctx context.Context) {
+func (t *Target) announceLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		t.announce(ctx)
 		select {
@@ -81,20 +95,21 @@
 
 // announce sends the target's state to the control hosts in turn until one
 // acknowledges it, and reports whether one did.
-func (t *target) announce(ctx context.Context) bool {
+func (t *Target) announce(ctx context.Context) bool {
 	t.mu.Lock()
 	state := t.state
 	t.mu.Unlock()
 	p, err := json.Marshal(map[string]any{
-		"service": service, "id": t.id, "addr": t.addr(), "domain": domains[int(t.boot)%len(domains)], "slots": slots,
+		"service": service, "id": t.cfg.ID, "addr": t.addr(), "domain": domains[int(t.boot)%len(domains)], "slots": t.cfg.Slots,
 		"state": state, "boot": t.boot, "seq": t.seq.Add(1),
 	})
 	if err != nil {
 		panic(err) // strings and numbers always encode
 	}
-	first := rand.IntN(len(t.controlAddrs))
-	for i := range t.controlAddrs {
-		if post(ctx, "http://"+t.controlAddrs[(first+i)%len(t.controlAddrs)]+"/v1/targets", p) {
+	addrs := t.cfg.ControlAddrs
+	first := rand.IntN(len(addrs))
+	for i := range addrs {
+		if post(ctx, "http://"+addrs[(first+i)%len(addrs)]+"/v1/targets", p) {
 			return true
 		}
 	}
@@ -119,43 +134,43 @@
 
 // leave announces that the target takes no new requests, and records when this is
 // acknowledged.
-func (t *target) leave(ctx context.Context) {
+func (t *Target) leave(ctx context.Context) {
 	t.mu.Lock()
 	t.state = "draining"
 	t.mu.Unlock()
 	if t.announce(ctx) {
-		t.ledger.Left(t.id, time.Now())
+		t.cfg.Ledger.Left(t.cfg.ID, time.Now())
 	}
 }
 
 // ServeHTTP implements http.Handler.
-func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	names := kqproxy.DefaultHeaderNames
-	w.Header().Set(names.Load, fmt.Sprintf("%d,0,%d,%d", t.inFlight.Load(), slots, 100+t.slowdown.Load()))
+	w.Header().Set(names.Load, fmt.Sprintf("%d,0,%d,%d", t.inFlight.Load(), t.cfg.Slots, 100+t.slowdown.Load()))
 	if r.URL.Path == "/health" {
 		return
 	}
-	if want := r.Header.Get(names.Target); want != t.id {
+	id := r.Header.Get(names.RequestID)
+	w.Header().Set(names.RequestID, id)
+	if want := r.Header.Get(names.Target); want != t.cfg.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return // an incomplete request does not run
 	}
-	if t.rejects.Load() || t.inFlight.Load() >= slots {
+	if t.rejects.Load() || int(t.inFlight.Load()) >= t.cfg.Slots {
 		w.Header().Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	id := r.Header.Get(names.RequestID)
-	t.ledger.Ran(id, t.id, time.Now())
+	t.cfg.Ledger.Ran(id, t.cfg.ID, time.Now())
 	t.inFlight.Add(1)
 	defer t.inFlight.Add(-1)
-	time.Sleep(serviceTime * time.Duration(100+t.slowdown.Load()) / 100)
+	time.Sleep(t.cfg.Work() * time.Duration(100+t.slowdown.Load()) / 100)
 	if t.dropsAnswers.Load() {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(names.RequestID, id)
 	w.Header().Set(names.Seal, "sealed")
 	io.WriteString(w, answerTo(id)) // an error only means that the caller has disconnected
 }
--- a/internal/call/kqcall/engine.go
+++ b/internal/call/kqcall/engine.go
@@ -9,6 +9,7 @@
 	kq "kumquatglade"
 	"kumquatglade/internal/call/kqaccount"
 	"kumquatglade/internal/call/kqidempotency"
+	"kumquatglade/internal/call/kqshutdown"
 	"kumquatglade/internal/call/kqtransport"
 	"kumquatglade/internal/host/kqevent"
 	"kumquatglade/internal/route/kqdispatch"
@@ -46,7 +47,7 @@
 	accounts    *kqaccount.Accounts
 	activeCalls atomic.Int64
 	entryHosts  atomic.Int64 // entry hosts that share the targets' connections
-	draining    atomic.Bool
+	shutdown    kqshutdown.Shutdown
 	view        atomic.Pointer[kqfeed.View] // whose limits are in force on this host
 	wake        chan struct{}
 	done        chan struct{}
@@ -94,10 +95,11 @@
 	return e.activeCalls.Load()
 }
 
-// Drain makes callers move to other hosts: new calls are still served, but each
-// response closes its connection.
-func (e *Engine) Drain() {
-	e.draining.Store(true)
+// Stop begins the shutdown of the host, which aborts what is still running at end: each
+// response closes its connection, and a call that might not be answered by then is
+// refused.
+func (e *Engine) Stop(end time.Time) {
+	e.shutdown.Begin(end)
 }
 
 // HandleEvent passes an event to the dispatch reducer and its effects to the calls.
--- a/internal/call/kqcall/engine_test.go
+++ b/internal/call/kqcall/engine_test.go
@@ -235,3 +235,21 @@
 		}
 	}
 }
+
+// TestStopTakesWhatEndsInTime guards against calls that are sent although they may outlast
+// the shutdown of the host, and are cut when it ends.
+func TestStopTakesWhatEndsInTime(t *testing.T) {
+	f := newFixture(t, echoRequestBody, nil)
+	f.engine.Stop(time.Now().Add(3 * time.Second))
+	res, _, err := f.do(t, http.MethodPost, "filing", kqheader.Deadline, "1000")
+	if err != nil || res.StatusCode != http.StatusOK || !res.Close {
+		t.Errorf("in time: %v %v", res, err)
+	}
+	res, _, err = f.do(t, http.MethodPost, "filing")
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || res.Header.Get(kqheader.Run) != kqheader.RunNo || !res.Close {
+		t.Errorf("may outlast the stop: %v %v", res, err)
+	}
+	if n := f.targetCalls.Load(); n != 1 {
+		t.Errorf("%d calls at the target, want 1", n)
+	}
+}
--- a/internal/call/kqcall/request.go
+++ b/internal/call/kqcall/request.go
@@ -71,10 +71,23 @@
 	if err := q.readHeader(r, now); err != nil {
 		return reject(http.StatusBadRequest, "malformed", err.Error())
 	}
+	if p := e.checkShutdown(q); p != nil {
+		return q, p
+	}
 	q.header = targetHeader(r.Header, len(c.Keys) > 0)
 	return q, nil
 }
 
+// checkShutdown returns the response to a call that this host might not answer before it
+// is gone, or nil.
+func (e *Engine) checkShutdown(q *request) *problem {
+	if e.shutdown.Takes(q.deadline) {
+		return nil
+	}
+	p := q.problem(http.StatusServiceUnavailable, "stopping", kqheader.RunNo, 0)
+	return &p
+}
+
 // authorized reports whether the bearer key matches a key of the contract, or the
 // contract has none. It compares all keys in constant time, so that timing reveals
 // nothing about them.
--- a/internal/call/kqcall/serve.go
+++ b/internal/call/kqcall/serve.go
@@ -17,7 +17,7 @@
 // writes the response.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := e.cfg.Clock.Now()
-	if e.draining.Load() {
+	if e.shutdown.Begun() {
 		w.Header().Set("Connection", "close")
 	}
 	q, p := e.checkRequest(r, now)
@@ -27,6 +27,8 @@
 			bodyProblem.Detail = err.Error()
 			p = &bodyProblem
 			w.Header().Set("Connection", "close") // the rest of the body is not read
+		} else {
+			p = e.checkShutdown(q) // it may have begun while the body arrived
 		}
 	}
 	if p != nil {
--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -66,13 +66,17 @@
 	return p.handleReply(ctx, t, reply, started)
 }
 
-// errBarred means that the target was barred after it was chosen, so that nothing was
-// sent to it.
+// errBarred means that the target was barred after it was chosen, or the host began to
+// shut down, so that nothing was sent.
 var errBarred = errors.New("target is barred")
 
-// checkBarred returns errBarred if this host knows that the target must get nothing now.
+// checkBarred returns errBarred if this host knows that the target must get nothing now,
+// or if the host began to shut down meanwhile and might not answer the request any more.
 func (p *proxiedRequest) checkBarred(t *kqselection.Target) error {
 	e := p.engine
+	if !e.shutdown.Takes(p.deadline) {
+		return errors.Wrap(errBarred, causeShutdown)
+	}
 	now := e.cfg.Clock.Now()
 	e.mu.Lock()
 	reason, since := t.Barred(now), t.DrainingSince
@@ -210,6 +214,7 @@
 // that the caller can tell.
 func (p *proxiedRequest) deliver(reply *kqtransport.Reply, body []byte, rest *readAhead) {
 	e := p.engine
+	p.closeIfStopping()
 	h := p.w.Header()
 	connection := h.Get("Connection")
 	for k, v := range reply.Header {
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	kq "kumquatglade"
+	"kumquatglade/internal/call/kqshutdown"
 	"kumquatglade/internal/call/kqtransport"
 	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/route/kqselection"
@@ -45,7 +46,7 @@
 	pacer      *kqtransport.Pacer // of long bodies in both directions
 	readAheads *readAheadPool
 	routing    atomic.Pointer[routingState]
-	stopping   atomic.Bool
+	shutdown   kqshutdown.Shutdown
 	inFlight   atomic.Int64
 	metrics    engineMetrics
 	done       chan struct{}
@@ -111,9 +112,10 @@
 	}
 }
 
-// Stop makes all further responses close the caller's connection, because the host
-// is shutting down.
-func (e *Engine) Stop() { e.stopping.Store(true) }
+// Stop begins the shutdown of the host, which aborts what is still running at end: all
+// further responses close the caller's connection, and a request that might not be
+// answered by then is refused.
+func (e *Engine) Stop(end time.Time) { e.shutdown.Begin(end) }
 
 // InFlight returns the number of requests in flight.
 func (e *Engine) InFlight() int64 { return e.inFlight.Load() }
@@ -159,8 +161,5 @@
 	e.metrics.requests.Inc(1)
 	p := &proxiedRequest{engine: e, w: w, in: r, started: e.cfg.Clock.Now(), id: r.Header.Get(e.cfg.HeaderNames.RequestID)}
 	defer func() { e.metrics.latency.Update(e.cfg.Clock.Now().Sub(p.started)) }()
-	if e.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	p.serve()
 }
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -59,6 +59,11 @@
 	}
 	p.route = route
 	p.deadline = p.computeDeadline()
+	if !p.engine.shutdown.Takes(p.deadline) {
+		_ = http.NewResponseController(p.w).EnableFullDuplex() // the response need not wait for the body; not all writers support it
+		p.refuse(http.StatusServiceUnavailable, causeShutdown, p.retryAfter(true))
+		return
+	}
 	if status, err := p.readBody(); err != nil {
 		p.refuse(status, err.Error(), 0)
 		return
@@ -189,6 +194,10 @@
 	elapsed    time.Duration
 }
 
+// causeShutdown says why a request is refused that this host might not answer before it is
+// gone.
+const causeShutdown = "the host is shutting down"
+
 // send sends the request to one target after another until one gives a response, as
 // far as the route, the retry budget and the deadline allow.
 func (p *proxiedRequest) send(ctx context.Context) {
@@ -202,6 +211,10 @@
 		if time.Until(p.deadline) < minTimeLeft || ctx.Err() != nil {
 			break
 		}
+		if !p.engine.shutdown.Takes(p.deadline) {
+			last.cause = causeShutdown
+			break
+		}
 		var cause string
 		p.chosen, cause = p.choose(ctx, tried)
 		t := p.chosen.Target
@@ -252,7 +265,7 @@
 	timedOut := ctx.Err() != nil || time.Until(p.deadline) < minTimeLeft
 	switch {
 	case !mayHaveRun:
-		p.refuse(http.StatusServiceUnavailable, last.cause, p.retryAfter(p.sends > 0))
+		p.refuse(http.StatusServiceUnavailable, last.cause, p.retryAfter(p.sends > 0 || last.cause == causeShutdown))
 	case timedOut:
 		p.fail(http.StatusGatewayTimeout, last.cause)
 	default:
--- a/internal/call/kqproxy/response.go
+++ b/internal/call/kqproxy/response.go
@@ -46,7 +46,8 @@
 
 // retryAfter returns a random time after which a refused caller should retry, so
 // that retries are spread over a part of the time the callers have left. A caller
-// that only targets refused, while there was room, may retry almost at once; one whose
+// that only targets refused, while there was room, or for which there is room on another
+// host, may retry almost at once; one whose
 // service asked for quiet is told when the first target is back.
 func (p *proxiedRequest) retryAfter(hadRoom bool) time.Duration {
 	left := time.Until(p.deadline)
@@ -79,8 +80,16 @@
 	p.writeError(status, cause)
 }
 
+// closeIfStopping makes the response close the caller's connection if the host shuts down.
+func (p *proxiedRequest) closeIfStopping() {
+	if p.engine.shutdown.Begun() {
+		p.w.Header().Set("Connection", "close")
+	}
+}
+
 // writeError writes an error response of the proxy itself.
 func (p *proxiedRequest) writeError(status int, cause string) {
+	p.closeIfStopping()
 	h := p.w.Header()
 	if p.id != "" {
 		h.Set(p.engine.cfg.HeaderNames.RequestID, p.id)
--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -295,7 +295,7 @@
 func (d *Daemon) serveOn(l net.Listener, srv *http.Server) {
 	d.servers = append(d.servers, srv)
 	d.wg.Go(func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			d.fail(errors.Wrapf(err, "serve %s", l.Addr()))
 		}
 	})
@@ -347,7 +347,7 @@
 		d.mu.Unlock()
 		d.log.Infof("stopping: no longer in resolve answers")
 		d.targets.Leave()
-		d.engine.Drain()
+		d.engine.Stop(time.Now().Add(holdTime + drainTimeout))
 		select {
 		case <-expedite:
 		case <-time.After(holdTime):
@@ -369,6 +369,7 @@
 	go func() {
 		select {
 		case <-expedite:
+			d.engine.Stop(time.Now().Add(expeditedDrainTimeout))
 			grace, stop := context.WithTimeout(ctx, expeditedDrainTimeout)
 			defer stop()
 			<-grace.Done()
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -196,34 +196,60 @@
 	return nil
 }
 
+// closingTime is how long before the end of a shutdown the host stops accepting
+// connections, so that those it has accepted get their responses.
+const closingTime = 50 * time.Millisecond
+
 // stopSeeded shuts the host down gracefully: it reports not ready and leaves the
 // directory's answers at once, serves while callers may have an earlier answer
-// cached, and finishes the requests in flight.
+// cached, and finishes the requests in flight. Requests that might not be finished in
+// time are refused from the start, so that only refusals are left at the end.
 func (d *Daemon) stopSeeded(expedite <-chan struct{}) {
 	began := time.Now()
 	d.mu.Lock()
 	d.leaving = true
 	d.mu.Unlock()
 	if d.proxy != nil {
-		d.log.Infof("stopping: no longer ready, %d requests in flight", d.proxy.InFlight())
-		d.proxy.Stop()
-		d.sendPresenceToAll()
-		select {
-		case <-expedite:
-		case <-time.After(d.settings.Stop.CacheTime.Or(holdTime)):
-		}
-		remaining := d.settings.Stop.Timeout.Or(drainTimeout) - time.Since(began)
-		ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
-		defer cancel()
-		if err := d.callers.Drain(ctx); err != nil {
-			d.log.Warnf("stopping with %d requests in flight: %v", d.proxy.InFlight(), err)
-		}
+		d.stopCallers(began.Add(d.settings.Stop.Timeout.Or(drainTimeout)), expedite)
 	}
 	d.log.Infof("stopped after %s", time.Since(began))
 	d.Close()
 	d.log.Flush()
 }
 
+// stopCallers ends the connections of callers by the given time. Closing expedite makes
+// it refuse all further requests.
+func (d *Daemon) stopCallers(end time.Time, expedite <-chan struct{}) {
+	d.log.Infof("stopping: no longer ready, %d requests in flight", d.proxy.InFlight())
+	d.proxy.Stop(end)
+	d.sendPresenceToAll()
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-closingTime))
+	defer cancel()
+	hurry, stopWaiting := context.WithCancel(ctx)
+	defer stopWaiting()
+	go func() {
+		select {
+		case <-expedite:
+			d.proxy.Stop(time.Now())
+			stopWaiting()
+		case <-hurry.Done():
+		}
+	}()
+	select {
+	case <-hurry.Done():
+	case <-time.After(d.settings.Stop.CacheTime.Or(holdTime)):
+	}
+	_ = d.callers.Drain(hurry) // what is left is drained below
+	if err := d.callers.StopAccepting(); err != nil {
+		d.log.Warnf("cannot close the listening socket: %v", err)
+	}
+	ctx, cancel = context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := d.callers.Drain(ctx); err != nil {
+		d.log.Warnf("stopping with %d requests in flight: %v", d.proxy.InFlight(), err)
+	}
+}
+
 func (d *Daemon) seedIPs() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/run/kqdaemon/seeded_test.go
+++ b/internal/run/kqdaemon/seeded_test.go
@@ -34,6 +34,8 @@
 	ports [6]string // calls, admin, peers, ready, control, directory
 	seeds []string
 	hosts map[string]*Daemon
+
+	stopTimes kqsettings.Stop
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -67,7 +69,7 @@
 	f.t.Helper()
 	s := kqsettings.Settings{
 		Host: host, Domain: "a", Region: "r", Secret: "secret-of-the-story", OperatorKey: operator,
-		Seeds: f.seeds, Bootstrap: bootstrap, Tolerance: 2,
+		Seeds: f.seeds, Bootstrap: bootstrap, Tolerance: 2, Stop: f.stopTimes,
 		Listen: kqsettings.Listen{Admin: f.at(host, 1), Peers: f.at(host, 2)},
 	}
 	if strings.HasPrefix(host, "127.0.71.10") {
