SIGTERM is caught before the process serves

A SIGTERM between the start of a host and the registration of its signals ended it at once, with requests in progress. Found by reading, for the postmortem of requests lost around SIGTERM; the window is less than a millisecond, so no test shows it. The channel of the signals now exists before the host starts.

--- a/internal/run/kqmain/dev.go
+++ b/internal/run/kqmain/dev.go
@@ -38,6 +38,7 @@
 		fmt.Fprintln(stderr, "kumquatd:", err)
 		return exitFatal
 	}
+	signals := notifyStop()
 	d, err := kqdaemon.Start(s, log.Component("daemon"))
 	if err != nil {
 		fmt.Fprintln(stderr, "kumquatd:", err)
@@ -54,7 +55,7 @@
 	fmt.Fprintf(stdout, "operate:     kumquat --server %s --key %s status\n", s.Listen.Admin, devOperatorKey)
 	fmt.Fprintf(stdout, "try:         curl -sS -H 'Kumquat-Owner: %s' -H 'Kumquat-Service: %s' -d hello http://%s/greeting\n",
 		devOwner, devService, s.Listen.Calls)
-	return serve(d, stderr)
+	return serve(d, signals, stderr)
 }
 
 func devSettings() (kqsettings.Settings, error) {
--- a/internal/run/kqmain/main.go
+++ b/internal/run/kqmain/main.go
@@ -75,13 +75,14 @@
 		fmt.Fprintln(stderr, "kumquatd:", err)
 		return exitUsage
 	}
+	signals := notifyStop()
 	log, d, err := start(s, kqdaemon.Options{})
 	if err != nil {
 		fmt.Fprintln(stderr, "kumquatd:", err)
 		return exitFatal
 	}
 	defer log.Flush()
-	return serve(d, stderr)
+	return serve(d, signals, stderr)
 }
 
 func start(s kqsettings.Settings, opts kqdaemon.Options) (*kqlog.Log, *kqdaemon.Daemon, error) {
@@ -103,11 +104,17 @@
 
 func delayFatalExit() { time.Sleep(fatalExitDelay) }
 
-// serve runs until a signal or a fatal error; a second signal
-// expedites the shutdown.
-func serve(d *kqdaemon.Daemon, stderr io.Writer) int {
+// notifyStop returns the channel of the signals that stop the process. A process that
+// serves without it would be ended at once, with requests in progress.
+func notifyStop() <-chan os.Signal {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	return signals
+}
+
+// serve runs until a signal or a fatal error; a second signal
+// expedites the shutdown.
+func serve(d *kqdaemon.Daemon, signals <-chan os.Signal, stderr io.Writer) int {
 	select {
 	case err := <-d.Fatal():
 		fmt.Fprintln(stderr, "kumquatd:", err)
--- a/internal/run/kqmain/platform.go
+++ b/internal/run/kqmain/platform.go
@@ -36,6 +36,7 @@
 	}
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	signals := notifyStop()
 	log, d, err := start(s, kqdaemon.Options{API: &kqdaemon.ExternalAPI{
 		HeaderNames: platform.HeaderNames, RegisterReady: platform.RegisterReady, RegisterDirectory: platform.RegisterDirectory,
 		RegisterControl: func(e *echo.Echo, store kqcontrol.LocalStore, log *kqlog.Log) {
@@ -49,7 +50,7 @@
 	}
 	defer log.Flush()
 	go watchSettings(path, reload, d, log.Component("settings"))
-	return serve(d, stderr)
+	return serve(d, signals, stderr)
 }
 
 // watchSettings applies changed seeds after a signal or a change of the file.
