A copy of a refused probe is no response to a request

Cause: a refusal without an ID counted as the request's own unless the connection had carried another request; refused probes were not counted.

Change: connections count refused probes. Behind one, a refusal without an ID is skipped, as the platform's instances repeat the ID in every response to a request; the request's own response is read, and the connection is not used again.

--- a/internal/call/kqproxy/own.go
+++ b/internal/call/kqproxy/own.go
@@ -14,13 +14,16 @@
 func instanceKey(t *kqselection.Target) string { return t.ID + "|" + strconv.FormatInt(t.Boot, 10) }
 
 // isForeign reports whether the response answers an earlier request or probe of the
-// connection, as a copy of a response does that a target sends late. What it says about
-// the target still holds.
+// connection, as a copy of a response does that a target sends late. A target repeats the
+// ID of a request in every response to it. A refusal without one, after a probe that was
+// refused, is therefore taken for a copy of that refusal, and the request may be running.
+// What the response says about the target still holds.
 func (p *proxiedRequest) isForeign(t *kqselection.Target, earlier kqtransport.Exchanges, status int, h http.Header) bool {
 	e, names := p.engine, p.engine.cfg.HeaderNames
 	id := h.Get(names.RequestID)
 	answersRequest := earlier.Requests > 0 && id != "" && id != p.id
-	answersProbe := earlier.Probes > 0 && id == "" && h.Get(names.Instance) != ""
+	copiesRefusal := earlier.RefusedProbes > 0 && h.Get(names.NotExecuted) != ""
+	answersProbe := earlier.Probes > 0 && id == "" && (h.Get(names.Instance) != "" || copiesRefusal)
 	if !answersRequest && !answersProbe {
 		return false
 	}
--- a/internal/call/kqproxy/own_test.go
+++ b/internal/call/kqproxy/own_test.go
@@ -61,6 +61,41 @@
 	}
 }
 
+// TestCopyOfRefusedProbe guards against the refusal of a probe, which bears no ID and comes
+// once more late, that is taken for the response to a request: its caller would hear "not
+// run" of a request that runs, or it would run at a second target.
+func TestCopyOfRefusedProbe(t *testing.T) {
+	for _, refused := range []bool{true, false} {
+		t.Run(fmt.Sprintf("refused %t", refused), func(t *testing.T) {
+			respond := func(conn net.Conn, r *http.Request) bool {
+				replyNotExecuted(conn, r)
+				if !refused {
+					return true
+				}
+				return replyOK(conn, r)
+			}
+			f := newFixture(t, kqroutes.Unsafe, time.Second, respond, respond)
+			f.apply(2, f.targets[0])
+			f.fakeTargets[0].refuses.Store(refused)
+			f.engine.probe(t.Context(), f.engine.routing.Load().targets["kekhai"][0], "/health", 10, time.Second)
+			f.fakeTargets[0].refuses.Store(false)
+			f.apply(3, f.targets...)
+			f.fakeTargets[1].setLoad("4,0,4,100") // it must not get the request
+			res, body, err := f.call("/filings/1", "filing")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if refused && (res.StatusCode != 200 || body != "whole" || f.arrivals() != 1) {
+				t.Errorf("%d %q after %d arrivals, want the response behind the copy", res.StatusCode, body, f.arrivals())
+			}
+			// No probe was refused on the connection, so the refusal is that of the request.
+			if !refused && res.StatusCode != 503 {
+				t.Errorf("%d %q, want 503", res.StatusCode, body)
+			}
+		})
+	}
+}
+
 // TestCopyBeforeProbeAnswer guards against the load of an earlier response that is taken
 // for the answer to a probe.
 func TestCopyBeforeProbeAnswer(t *testing.T) {
--- a/internal/call/kqproxy/target_test.go
+++ b/internal/call/kqproxy/target_test.go
@@ -22,6 +22,7 @@
 	load        func(n int64) string // load reported at the n-th probe; nil reports nextLoad
 	nextLoad    atomic.Pointer[string]
 	probeDelay  atomic.Int64 // delay of the answer to a probe, in nanoseconds
+	refuses     atomic.Bool  // probes are refused, as by a full target
 	lastBody    atomic.Pointer[string]
 }
 
@@ -67,6 +68,10 @@
 				load = f.load(n)
 			}
 			time.Sleep(time.Duration(f.probeDelay.Load()))
+			if f.refuses.Load() {
+				replyNotExecuted(c, req)
+				continue
+			}
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", DefaultHeaderNames.Load, load)
 			continue
 		}
--- a/internal/call/kqtransport/send.go
+++ b/internal/call/kqtransport/send.go
@@ -58,8 +58,21 @@
 
 // Exchanges counts the requests that a connection has carried.
 type Exchanges struct {
-	Requests int
-	Probes   int
+	Requests      int
+	Probes        int
+	RefusedProbes int // probes that were answered, but not with success
+}
+
+// add counts one exchange.
+func (e *Exchanges) add(isProbe bool, status int) {
+	if !isProbe {
+		e.Requests++
+		return
+	}
+	e.Probes++
+	if status != http.StatusOK {
+		e.RefusedProbes++
+	}
 }
 
 // Error is the failure of a request that got no response.
@@ -154,11 +167,7 @@
 	reply := p.newReply(c, res, writeDone, req.AcceptCloseDelimited)
 	reply.cancelWrite = cancelWrite
 	reply.Earlier, reply.suspect = c.carried, foreign
-	if req.IsProbe {
-		c.carried.Probes++
-	} else {
-		c.carried.Requests++
-	}
+	c.carried.add(req.IsProbe, res.StatusCode)
 	return reply, nil
 }
 
