--- a/internal/bench/kqsoak/soak.go
+++ b/internal/bench/kqsoak/soak.go
@@ -152,13 +152,9 @@
 	case KillEntry:
 		return entry.Signal(syscall.SIGKILL)
 	case StopEntry:
-		return entry.Signal(syscall.SIGTERM)
+		return stop(ctx, entry, 0)
 	case StopEntryTwice:
-		if err := entry.Signal(syscall.SIGTERM); err != nil {
-			return err
-		}
-		wait(ctx, f.For)
-		return entry.Signal(syscall.SIGTERM)
+		return stop(ctx, entry, f.For)
 	case StopControl:
 		return control(0).Signal(syscall.SIGTERM)
 	case FreezeEntry:
@@ -194,6 +190,22 @@
 	return h.Signal(syscall.SIGCONT)
 }
 
+// stop ends a host as planned and waits until the time for that is over. With second, it
+// sends a second signal after that time.
+func stop(ctx context.Context, h *kqprocess.Host, second time.Duration) error {
+	if err := h.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	wait(ctx, second)
+	if second > 0 {
+		if err := h.Signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+	}
+	wait(ctx, stopFinish-second)
+	return nil
+}
+
 func (s *soak) injectTarget(ctx context.Context, f Fault) {
 	s.mu.Lock()
 	i := f.Pick % len(s.targets)
--- a/internal/fake/kqfake/disk.go
+++ b/internal/fake/kqfake/disk.go
@@ -43,6 +43,7 @@
 	crashed       bool
 	failSync      bool
 	full          bool
+	maxWrite      int // bytes, 0: no limit
 	syncs         int
 }
 
@@ -67,9 +68,15 @@
 	d.full = true
 }
 
-// Free ends the effect of Fill.
+// LimitWrites makes writes of more than n bytes fail until Free, as on a disk with little
+// room.
+func (d *Disk) LimitWrites(n int) {
+	d.maxWrite = n
+}
+
+// Free ends the effect of Fill and LimitWrites.
 func (d *Disk) Free() {
-	d.full = false
+	d.full, d.maxWrite = false, 0
 }
 
 // Syncs returns the number of successful syncs of files.
@@ -254,7 +261,7 @@
 
 func (f *file) Write(p []byte) (int, error) {
 	err := f.d.countOperation()
-	if err == nil && f.d.full {
+	if err == nil && (f.d.full || f.d.maxWrite > 0 && len(p) > f.d.maxWrite) {
 		err = errFull()
 	}
 	if err != nil {
--- a/internal/state/kqcontrol/control.go
+++ b/internal/state/kqcontrol/control.go
@@ -71,6 +71,7 @@
 	pendingEffects   []kqreplica.Effect   // not yet performed
 	failed           bool                 // an effect failed, so no later one may be performed
 	fullSince        time.Time            // when the disk refused the first pending effect, zero: it did not
+	fullTriedAt      time.Time            // when that effect was tried last
 	pendingChanges   []kqcontract.Change  // in force, not yet reported
 	pendingReads     map[string]chan kqreplica.ReadResult
 	indexWaiters     []indexWaiter
--- a/internal/state/kqcontrol/full.go
+++ b/internal/state/kqcontrol/full.go
@@ -16,6 +16,9 @@
 // hosts are dropped, so that nothing piles up. A leader resigns first. Commands are still
 // passed on to a leader elsewhere.
 
+// fullRetryInterval is the time between two tries to write. A try may encode a snapshot.
+const fullRetryInterval = 200 * time.Millisecond
+
 // errFull is returned for what needs the replica of a host whose disk is full; it may be
 // tried again.
 var errFull = errors.New("control: the disk is full")
@@ -38,6 +41,7 @@
 
 func (c *Control) becomeFull(cause error) {
 	c.fullSince = c.cfg.Clock.Now()
+	c.fullTriedAt = c.fullSince
 	c.fullGauge().Update(1)
 	c.cfg.Log.Errorf("the disk is full, taking no part until it has room: %v", cause)
 	c.recordEvent("full", 0, cause.Error())
@@ -54,6 +58,11 @@
 
 // retryFull performs the waiting effects if the disk has room again.
 func (c *Control) retryFull() {
+	now := c.cfg.Clock.Now()
+	if now.Sub(c.fullTriedAt) < fullRetryInterval {
+		return
+	}
+	c.fullTriedAt = now
 	list := c.pendingEffects
 	c.pendingEffects = nil
 	if err := c.performOrWait(list); err != nil {
--- a/internal/state/kqjournal/journal.go
+++ b/internal/state/kqjournal/journal.go
@@ -72,6 +72,7 @@
 	file           kq.File  // nil: there is no segment yet
 	size           int      // bytes of the complete records in the open segment
 	torn           bool     // a part of a record may follow them
+	snapshotBegun  bool     // the open segment was started for a snapshot that is not saved yet
 	segment        string   // name of the open segment
 	closedSegments []string // names of the earlier segments
 	metaFrame      []byte   // frame of the newest Meta in the log, nil if there is none
@@ -305,10 +306,13 @@
 // at any step leaves either the old snapshot with the old log or the new snapshot
 // with the new log. It needs room before it gives any.
 func (j *Journal) SaveSnapshot(s Snapshot, keep []Entry) error {
-	if j.file == nil || j.size > 0 || j.torn { // otherwise an earlier try left an empty segment
+	if !j.snapshotBegun {
 		if err := j.rotate(); err != nil {
 			return err
 		}
+		j.snapshotBegun = true
+	} else { // what an earlier try wrote still stands in the earlier segments
+		j.size, j.torn = 0, true
 	}
 	old := slices.Clone(j.closedSegments)
 	if j.metaFrame != nil { // the segment that holds it is removed below
@@ -325,7 +329,7 @@
 	if err := j.replaceFile(snapshotName, s); err != nil {
 		return err
 	}
-	j.closedSegments = nil
+	j.closedSegments, j.snapshotBegun = nil, false
 	return j.removeFiles(old)
 }
 
--- a/internal/state/kqjournal/journal_test.go
+++ b/internal/state/kqjournal/journal_test.go
@@ -207,6 +207,43 @@
 	}
 }
 
+// TestRepeatedSnapshotTakesNoRoom guards against a snapshot that does not fit and is tried
+// again and again, each time with a new segment, until the rest of the disk is used up.
+func TestRepeatedSnapshotTakesNoRoom(t *testing.T) {
+	d := newDisk(1)
+	j, _ := open(t, d)
+	must(t, j.SaveMeta(Meta{Term: 3}))
+	var keep []Entry
+	for i := uint64(1); i <= 20; i++ {
+		must(t, j.Append([]Entry{entry(i)}))
+		if i > 10 {
+			keep = append(keep, entry(i))
+		}
+	}
+	s := Snapshot{Index: 10, Term: 1, State: make([]byte, 64<<10)}
+	d.LimitWrites(8 << 10)
+	var after int
+	for i := range 30 {
+		if err := j.SaveSnapshot(s, keep); !errors.Is(err, kq.ErrFull) {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			after = d.Size()
+		}
+	}
+	if names, _ := d.List(); d.Size() > after+(8<<10) || len(names) > 4 {
+		t.Errorf("%d bytes in %d files after 30 tries, %d bytes after the first", d.Size(), len(names), after)
+	}
+	d.Free()
+	must(t, j.SaveSnapshot(s, keep))
+	must(t, j.Append([]Entry{entry(21)}))
+	d.Crash()
+	_, l := open(t, d)
+	if l.Snapshot.Index != 10 || len(l.Entries) != 11 || l.Meta.Term != 3 {
+		t.Errorf("loaded snapshot %d, %d entries, term %d", l.Snapshot.Index, len(l.Entries), l.Meta.Term)
+	}
+}
+
 // FuzzUnframe feeds unframe arbitrary bytes, as a damaged disk may return them.
 func FuzzUnframe(f *testing.F) {
 	f.Add(frame([]byte("payload")))
