Soak: callers that stay use a loopback address of their own

A port that a connection uses cannot be listened on.

Change: these callers dial from 127.0.73.1, whose ports are others.

--- a/internal/bench/kqsoak/stay.go
+++ b/internal/bench/kqsoak/stay.go
@@ -20,6 +20,10 @@
 	stayBodyParts = 2
 )
 
+// stayDialer dials from an address of its own. The many short connections of stayers would
+// otherwise take ports of 127.0.0.1 on which other processes are about to listen.
+var stayDialer = net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 73, 1)}}
+
 // Stayer is a caller that keeps using one address and its open connection, also while the
 // host there shuts down.
 type Stayer struct {
@@ -49,7 +53,7 @@
 }
 
 func (s *Stayer) dial() bool {
-	conn, err := net.DialTimeout("tcp", s.Addr, time.Second)
+	conn, err := stayDialer.Dial("tcp", s.Addr)
 	if err != nil {
 		return false
 	}
