--- a/internal/call/kqproxy/drain_test.go
+++ b/internal/call/kqproxy/drain_test.go
@@ -32,6 +32,18 @@
 	return f.engine.chooser(service).Queue.Len()
 }
 
+// callPatiently makes a request that has 20 s, and passes on the status of its response, 0
+// if there is none.
+func (f *fixture) callPatiently(t *testing.T, status chan<- int) {
+	res, _, err := f.call("/filings/1", "filing", DefaultHeaderNames.Deadline, "20000")
+	if err != nil {
+		t.Error(err)
+		status <- 0
+		return
+	}
+	status <- res.StatusCode
+}
+
 // TestQueuedRequestAvoidsDrainingTarget guards against requests that reach a target long
 // after it began to drain, because a response that reports headroom assigns it to them.
 func TestQueuedRequestAvoidsDrainingTarget(t *testing.T) {
@@ -45,20 +57,11 @@
 	leaving, other := f.targets[0], f.targets[1]
 	f.apply(2, leaving)
 	status := make(chan int, 2)
-	call := func() {
-		res, _, err := f.call("/filings/1", "filing", DefaultHeaderNames.Deadline, "20000")
-		if err != nil {
-			t.Error(err)
-			status <- 0
-			return
-		}
-		status <- res.StatusCode
-	}
-	go call()
+	go f.callPatiently(t, status)
 	waitFor(t, "the first request runs", func() bool { return f.fakeTargets[0].arrivals.Load() == 1 })
 	f.fakeTargets[0].setLoad("4,0,4,100")
 	time.Sleep(2 * probeWait) // the load of the first probe is no longer reused
-	go call()
+	go f.callPatiently(t, status)
 	waitFor(t, "the second request is queued", func() bool { return f.queueLen("kekhai") == 1 })
 
 	f.apply(3, inState(leaving, kqtargets.Draining))
--- a/internal/call/kqproxy/shutdown_test.go
+++ b/internal/call/kqproxy/shutdown_test.go
@@ -77,20 +77,11 @@
 			return replyOK(c, r)
 		})
 		status := make(chan int, 2)
-		call := func() {
-			res, _, err := f.call("/filings/1", "filing", DefaultHeaderNames.Deadline, "20000")
-			if err != nil {
-				t.Error(err)
-				status <- 0
-				return
-			}
-			status <- res.StatusCode
-		}
-		go call()
+		go f.callPatiently(t, status)
 		waitFor(t, "the first request runs", func() bool { return f.arrivals() == 1 })
 		f.fakeTargets[0].setLoad("4,0,4,100")
 		time.Sleep(2 * probeWait) // the load of the first probe is no longer reused
-		go call()
+		go f.callPatiently(t, status)
 		waitFor(t, "the second request is queued", func() bool { return f.queueLen("kekhai") == 1 })
 		f.engine.Stop(time.Now().Add(5 * time.Second))
 		f.fakeTargets[0].setLoad("0,0,4,100")
