Test: StopAccepting is called once both connections are accepted

Cause: the test stopped the listener when the first connection had a request, and the second could still be in the kernel's queue, which a closed socket resets. That is no fault: nothing was read from it. The test now waits until both are accepted; what it checks is the same.

--- a/internal/call/kqlistener/listener_test.go
+++ b/internal/call/kqlistener/listener_test.go
@@ -298,7 +298,11 @@
 	s := start(t)
 	busy, fresh := s.dial(t), s.dial(t)
 	io.WriteString(busy, request("/wait"))
-	waitFor(t, "the request runs", func() bool { return len(s.served()) == 1 })
+	waitFor(t, "the request runs, and both connections are accepted", func() bool {
+		s.listener.mu.Lock()
+		defer s.listener.mu.Unlock()
+		return len(s.served()) == 1 && len(s.listener.conns) == 2
+	})
 	if err := s.listener.StopAccepting(); err != nil {
 		t.Fatal(err)
 	}
