A reader of the log that goes away does not end the process

Cause: a write to standard output or standard error whose reader is gone raises SIGPIPE, and the Go runtime ends the process on these two descriptors. The first line of a stop does that when whoever reads the log ends first. Everything in progress is cut at once, and no line says so.

Change: SIGPIPE is ignored; the write fails, and its lines count as dropped.

Evidence: TestNothingButStopEndsRequests, a real process with a POST in progress at its target whose log's reader closes before the SIGTERM, printed before: 'request in progress: 0 Post ...: EOF, want its whole response'. It passes now.

Why it works: the log never waits for its output, so nothing depends on the write.

--- a/internal/host/kqlog/sink.go
+++ b/internal/host/kqlog/sink.go
@@ -1,6 +1,7 @@
 package kqlog
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -59,7 +60,7 @@
 	}
 }
 
-// write writes the pending lines to the output; there is nowhere to log an error of it.
+// write writes the pending lines to the output; those that fail count as dropped.
 func (s *sink) write() {
 	s.mu.Lock()
 	p := s.pending
@@ -70,10 +71,14 @@
 	}
 	s.writing = true
 	s.mu.Unlock()
+	var err error
 	if len(p) > 0 {
-		_, _ = s.out.Write(p) // there is nowhere to log the error
+		_, err = s.out.Write(p)
 	}
 	s.mu.Lock()
+	if err != nil { // there is nowhere to log it
+		s.dropped += int64(bytes.Count(p, []byte("\n")))
+	}
 	s.spare, s.writing = p, false
 	if len(s.pending) == 0 {
 		s.idle.Broadcast()
--- a/internal/run/kqmain/main.go
+++ b/internal/run/kqmain/main.go
@@ -105,8 +105,10 @@
 func delayFatalExit() { time.Sleep(fatalExitDelay) }
 
 // notifyStop returns the channel of the signals that stop the process. A process that
-// serves without it would be ended at once, with requests in progress.
+// serves without it would be ended at once, with requests in progress. A reader of the
+// log that goes away must not end it either.
 func notifyStop() <-chan os.Signal {
+	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	return signals
