SIGHUP reloads the settings of every host instead of ending it

What callers saw: a host with the project's own settings file ended at once on SIGHUP, with all requests in progress, during a stop too.

Cause: only the platform's adapter caught SIGHUP; without a handler the Go runtime ends the process.

Evidence: two further cases of TestNothingButStopEndsRequests (SIGHUP alone, and right behind a SIGTERM) printed before: 'request in progress: 0 Post ...: EOF, want its whole response'. They pass now.

Why it works: a signal with a handler does nothing by itself.

--- a/internal/run/kqmain/main.go
+++ b/internal/run/kqmain/main.go
@@ -75,13 +75,14 @@
 		fmt.Fprintln(stderr, "kumquatd:", err)
 		return exitUsage
 	}
-	signals := notifyStop()
+	reload, signals := notifyReload(), notifyStop()
 	log, d, err := start(s, kqdaemon.Options{})
 	if err != nil {
 		fmt.Fprintln(stderr, "kumquatd:", err)
 		return exitFatal
 	}
 	defer log.Flush()
+	go watchSettings(path, kqsettings.Load, reload, d, log.Component("settings"))
 	return serve(d, signals, stderr)
 }
 
@@ -104,6 +105,14 @@
 
 func delayFatalExit() { time.Sleep(fatalExitDelay) }
 
+// notifyReload returns the channel of the signal that announces changed settings, which
+// would otherwise end the process.
+func notifyReload() <-chan os.Signal {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	return reload
+}
+
 // notifyStop returns the channel of the signals that stop the process. A process that
 // serves without it would be ended at once, with requests in progress. A reader of the
 // log that goes away must not end it either.
--- a/internal/run/kqmain/signal_test.go
+++ b/internal/run/kqmain/signal_test.go
@@ -140,10 +140,17 @@
 		name   string
 		happen func(p *process) error
 	}{
+		{"hang-up", func(p *process) error { return p.cmd.Process.Signal(syscall.SIGHUP) }},
 		{"reader of the log is gone, then the stop", func(p *process) error {
 			p.log.Close()
 			return p.cmd.Process.Signal(syscall.SIGTERM)
 		}},
+		{"stop and hang-up", func(p *process) error {
+			if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				return err
+			}
+			return p.cmd.Process.Signal(syscall.SIGHUP)
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
