Stop: every listener of a host answers what it has read

Seen by clients: around the SIGTERM of a host, look-ups, readiness checks, announcements of targets and changes of operators ended with an end of file although their handler ran or their change was accepted. An entry host did so at the end of its stop, a control host at once.

Cause: only the listener of callers was drained. Daemon.Close closed all others with what was in progress on them; a request whose outcome was still open (no quorum) was cut too, so that whoever sent it did not learn that it is open.

Change: each listener is a kqlistener.Listener and ends in one way: no more connections, then answers to what was read, at most 950 ms (the 850 ms in which the control address answers, and 100 ms). 100 ms before that bound, or at a second SIGTERM, the contexts of requests that are still undecided end, so that their handlers answer 503 or 504. On an entry host this begins once callers are served, at last 400 ms before the end of the whole stop. A host with contracts drains its calls with the same listener in place of http.Server.Shutdown. What is still in progress when the time is over has a line with its count.

"Connection: close" on these answers: what a client has sent behind such an answer would be dropped by the server. A hand-over of leadership first: the project knows only a resignation, after which the others elect as they do when the links break, and what this host has read would have to wait for that election.

--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -67,6 +67,8 @@
 	admin     *kqadmin.Server
 	servers   []*http.Server
 	callers   *kqlistener.Listener // of a host with seeds
+	calls     *server              // of a host without seeds
+	others    []*server            // what is not for callers
 	wg        sync.WaitGroup
 	ready     chan struct{} // closed when all components exist or the daemon closes
 	readyOnce sync.Once
@@ -261,7 +263,7 @@
 func (d *Daemon) listen() error {
 	admin := newEcho()
 	d.admin.Register(admin)
-	if err := d.serve(d.settings.Listen.Admin, admin); err != nil {
+	if err := d.serveOther("admin", d.settings.Listen.Admin, admin); err != nil {
 		return err
 	}
 	if d.engine == nil {
@@ -270,7 +272,9 @@
 	calls := newEcho()
 	d.targets.Register(calls)
 	calls.Any("/*", echo.WrapHandler(d.engine))
-	return d.serve(d.settings.Listen.Calls, calls)
+	var err error
+	d.calls, err = d.serve("calls", d.settings.Listen.Calls, calls)
+	return err
 }
 
 func newEcho() *echo.Echo {
@@ -279,12 +283,13 @@
 	return e
 }
 
-func (d *Daemon) serve(addr string, h http.Handler) error {
-	l, err := net.Listen("tcp", addr)
+// serveOther serves h on a listener that is not for callers.
+func (d *Daemon) serveOther(name, addr string, h http.Handler) error {
+	s, err := d.serve(name, addr, h)
 	if err != nil {
-		return errors.Wrap(err, "listen")
+		return err
 	}
-	d.serveOn(l, newServer(h))
+	d.others = append(d.others, s)
 	return nil
 }
 
@@ -333,28 +338,34 @@
 	}
 }
 
-// Stop shuts the host down gracefully: it leaves the resolve answers at once, serves
-// while callers may still have an earlier answer cached, and finishes the calls in
-// flight. Closing expedite skips the first wait and shortens the second.
+// Stop shuts the host down gracefully: it leaves the directory's answers at once, serves
+// callers while they may still have an earlier answer cached, finishes what is in flight
+// and then ends the other listeners, on a control host at once. Closing expedite skips the
+// waiting and shortens the rest.
 func (d *Daemon) Stop(expedite <-chan struct{}) {
+	began := time.Now()
+	end := began.Add(holdTime + drainTimeout)
 	if len(d.settings.Seeds) > 0 {
-		d.stopSeeded(expedite)
-		return
+		end = began.Add(d.settings.Stop.Timeout.Or(drainTimeout))
 	}
-	if d.engine != nil {
-		d.mu.Lock()
-		d.leaving = true
-		d.mu.Unlock()
-		d.log.Infof("stopping: no longer in resolve answers")
-		d.targets.Leave()
-		d.engine.Stop(time.Now().Add(holdTime + drainTimeout))
-		select {
-		case <-expedite:
-		case <-time.After(holdTime):
-		}
-		d.drainCalls(expedite)
+	d.mu.Lock()
+	d.leaving = true
+	d.mu.Unlock()
+	callersServed, markServed := context.WithCancel(context.Background())
+	defer markServed()
+	var others sync.WaitGroup
+	others.Go(func() { d.endServers(callersServed, end, expedite) })
+	switch {
+	case d.proxy != nil:
+		d.stopCallers(end, expedite)
+	case d.engine != nil:
+		d.stopCalls(end, expedite)
 	}
+	markServed()
+	others.Wait()
+	d.log.Infof("stopped after %s", time.Since(began))
 	d.Close()
+	d.log.Flush()
 }
 
 const (
@@ -363,21 +374,26 @@
 	expeditedDrainTimeout = 5 * time.Second  // for calls in flight when expedited
 )
 
-func (d *Daemon) drainCalls(expedite <-chan struct{}) {
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+// stopCalls ends the connections of callers of a host with contracts by the given time.
+func (d *Daemon) stopCalls(end time.Time, expedite <-chan struct{}) {
+	d.log.Infof("stopping: no longer in resolve answers")
+	d.targets.Leave()
+	d.engine.Stop(end)
+	select {
+	case <-expedite:
+	case <-time.After(holdTime):
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	go func() {
 		select {
 		case <-expedite:
 			d.engine.Stop(time.Now().Add(expeditedDrainTimeout))
-			grace, stop := context.WithTimeout(ctx, expeditedDrainTimeout)
-			defer stop()
-			<-grace.Done()
-			cancel()
+			time.AfterFunc(expeditedDrainTimeout, cancel)
 		case <-ctx.Done():
 		}
 	}()
-	for _, s := range d.servers {
-		s.Shutdown(ctx) // Close follows
+	if err := d.calls.end(ctx); err != nil {
+		d.log.Warnf("stopping with %d calls in flight: %v", d.calls.inFlight.Load(), err)
 	}
 }
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -151,14 +151,14 @@
 	d.admin.Register(admin)
 	admin.GET("/metrics", d.writeMetrics)
 	listeners := []struct {
-		addr     string
-		register func(*echo.Echo)
+		name, addr string
+		register   func(*echo.Echo)
 	}{
-		{d.settings.Listen.Ready, func(e *echo.Echo) { d.opts.API.RegisterReady(e, d.acceptsRequests) }},
-		{d.settings.Listen.Control, func(e *echo.Echo) { d.opts.API.RegisterControl(e, d.localStore, d.log.Component("control")) }},
-		{d.settings.Listen.Directory, func(e *echo.Echo) { d.opts.API.RegisterDirectory(e, d.directoryEntries) }},
+		{"ready", d.settings.Listen.Ready, func(e *echo.Echo) { d.opts.API.RegisterReady(e, d.acceptsRequests) }},
+		{"control", d.settings.Listen.Control, func(e *echo.Echo) { d.opts.API.RegisterControl(e, d.localStore, d.log.Component("control")) }},
+		{"directory", d.settings.Listen.Directory, func(e *echo.Echo) { d.opts.API.RegisterDirectory(e, d.directoryEntries) }},
 	}
-	if err := d.serve(d.settings.Listen.Admin, admin); err != nil {
+	if err := d.serveOther("admin", d.settings.Listen.Admin, admin); err != nil {
 		return err
 	}
 	for _, l := range listeners {
@@ -167,7 +167,7 @@
 		}
 		e := newEcho()
 		l.register(e)
-		if err := d.serve(l.addr, e); err != nil {
+		if err := d.serveOther(l.name, l.addr, e); err != nil {
 			return err
 		}
 	}
@@ -200,25 +200,9 @@
 // connections, so that those it has accepted get their responses.
 const closingTime = 50 * time.Millisecond
 
-// stopSeeded shuts the host down gracefully: it reports not ready and leaves the
-// directory's answers at once, serves while callers may have an earlier answer
-// cached, and finishes the requests in flight. Requests that might not be finished in
-// time are refused from the start, so that only refusals are left at the end.
-func (d *Daemon) stopSeeded(expedite <-chan struct{}) {
-	began := time.Now()
-	d.mu.Lock()
-	d.leaving = true
-	d.mu.Unlock()
-	if d.proxy != nil {
-		d.stopCallers(began.Add(d.settings.Stop.Timeout.Or(drainTimeout)), expedite)
-	}
-	d.log.Infof("stopped after %s", time.Since(began))
-	d.Close()
-	d.log.Flush()
-}
-
-// stopCallers ends the connections of callers by the given time. Closing expedite makes
-// it refuse all further requests.
+// stopCallers ends the connections of callers by the given time. Requests that might not be
+// finished by then are refused from the start, so that only refusals are left at the end.
+// Closing expedite makes it refuse all further requests.
 func (d *Daemon) stopCallers(end time.Time, expedite <-chan struct{}) {
 	d.log.Infof("stopping: no longer ready, %d requests in flight", d.proxy.InFlight())
 	d.proxy.Stop(end)
--- a/internal/run/kqdaemon/seeded_test.go
+++ b/internal/run/kqdaemon/seeded_test.go
@@ -36,11 +36,13 @@
 	hosts map[string]*Daemon
 
 	stopTimes kqsettings.Stop
+	opts      Options
+	log       *kqlog.Log
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), hosts: map[string]*Daemon{}}
+	f := &fleet{t: t, dir: t.TempDir(), hosts: map[string]*Daemon{}, log: kqlog.Discard()}
 	addrs, err := kqsocket.FreeAddrs(len(f.ports))
 	if err != nil {
 		t.Fatal(err)
@@ -82,7 +84,7 @@
 	if err := s.Validate(); err != nil {
 		f.t.Fatal(err)
 	}
-	d, err := Start(s, kqlog.Discard())
+	d, err := StartWith(s, f.log, f.opts)
 	if err != nil {
 		f.t.Fatal(err)
 	}
