Operators: a PUT of routes without a quorum is answered after 10 s

Seen by operators: a PUT of routes on the operators' address of a host without a quorum was never answered; contracts and hosts were, after 10 s, with "unknown".

Cause: putRoutes passed the request's context on without submitTimeout.

Evidence: TestChangesAreBounded printed "the wait for a quorum is not bounded by 10s" for routes before, and passed for contracts.

--- a/internal/admin/kqadmin/routes.go
+++ b/internal/admin/kqadmin/routes.go
@@ -1,6 +1,7 @@
 package kqadmin
 
 import (
+	"context"
 	"io"
 	"net/http"
 
@@ -28,7 +29,9 @@
 		return c.JSON(http.StatusBadRequest, errorBody{Error: "malformed", Detail: err.Error()})
 	}
 	proposal := &kqroutes.Proposal{Document: *doc, Source: p}
-	res, err := s.cfg.Store.Submit(c.Request().Context(), kqcontract.Command{Op: kqcontract.OpRoutes, Routes: proposal})
+	ctx, cancel := context.WithTimeout(c.Request().Context(), submitTimeout)
+	defer cancel()
+	res, err := s.cfg.Store.Submit(ctx, kqcontract.Command{Op: kqcontract.OpRoutes, Routes: proposal})
 	if err != nil {
 		return c.JSON(http.StatusGatewayTimeout, errorBody{Error: "unknown", Detail: err.Error(), Unknown: true})
 	}
