Operators: an entry host with seeds passes changes on to any control host that is linked

Seen by operators: from the moment at which the control host that an entry host follows stops, changes and reads sent to that entry host were answered with "unknown" (control: no control host), until it followed another one.

Cause: RemoteStore goes through a list of control hosts, but the list came from the settings, where a host with seeds has none. So it knew only the one it follows.

Change: the list is asked for each request and holds the control hosts discovered through seeds. A change whose way breaks after it was received is sent to the next one, which is safe, as every command is idempotent.

--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -245,7 +245,7 @@
 }
 
 func (d *Daemon) startAdmin() {
-	var store kqcontrol.Store = kqcontrol.RemoteStore{Link: d.mesh, ControlHosts: d.controlNames(), PreferredHost: d.hubHost}
+	var store kqcontrol.Store = kqcontrol.RemoteStore{Link: d.mesh, ControlHosts: d.controlNames, PreferredHost: d.hubHost}
 	if d.control != nil {
 		store = d.localStore
 	}
--- a/internal/run/kqdaemon/listeners_test.go
+++ b/internal/run/kqdaemon/listeners_test.go
@@ -449,3 +449,93 @@
 	return fmt.Sprintf(`{"owner":"demo","version":%d,"services":[{"name":"echo","idempotent":["GET"],"deadline":"2s",
 		"rate":10000,"burst":1000,"active":64,"queue":64,"share":1,"probes":1,"retries":10,"hedges":5,"body":1048576}]}`, version)
 }
+
+// TestLeaderStopLosesNoChange guards against changes that go through other hosts while the
+// leader stops, and are acknowledged and gone, or not answered.
+func TestLeaderStopLosesNoChange(t *testing.T) {
+	lt := newListenerTest(t, 5)
+	leader := lt.withRole(true)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	acked, statuses := []string{}, map[int]int{}
+	longest := time.Duration(0)
+	stopped := make(chan struct{})
+	put := func(addr string) {
+		v := lt.version.Add(1)
+		began := time.Now()
+		status, text := lt.send("PUT", addr, "/v1/routes", routes(int(v), "/filings/"))
+		mu.Lock()
+		defer mu.Unlock()
+		statuses[status]++
+		longest = max(longest, time.Since(began))
+		if status == http.StatusOK && strings.Contains(text, `"taken":true`) {
+			acked = append(acked, fmt.Sprint(v))
+		}
+	}
+	for host, d := range lt.hosts {
+		if host == leader {
+			continue
+		}
+		for range 3 {
+			wg.Go(func() {
+				for !isClosed(stopped) {
+					put(d.settings.Listen.Admin)
+					time.Sleep(rand.N(maxAskPause))
+				}
+			})
+		}
+	}
+	time.Sleep(askLoad)
+	lt.hosts[leader].Stop(make(chan struct{}))
+	delete(lt.hosts, leader)
+	time.Sleep(askLoad)
+	close(stopped)
+	wg.Wait()
+	t.Logf("%d acknowledged, by status %v, the longest took %s", len(acked), statuses, longest.Round(time.Millisecond))
+	if statuses[0] > 0 {
+		t.Errorf("%d changes got no answer", statuses[0])
+	}
+	if len(acked) == 0 {
+		t.Error("no change was acknowledged")
+	}
+	for _, v := range acked[max(0, len(acked)-kqroutes.MaxHistory/2):] {
+		if !lt.isAccepted(v) {
+			t.Errorf("version %s was acknowledged and is gone", v)
+		}
+	}
+}
+
+// TestChangeOutlastsControlHost guards against a change sent to an entry host that fails
+// because the control host which it is passed to stops.
+func TestChangeOutlastsControlHost(t *testing.T) {
+	lt := newListenerTest(t, 5)
+	host := lt.hosts[entry(0)].hubHost()
+	var wg sync.WaitGroup
+	stopped := make(chan struct{})
+	for range 4 {
+		wg.Go(func() {
+			for !isClosed(stopped) {
+				v := int(lt.version.Add(1))
+				if status, text := lt.send("PUT", lt.at(entry(0), 1), "/v1/routes", routes(v, "/filings/")); status != http.StatusOK {
+					t.Errorf("version %d: %d %s", v, status, text)
+				}
+				time.Sleep(rand.N(maxAskPause))
+			}
+		})
+	}
+	time.Sleep(askLoad)
+	lt.hosts[host].Stop(make(chan struct{}))
+	delete(lt.hosts, host)
+	time.Sleep(askLoad)
+	close(stopped)
+	wg.Wait()
+}
+
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/run/kqdaemon/peers.go
+++ b/internal/run/kqdaemon/peers.go
@@ -9,10 +9,11 @@
 	"kumquatglade/internal/state/kqreplica"
 )
 
-// controlNames returns the names of the control hosts in the settings.
+// controlNames returns the names of the control hosts in the settings, or of those
+// discovered through seeds.
 func (d *Daemon) controlNames() []string {
 	var list []string
-	for _, c := range d.settings.Control {
+	for _, c := range d.feedControls() {
 		list = append(list, c.Host)
 	}
 	return list
--- a/internal/state/kqcontrol/store.go
+++ b/internal/state/kqcontrol/store.go
@@ -180,15 +180,16 @@
 // RemoteStore is the Store of a host without a replica; it sends requests to control
 // hosts.
 type RemoteStore struct {
-	Link         kq.Link
-	ControlHosts []string
+	Link kq.Link
+	// ControlHosts returns the control hosts known now.
+	ControlHosts func() []string
 	// PreferredHost returns the control host to try first, empty if none.
 	PreferredHost func() string
 }
 
 // call sends the request to one control host after the other until one answers.
 func (r RemoteStore) call(ctx context.Context, method string, body, out any) error {
-	list := slices.Clone(r.ControlHosts)
+	list := r.ControlHosts()
 	if preferred := r.PreferredHost(); preferred != "" {
 		list = append([]string{preferred}, list...)
 	}
