--- a/internal/run/kqdaemon/listeners_test.go
+++ b/internal/run/kqdaemon/listeners_test.go
@@ -319,34 +319,53 @@
 // TestStopAnswersWhatIsUndecided guards against changes whose outcome is open at a planned
 // stop and that are cut, so that whoever sent them doesn't learn that it is open.
 func TestStopAnswersWhatIsUndecided(t *testing.T) {
+	for _, signals := range []struct {
+		name   string
+		second bool
+		limit  time.Duration
+	}{
+		{"one signal", false, controlStopLimit},
+		{"two signals", true, controlStopLimit / 2},
+	} {
+		t.Run(signals.name, func(t *testing.T) {
+			stopUndecided(t, signals.second, signals.limit)
+		})
+	}
+}
+
+// stopUndecided stops a control host without a quorum while changes wait for one.
+func stopUndecided(t *testing.T, second bool, limit time.Duration) {
+	t.Helper()
 	lt := newListenerTest(t, 3)
 	lt.stop(control(1))
 	lt.stop(control(2))
 	host := control(0)
+	var wg sync.WaitGroup
 	for _, ask := range []struct {
-		name, addr, method, path, body string
-		want                           int
+		method, addr, path, body string
+		want                     int
 	}{
-		{"admin", lt.at(host, 1), "PUT", "/v1/routes", routes(9, "/filings/"), http.StatusGatewayTimeout},
-		{"control", lt.at(host, 4), "POST", "/v1/targets", fmt.Sprintf(announcementBody, 1), http.StatusServiceUnavailable},
+		{"PUT", lt.at(host, 1), "/v1/routes", routes(9, "/filings/"), http.StatusGatewayTimeout},
+		{"POST", lt.at(host, 4), "/v1/targets", fmt.Sprintf(announcementBody, 1), http.StatusServiceUnavailable},
 	} {
-		t.Run(ask.name, func(t *testing.T) {
-			t.Parallel()
-			if status, text := lt.send(ask.method, ask.addr, ask.path, ask.body, requestIDHeader, ask.name); status != ask.want {
-				t.Errorf("status %d %s, want %d", status, text, ask.want)
+		wg.Go(func() {
+			if status, text := lt.send(ask.method, ask.addr, ask.path, ask.body, requestIDHeader, ask.path); status != ask.want {
+				t.Errorf("%s: status %d %s, want %d", ask.path, status, text, ask.want)
 			}
 		})
 	}
-	t.Run("stops", func(t *testing.T) {
-		t.Parallel()
-		time.Sleep(askLoad)
-		began := time.Now()
-		lt.hosts[host].Stop(make(chan struct{}))
-		delete(lt.hosts, host)
-		if took := time.Since(began); took > controlStopLimit {
-			t.Errorf("the stop took %s, at most %s are allowed", took, controlStopLimit)
-		}
-	})
+	time.Sleep(askLoad)
+	expedite := make(chan struct{})
+	if second {
+		close(expedite)
+	}
+	began := time.Now()
+	lt.hosts[host].Stop(expedite)
+	delete(lt.hosts, host)
+	if took := time.Since(began); took > limit {
+		t.Errorf("the stop took %s, at most %s are allowed", took, limit)
+	}
+	wg.Wait()
 }
 
 // TestStopLogsWhatItCuts guards against requests that a stop cuts without a line by which
