Settings: a file that was read while it was written is read again

Seen by operators: none yet; found in a search for what the process accepts and then forgets. A change of the settings file could stay without effect until the next change or signal.

Cause: the watch kept the file's modification time before it had loaded the file. If that failed, because the file was half written, and the rest was written within the resolution of that time, the file counted as unchanged.

--- a/internal/run/kqmain/platform.go
+++ b/internal/run/kqmain/platform.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kumquatglade/internal/host/kqlog"
+	"kumquatglade/internal/host/kqsettings"
 	"kumquatglade/internal/run/kqdaemon"
 	"kumquatglade/internal/state/kqcontrol"
 	"kumquatglade/platform"
@@ -49,35 +50,50 @@
 		return exitFatal
 	}
 	defer log.Flush()
-	go watchSettings(path, reload, d, log.Component("settings"))
+	watch := settingsWatch{path: path, load: platform.Load, set: d.SetSeeds, log: log.Component("settings")}
+	go watch.run(reload)
 	return serve(d, signals, stderr)
 }
 
-// watchSettings applies changed seeds after a signal or a change of the file.
-func watchSettings(path string, reload <-chan os.Signal, d *kqdaemon.Daemon, log *kqlog.Log) {
+// settingsWatch applies the seeds of a settings file that changes.
+type settingsWatch struct {
+	path string
+	load func(path string) (kqsettings.Settings, error)
+	set  func(seeds []string)
+	log  *kqlog.Log
+	last time.Time // modification time of the file as applied last
+}
+
+// run loads the file after a signal and when it has changed.
+func (w *settingsWatch) run(reload <-chan os.Signal) {
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
-	var last time.Time
 	for {
 		select {
 		case <-reload:
-			log.Infof("signal: reloading %s", path)
+			w.log.Infof("signal: reloading %s", w.path)
+			w.apply(true)
 		case <-tick.C:
-			info, err := os.Stat(path)
-			if err != nil {
-				log.Warnf("%v", err)
-				continue
-			}
-			if info.ModTime().Equal(last) {
-				continue
-			}
-			last = info.ModTime()
-		}
-		s, err := platform.Load(path)
-		if err != nil {
-			log.Warnf("cannot load the settings, keeping the previous ones: %v", err)
-			continue
+			w.apply(false)
 		}
-		d.SetSeeds(s.Seeds)
 	}
 }
+
+// apply loads the file if it has changed since it was applied last, or in any case.
+func (w *settingsWatch) apply(always bool) {
+	info, err := os.Stat(w.path)
+	if err != nil {
+		w.log.Warnf("%v", err)
+		return
+	}
+	if !always && info.ModTime().Equal(w.last) {
+		return
+	}
+	s, err := w.load(w.path)
+	if err != nil {
+		w.log.Warnf("cannot load the settings, keeping the previous ones: %v", err)
+		return
+	}
+	w.last = info.ModTime()
+	w.set(s.Seeds)
+}
