--- a/internal/run/kqmain/main.go
+++ b/internal/run/kqmain/main.go
@@ -82,7 +82,7 @@
 		return exitFatal
 	}
 	defer log.Flush()
-	go watchSettings(path, kqsettings.Load, reload, d, log.Component("settings"))
+	go newSettingsWatch(path, kqsettings.Load, d, log).run(reload)
 	return serve(d, signals, stderr)
 }
 
--- a/internal/run/kqmain/platform.go
+++ b/internal/run/kqmain/platform.go
@@ -37,6 +37,6 @@
 		return exitFatal
 	}
 	defer log.Flush()
-	go watchSettings(path, platform.Load, reload, d, log.Component("settings"))
+	go newSettingsWatch(path, platform.Load, d, log).run(reload)
 	return serve(d, signals, stderr)
 }
--- a/internal/run/kqmain/watch.go
+++ b/internal/run/kqmain/watch.go
@@ -13,33 +13,51 @@
 // change without a signal.
 const settingsPollInterval = 2 * time.Second
 
-// watchSettings applies changed seeds after a signal or a change of the file.
-func watchSettings(path string, load func(path string) (kqsettings.Settings, error), reload <-chan os.Signal, d *kqdaemon.Daemon, log *kqlog.Log) {
+// settingsWatch applies the seeds of a settings file that changes.
+type settingsWatch struct {
+	path string
+	load func(path string) (kqsettings.Settings, error)
+	set  func(seeds []string)
+	log  *kqlog.Log
+	last time.Time // modification time of the file as applied last
+}
+
+func newSettingsWatch(path string, load func(path string) (kqsettings.Settings, error), d *kqdaemon.Daemon, log *kqlog.Log) *settingsWatch {
+	return &settingsWatch{path: path, load: load, set: d.SetSeeds, log: log.Component("settings")}
+}
+
+// run loads the file after a signal and when it has changed.
+func (w *settingsWatch) run(reload <-chan os.Signal) {
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
-	var last time.Time
 	for {
 		select {
 		case <-reload:
-			log.Infof("signal: reloading %s", path)
+			w.log.Infof("signal: reloading %s", w.path)
+			w.apply(true)
 		case <-tick.C:
-			info, err := os.Stat(path)
-			if err != nil {
-				log.Warnf("%v", err)
-				continue
-			}
-			if info.ModTime().Equal(last) {
-				continue
-			}
-			last = info.ModTime()
-		}
-		s, err := load(path)
-		if err != nil {
-			log.Warnf("cannot load the settings, keeping the previous ones: %v", err)
-			continue
-		}
-		if len(s.Seeds) > 0 {
-			d.SetSeeds(s.Seeds)
+			w.apply(false)
 		}
 	}
 }
+
+// apply loads the file if it has changed since it was applied last, or in any case.
+func (w *settingsWatch) apply(always bool) {
+	info, err := os.Stat(w.path)
+	if err != nil {
+		w.log.Warnf("%v", err)
+		return
+	}
+	if !always && info.ModTime().Equal(w.last) {
+		return
+	}
+	s, err := w.load(w.path)
+	if err != nil {
+		w.log.Warnf("cannot load the settings, keeping the previous ones: %v", err)
+		return
+	}
+	w.last = info.ModTime()
+	if len(s.Seeds) > 0 { // a host may name all control hosts instead
+		w.set(s.Seeds)
+	}
+}
