Soak: stayers send in more ways, stops overlap, a loss says how it came

What callers saw: requests without an answer around a planned stop. The soak knew a GET and a POST in chunks only, one stop at a time, and said of a loss neither the way nor the moment. It counted no loss of the callers that use http.Client: an error of Do was dropped.

It reads while it writes, so that the time of a cut is known. Stop times, timeouts of routes and work are those of the users. Each loss is printed with its way, the time since the signal and the lines of the hosts' logs by its ID; the counts are printed by way.

--- a/internal/bench/kqbench/soak.go
+++ b/internal/bench/kqbench/soak.go
@@ -26,6 +26,9 @@
 	entries  int
 	planned  bool
 	stayers  int
+	behind   bool
+	half     bool
+	reload   bool
 }
 
 func newSoakCommand() command {
@@ -42,6 +45,9 @@
 	sub.Int(&s.targets, "", "targets", "stand-ins of targets")
 	sub.Bool(&s.planned, "", "planned", "only planned work, which may cut no request")
 	sub.Int(&s.stayers, "", "stayers", "callers for each entry host that stay until it is gone")
+	sub.Bool(&s.behind, "", "behind", "stayers also send requests behind each other")
+	sub.Bool(&s.half, "", "half", "stayers also close their sending side after a request")
+	sub.Bool(&s.reload, "", "reload", "SIGHUP is part of the planned work")
 	sub.Int(&s.control, "", "control", "control hosts, with --settings")
 	sub.Int(&s.entries, "", "entries", "entry hosts, with --settings")
 }
@@ -58,7 +64,7 @@
 	}
 	broken, err := kqsoak.Run(ctx, kqsoak.Config{
 		Dir: s.dir, Seed: s.seed, RunTime: time.Duration(s.seconds) * time.Second, Rate: s.rate, Targets: s.targets,
-		Planned: s.planned, Stayers: s.stayers, Out: out,
+		Planned: s.planned, Reload: s.reload, Stayers: s.stayers, Ways: kqsoak.Ways(s.behind, s.half), Out: out,
 	})
 	if err != nil {
 		return err
--- a/internal/bench/kqsoak/drive.go
+++ b/internal/bench/kqsoak/drive.go
@@ -23,20 +23,22 @@
 	uploadSize       = 64 << 10 // bytes
 	safePrefix       = "/read/"
 	unsafePrefix     = "/file/"
+	uploadPrefix     = "/ledger/"
 )
 
 // requestKinds are the kinds of requests by the prefix of their route; those with
 // once set must not run twice.
 var requestKinds = []struct {
-	prefix string
-	kind   string
-	method string
-	size   int
-	once   bool
+	prefix  string
+	kind    string
+	timeout string
+	method  string
+	size    int
+	once    bool
 }{
-	{safePrefix, "safe", http.MethodGet, 0, false},
-	{unsafePrefix, "unsafe", http.MethodPost, 300, true},
-	{"/ledger/", "upload", http.MethodPost, uploadSize, true},
+	{safePrefix, "safe", "1s", http.MethodGet, 0, false},
+	{unsafePrefix, "unsafe", "1.1s", http.MethodPost, 300, true},
+	{uploadPrefix, "upload", "1.2s", http.MethodPost, uploadSize, true},
 }
 
 // callers sends requests at a fixed rate to randomly chosen entry hosts.
@@ -82,16 +84,21 @@
 	}
 	req.Header.Set(kqproxy.DefaultHeaderNames.RequestID, id)
 	req.Header.Set(kqproxy.DefaultHeaderNames.Deadline, fmt.Sprint(callTimeout.Milliseconds()))
-	c.ledger.Sent(id, k.once)
+	c.ledger.SentIn(WayClient, id, k.once)
 	res, err := c.client.Do(req)
 	if err != nil {
+		c.ledger.Cut(id, Cut{Addr: addr, At: time.Now(), Err: err})
 		return false
 	}
 	defer res.Body.Close()
 	p, err := io.ReadAll(res.Body)
+	if err != nil {
+		c.ledger.Cut(id, Cut{Addr: addr, At: time.Now(), Err: err})
+		return false
+	}
 	matches := res.Header.Get(kqproxy.DefaultHeaderNames.RequestID) == id && res.Header.Get(kqproxy.DefaultHeaderNames.Seal) != "" && string(p) == answerTo(id)
-	c.ledger.Answered(id, res.StatusCode, err == nil, matches)
-	return err == nil && res.StatusCode == http.StatusOK
+	c.ledger.Answered(id, res.StatusCode, true, matches)
+	return res.StatusCode == http.StatusOK
 }
 
 // operator repeatedly replaces the routes and reads them back.
@@ -113,9 +120,9 @@
 		Timeout   string `json:"timeout"`
 		Objective string `json:"objective"`
 	}
-	list := []route{{"version", versionPrefix(version), service, "safe", 2, "2s", "300ms"}}
+	list := []route{{"version", versionPrefix(version), service, "safe", 2, "1.2s", "300ms"}}
 	for _, k := range requestKinds {
-		list = append(list, route{strings.Trim(k.prefix, "/"), k.prefix, service, k.kind, 2, "2s", "300ms"})
+		list = append(list, route{strings.Trim(k.prefix, "/"), k.prefix, service, k.kind, 2, k.timeout, "300ms"})
 	}
 	p, err := json.Marshal(map[string]any{
 		"version": version, "limits": struct{}{},
--- a/internal/bench/kqsoak/fault.go
+++ b/internal/bench/kqsoak/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -17,10 +18,14 @@
 	FreezeControl      Kind = "freeze a control host"
 	StopEntry          Kind = "stop an entry host as planned"
 	StopEntryTwice     Kind = "stop an entry host as planned, with two signals"
+	StopEntries        Kind = "stop entry hosts as planned, at once or one after the other"
 	StopControl        Kind = "stop a control host as planned"
+	StopWithLeader     Kind = "stop an entry host and the control host that leads"
+	Reload             Kind = "SIGHUP to entry hosts"
 	LoseDisk           Kind = "lose folders of control hosts"
 	TargetCrash        Kind = "crash a target"
 	TargetLeaves       Kind = "a target leaves"
+	TargetMoves        Kind = "a target is replaced at a new address"
 	TargetSlow         Kind = "a target turns slow"
 	TargetRejects      Kind = "a target rejects all"
 	TargetDropsAnswers Kind = "a target loses answers"
@@ -38,6 +43,7 @@
 const (
 	roundTime = 5 * time.Second // period in which the faults of a round start
 	maxFaults = 3               // per round
+	maxWork   = 5               // per round of planned work
 )
 
 // delaysLeave reports whether a fault can keep a host from learning in time that a
@@ -45,28 +51,52 @@
 // target leaves in the same round.
 func delaysLeave(k Kind) bool {
 	switch k {
-	case KillControl, KillAll, StopControl, FreezeEntry, FreezeControl, LoseDisk:
+	case KillControl, KillAll, StopControl, StopWithLeader, FreezeEntry, FreezeControl, LoseDisk:
 		return true
 	}
 	return false
 }
 
-// Round draws the faults of one round at random, or planned work only. Two faults for which delaysLeave
-// holds never share a round: more data folders than the tolerance might be lost
-// while other control hosts are still catching up.
-func Round(rng *rand.Rand, planned bool) []Fault {
-	kinds := []Kind{
+var (
+	faultKinds = []Kind{
 		KillEntry, KillControl, KillAll, FreezeEntry, FreezeControl, StopEntry, LoseDisk,
 		TargetCrash, TargetLeaves, TargetSlow, TargetRejects, TargetDropsAnswers,
 	}
-	if planned {
-		kinds = []Kind{StopEntry, StopEntry, StopEntryTwice, StopControl, TargetLeaves}
+	plannedKinds = []Kind{StopEntry, StopEntryTwice, StopEntries, StopControl, StopWithLeader, TargetLeaves, TargetMoves}
+	stopKinds    = []Kind{StopEntry, StopEntryTwice, StopEntries, StopWithLeader}
+)
+
+// Round draws the faults of one round at random. Two faults for which delaysLeave holds never
+// share a round: more data folders than the tolerance might be lost while other control hosts
+// are still catching up.
+func Round(rng *rand.Rand) []Fault {
+	return draws(rng, 1+rng.IntN(maxFaults), func(int) []Kind { return faultKinds })
+}
+
+// PlannedRound draws planned work of one round at random, which stops an entry host at least;
+// with reload, SIGHUP too.
+func PlannedRound(rng *rand.Rand, reload bool) []Fault {
+	kinds := plannedKinds
+	if reload {
+		kinds = append(slices.Clone(kinds), Reload, Reload)
 	}
+	return draws(rng, 2+rng.IntN(maxWork-1), func(i int) []Kind {
+		if i == 0 {
+			return stopKinds
+		}
+		return kinds
+	})
+}
+
+// draws draws n faults, each of one of the kinds that the function names, and drops those
+// that may not share the round with an earlier one.
+func draws(rng *rand.Rand, n int, kinds func(i int) []Kind) []Fault {
 	var list []Fault
-	for range 1 + rng.IntN(maxFaults) {
+	for i := range n {
+		of := kinds(i)
 		f := Fault{
-			Kind: kinds[rng.IntN(len(kinds))], After: time.Duration(rng.Int64N(int64(roundTime))),
-			For: time.Second + time.Duration(rng.Int64N(int64(3*time.Second))), Pick: rng.IntN(1 << 16), Count: 1 + rng.IntN(tolerance),
+			Kind: of[rng.IntN(len(of))], After: draw(rng, roundTime),
+			For: time.Second + draw(rng, 3*time.Second), Pick: rng.IntN(1 << 16), Count: 1 + rng.IntN(tolerance),
 		}
 		if !conflicts(f, list) {
 			list = append(list, f)
--- a/internal/bench/kqsoak/fault_test.go
+++ b/internal/bench/kqsoak/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -12,8 +13,8 @@
 func TestRound(t *testing.T) {
 	seen := map[Kind]int{}
 	for seed := range uint64(500) {
-		list := Round(rand.New(rand.NewPCG(seed, 1)), false)
-		if diff := cmp.Diff(list, Round(rand.New(rand.NewPCG(seed, 1)), false)); diff != "" || len(list) == 0 {
+		list := Round(rand.New(rand.NewPCG(seed, 1)))
+		if diff := cmp.Diff(list, Round(rand.New(rand.NewPCG(seed, 1)))); diff != "" || len(list) == 0 {
 			t.Fatal(seed, diff)
 		}
 		disruptive, leaves := 0, 0
@@ -38,16 +39,35 @@
 	}
 }
 
-// TestPlannedRound checks that planned rounds contain planned work only, and every kind.
+// TestPlannedRound checks that planned rounds stop an entry host and contain planned work
+// only, of every kind, and several at a time.
 func TestPlannedRound(t *testing.T) {
-	seen := map[Kind]bool{}
-	for seed := range uint64(100) {
-		for _, f := range Round(rand.New(rand.NewPCG(seed, 1)), true) {
-			seen[f.Kind] = true
+	for _, reload := range []bool{false, true} {
+		seen, overlaps := map[Kind]bool{}, 0
+		for seed := range uint64(200) {
+			list := PlannedRound(rand.New(rand.NewPCG(seed, 1)), reload)
+			if diff := cmp.Diff(list, PlannedRound(rand.New(rand.NewPCG(seed, 1)), reload)); diff != "" || !slices.Contains(stopKinds, list[0].Kind) {
+				t.Fatal(seed, list, diff)
+			}
+			for _, f := range list {
+				seen[f.Kind] = true
+			}
+			if len(list) > 2 {
+				overlaps++
+			}
+		}
+		want := map[Kind]bool{
+			StopEntry: true, StopEntryTwice: true, StopEntries: true, StopControl: true, StopWithLeader: true,
+			TargetLeaves: true, TargetMoves: true,
+		}
+		if reload {
+			want[Reload] = true
+		}
+		if diff := cmp.Diff(want, seen); diff != "" {
+			t.Error(diff)
+		}
+		if overlaps < 50 {
+			t.Errorf("only %d of 200 rounds have more than two events", overlaps)
 		}
-	}
-	want := map[Kind]bool{StopEntry: true, StopEntryTwice: true, StopControl: true, TargetLeaves: true}
-	if diff := cmp.Diff(want, seen); diff != "" {
-		t.Error(diff)
 	}
 }
--- a/internal/bench/kqsoak/hosts.go
+++ b/internal/bench/kqsoak/hosts.go
@@ -1,6 +1,7 @@
 package kqsoak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"kumquatglade/internal/admin/kqclient"
 	"kumquatglade/internal/bench/kqprocess"
 	"kumquatglade/internal/host/kqsettings"
 	"kumquatglade/internal/peer/kqsocket"
@@ -26,8 +28,9 @@
 
 	probeRate   = 60.0 // per second and target, the limit that the users set
 	retryRatio  = 0.2
-	stopHold    = 3 * time.Second
-	stopFinish  = 6 * time.Second
+	stopHold    = 3300 * time.Millisecond // as the users set it
+	stopFinish  = 5600 * time.Millisecond // as the users set it
+	graceTime   = 6 * time.Second         // after which the users kill a host that was told to stop
 	callsPort   = 0
 	adminPort   = 1
 	peersPort   = 2
@@ -124,6 +127,18 @@
 	return nil
 }
 
+// leader returns the control host that leads, nil if none says so.
+func (h *hosts) leader(ctx context.Context) *kqprocess.Host {
+	for _, c := range h.Control {
+		var status kqprocess.Status
+		err := kqclient.New(kqclient.Config{Servers: []string{c.Settings.Listen.Admin}, Key: operatorKey}).Get(ctx, "/v1/status", &status)
+		if err == nil && status.Replica != nil && status.Replica.Role == "leader" {
+			return c
+		}
+	}
+	return nil
+}
+
 // loseData kills a control host and deletes its data folder; the hold file delays
 // the restart until the folder is gone.
 func (h *hosts) loseData(x *kqprocess.Host) error {
--- a/internal/bench/kqsoak/ledger.go
+++ b/internal/bench/kqsoak/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,11 +28,15 @@
 	accepted   []acceptance         // in order of acknowledgement
 	violations []string
 	counts     Counts
-	planned    bool // all faults are planned work, which may cut no request
+	ways       map[Way]*WayCounts
+	signals    map[string]time.Time // when a host was last told to stop, by its address for callers
+	lost       []string             // IDs
+	planned    bool                 // all faults are planned work, which may cut no request
 }
 
 // call is one request, identified by its request ID.
 type call struct {
+	way     Way
 	once    bool // must not run twice
 	runs    int
 	refused bool // the answer said that it did not run and never will
@@ -49,9 +54,35 @@
 	Left                                 int // targets that left as planned
 }
 
+// WayCounts holds the numbers of calls that were sent in one way, by outcome; its field
+// names are printed.
+type WayCounts struct {
+	Sent, Answered, Refused, Failed int
+	Crossed                         int // without a response, as the connection ended when they were sent
+	Lost                            int
+}
+
+// Cut is the end of a connection without a complete response to a request.
+type Cut struct {
+	Addr string    // of the host, for callers
+	Sent time.Time // when the request was whole, zero if it never was or it isn't known
+	At   time.Time
+	Err  error
+}
+
 // NewLedger returns a Ledger without records.
 func NewLedger() *Ledger {
-	return &Ledger{calls: map[string]*call{}, left: map[string]time.Time{}}
+	return &Ledger{calls: map[string]*call{}, left: map[string]time.Time{}, ways: map[Way]*WayCounts{}, signals: map[string]time.Time{}}
+}
+
+// way returns the counts of a way; the caller holds l.mu.
+func (l *Ledger) way(w Way) *WayCounts {
+	c := l.ways[w]
+	if c == nil {
+		c = &WayCounts{}
+		l.ways[w] = c
+	}
+	return c
 }
 
 func (l *Ledger) violate(format string, args ...any) {
@@ -70,11 +101,16 @@
 }
 
 // Sent records that a caller sends a request, which must not run twice if once is set.
-func (l *Ledger) Sent(id string, once bool) {
+func (l *Ledger) Sent(id string, once bool) { l.SentIn("", id, once) }
+
+// SentIn records the same of a request that is sent in one of the ways.
+func (l *Ledger) SentIn(way Way, id string, once bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.call(id).once = once
+	c := l.call(id)
+	c.way, c.once = way, once
 	l.counts.Sent++
+	l.way(way).Sent++
 }
 
 // Ran records that a target started to run the request.
@@ -104,24 +140,29 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.call(id)
+	way := l.way(c.way)
 	switch {
 	case !complete:
 		l.counts.Broken++
+		way.Failed++
 	case status/100 == 2 && !matches:
 		l.violate("%s got a success that is not the whole answer to it", id)
 	case status/100 == 2:
 		l.counts.Good++
+		way.Answered++
 		if c.runs == 0 {
 			l.violate("%s got a success and did not run", id)
 		}
 	case status == 429 || status == 503:
 		l.counts.Refused++
+		way.Refused++
 		c.refused = true
 		if c.once && c.runs > 0 {
 			l.violate("%s was refused as not run, and had run", id)
 		}
 	default:
 		l.counts.Unknown++
+		way.Failed++
 		if l.planned && status == http.StatusBadGateway {
 			l.violate("%s was answered %d, though nothing failed", id, status)
 		}
@@ -135,15 +176,66 @@
 	l.planned = planned
 }
 
-// Cut records that the connection of a request ended without a complete answer, which a
+// Cut records that the connection of a request ended without a complete response, which a
 // host may do only with a request that it had no time to read.
-func (l *Ledger) Cut(id string, sinceSent time.Duration, err error) {
+func (l *Ledger) Cut(id string, e Cut) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counts.Broken++
-	if ran := l.call(id).runs > 0; l.planned && (ran || sinceSent > lossSlack) {
-		l.violate("%s was cut %v after it was sent, passed on: %t: %v", id, sinceSent.Round(time.Millisecond), ran, err)
+	c := l.call(id)
+	way := l.way(c.way)
+	ran, late := c.runs > 0, !e.Sent.IsZero() && e.At.Sub(e.Sent) > lossSlack
+	if !l.planned || !ran && !late {
+		way.Crossed++
+		return
 	}
+	way.Lost++
+	l.lost = append(l.lost, id)
+	l.violate("%s (%s) was cut %s, %s, passed on: %t: %v", id, c.way, after(e.Sent, e.At, "it was sent"), after(l.signals[e.Addr], e.At, "the signal"), ran, e.Err)
+}
+
+// after says how long after an event something was.
+func after(event, at time.Time, name string) string {
+	if event.IsZero() {
+		return "unknown when after " + name
+	}
+	return fmt.Sprintf("%v after %s", at.Sub(event).Round(time.Millisecond), name)
+}
+
+// Signalled records that the host with the address for callers was told to stop.
+func (l *Ledger) Signalled(addr string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.signals[addr] = at
+}
+
+// CheckWays records a violation for each way in which nothing was sent, and if no host was
+// told to stop: a run that tried nothing proves nothing.
+func (l *Ledger) CheckWays(list []Way) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, w := range list {
+		if l.way(w).Sent == 0 {
+			l.violate("nothing was sent in the way %q", w)
+		}
+	}
+	if len(l.signals) == 0 {
+		l.violate("no host of callers was told to stop")
+	}
+}
+
+// WayCounts returns the counts of a way.
+func (l *Ledger) WayCounts(w Way) WayCounts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return *l.way(w)
+}
+
+// Lost returns the IDs of the requests that were lost.
+func (l *Ledger) Lost() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.lost)
 }
 
 // Left records when the leave of a target was acknowledged.
--- a/internal/bench/kqsoak/ledger_test.go
+++ b/internal/bench/kqsoak/ledger_test.go
@@ -1,12 +1,21 @@
 package kqsoak
 
 import (
+	"fmt"
 	"io"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
+// cutAfter returns the end of the connection of a request, that long after it was sent.
+func cutAfter(d time.Duration) Cut {
+	sent := time.Unix(1, 0)
+	return Cut{Sent: sent, At: sent.Add(d), Err: io.EOF}
+}
+
 // TestLedger checks that each violated guarantee is recorded and a kept one is not.
 func TestLedger(t *testing.T) {
 	epoch := time.Unix(1, 0)
@@ -30,10 +39,35 @@
 		{"work long after a leave", func(l *Ledger) { l.Sent("a", true); l.Left("t", epoch); l.Ran("a", "t", at(drainBound+1)) }, "after its leave"},
 		{"read in time", func(l *Ledger) { l.Accepted(3, epoch); l.Read("h", 2, at(applyBound-1)) }, ""},
 		{"read of old routes", func(l *Ledger) { l.Accepted(3, epoch); l.Accepted(2, epoch); l.Read("h", 2, at(applyBound)) }, "showed routes 2, though 3"},
-		{"cut after it ran", func(l *Ledger) { l.SetPlanned(true); l.Sent("a", true); l.Ran("a", "t", epoch); l.Cut("a", 0, io.EOF) }, "passed on: true"},
-		{"cut long after it was sent", func(l *Ledger) { l.SetPlanned(true); l.Sent("a", true); l.Cut("a", lossSlack+1, io.EOF) }, "passed on: false"},
-		{"crossed the close", func(l *Ledger) { l.SetPlanned(true); l.Sent("a", true); l.Cut("a", lossSlack, io.EOF) }, ""},
-		{"cut by an unplanned fault", func(l *Ledger) { l.Sent("a", true); l.Ran("a", "t", epoch); l.Cut("a", time.Second, io.EOF) }, ""},
+		{"cut after it ran", func(l *Ledger) {
+			l.SetPlanned(true)
+			l.Sent("a", true)
+			l.Ran("a", "t", epoch)
+			l.Cut("a", cutAfter(0))
+		}, "passed on: true"},
+		{"cut long after it was sent", func(l *Ledger) { l.SetPlanned(true); l.Sent("a", true); l.Cut("a", cutAfter(lossSlack+1)) }, "passed on: false"},
+		{"crossed the close", func(l *Ledger) { l.SetPlanned(true); l.Sent("a", true); l.Cut("a", cutAfter(lossSlack)) }, ""},
+		{"cut by an unplanned fault", func(l *Ledger) { l.Sent("a", true); l.Ran("a", "t", epoch); l.Cut("a", cutAfter(time.Second)) }, ""},
+		{"ended before it was whole", func(l *Ledger) { l.SetPlanned(true); l.Sent("a", true); l.Cut("a", Cut{At: at(time.Second)}) }, ""},
+		{"passed on and never known to be whole", func(l *Ledger) {
+			l.SetPlanned(true)
+			l.Sent("a", true)
+			l.Ran("a", "t", epoch)
+			l.Cut("a", Cut{At: at(time.Second)})
+		}, "passed on: true"},
+		{"says the way and the time since the signal", func(l *Ledger) {
+			l.SetPlanned(true)
+			l.SentIn(WayExpect, "a", true)
+			l.Signalled("h", at(-time.Second))
+			l.Cut("a", Cut{Addr: "h", Sent: epoch, At: at(time.Second)})
+		}, "a (POST that waits for 100) was cut 1s after it was sent, 2s after the signal"},
+		{"tried all", func(l *Ledger) { l.SentIn(WayGet, "a", false); l.Signalled("h", epoch); l.CheckWays([]Way{WayGet}) }, ""},
+		{"a way was not tried", func(l *Ledger) {
+			l.SentIn(WayGet, "a", false)
+			l.Signalled("h", epoch)
+			l.CheckWays([]Way{WayGet, WayHead})
+		}, "nothing was sent in the way"},
+		{"no stop was tried", func(l *Ledger) { l.SentIn(WayGet, "a", false); l.CheckWays([]Way{WayGet}) }, "told to stop"},
 		{"answered in place of the target", func(l *Ledger) {
 			l.SetPlanned(true)
 			l.Sent("a", true)
@@ -54,3 +88,28 @@
 		})
 	}
 }
+
+// TestWayCounts checks that each outcome is counted with the way in which its request was sent,
+// so that the counts of a way add up.
+func TestWayCounts(t *testing.T) {
+	l := NewLedger()
+	l.SetPlanned(true)
+	for i, end := range []func(id string){
+		func(id string) { l.Ran(id, "t", time.Unix(1, 0)); l.Answered(id, 200, true, true) },
+		func(id string) { l.Answered(id, 503, true, false) },
+		func(id string) { l.Answered(id, 504, true, false) },
+		func(id string) { l.Cut(id, cutAfter(0)) },
+		func(id string) { l.Cut(id, cutAfter(time.Second)) },
+	} {
+		id := fmt.Sprint(i)
+		l.SentIn(WaySlow, id, true)
+		end(id)
+	}
+	want := WayCounts{Sent: 5, Answered: 1, Refused: 1, Failed: 1, Crossed: 1, Lost: 1}
+	if got := l.WayCounts(WaySlow); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+	if diff := cmp.Diff([]string{"4"}, l.Lost()); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/bench/kqsoak/soak.go
+++ b/internal/bench/kqsoak/soak.go
@@ -7,11 +7,8 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
-	"kumquatglade/internal/bench/kqprocess"
-
 	"github.com/cockroachdb/errors"
 )
 
@@ -20,6 +17,12 @@
 	recoveryTimeout   = 15 * time.Second // until it serves again after the last fault, as the users require
 	pollInterval      = 100 * time.Millisecond
 	requiredSuccesses = 20 // consecutive successes per entry host after a round
+
+	plannedSlots = 12 // of a target in planned work
+	minWork      = 76 * time.Millisecond
+	maxWorkTime  = 120 * time.Millisecond
+	maxSlowWork  = 950 * time.Millisecond
+	slowShare    = 50 // one request in so many is slow
 )
 
 // Config configures a soak run on the hosts whose settings are in the folder Dir.
@@ -29,8 +32,10 @@
 	RunTime time.Duration
 	Rate    float64 // requests per second
 	Targets int
-	Planned bool // only planned work, during which no request may be lost
-	Stayers int  // callers for each entry host that stay until it is gone
+	Planned bool  // only planned work, during which no request may be lost
+	Reload  bool  // SIGHUP is part of the planned work
+	Stayers int   // callers for each entry host that stay until it is gone
+	Ways    []Way // in which stayers send
 	Out     io.Writer
 }
 
@@ -78,7 +83,10 @@
 	workload.Go(func() { s.operator.run(ctx) })
 	for i, addr := range calls {
 		for n := range cfg.Stayers {
-			stayer := &Stayer{Name: fmt.Sprintf("s%d-%d", i+1, n+1), Addr: addr, Ledger: s.ledger}
+			stayer := &Stayer{
+				Name: fmt.Sprintf("s%d-%d", i+1, n+1), Addr: addr, Ledger: s.ledger,
+				Ways: cfg.Ways, Seed: cfg.Seed<<16 + uint64(i*cfg.Stayers+n),
+			}
 			workload.Go(func() { stayer.Run(ctx) })
 		}
 	}
@@ -87,14 +95,49 @@
 	workload.Wait()
 	time.Sleep(callTimeout) // lets requests in flight finish
 	s.checkRecovery(context.WithoutCancel(ctx), "the end")
+	return s.report(), nil
+}
+
+// report prints the counts and a trace of what was lost, and returns the violations.
+func (s *soak) report() []string {
+	ways := []Way{WayClient}
+	if s.cfg.Stayers > 0 {
+		ways = append(ways, s.cfg.Ways...)
+	}
+	if s.cfg.Planned {
+		s.ledger.CheckWays(ways)
+	}
+	for _, w := range ways {
+		fmt.Fprintf(s.cfg.Out, "%-30s %+v\n", w, s.ledger.WayCounts(w))
+	}
+	for _, line := range s.hosts.trace(s.ledger.Lost()) {
+		fmt.Fprintln(s.cfg.Out, line)
+	}
 	counts, violations := s.ledger.Result()
-	fmt.Fprintf(cfg.Out, "%+v\n", counts)
-	return violations, nil
+	fmt.Fprintf(s.cfg.Out, "%+v\n", counts)
+	return violations
 }
 
 func (s *soak) newTarget() *Target {
 	s.targetCount++
-	return StartTarget(TargetConfig{ID: fmt.Sprintf("t%d", s.targetCount), Ledger: s.ledger, ControlAddrs: s.hosts.controlAddrs()})
+	return s.startTarget(fmt.Sprintf("t%d", s.targetCount))
+}
+
+func (s *soak) startTarget(id string) *Target {
+	cfg := TargetConfig{ID: id, Ledger: s.ledger, ControlAddrs: s.hosts.controlAddrs()}
+	if s.cfg.Planned {
+		cfg.Slots, cfg.Work = plannedSlots, plannedWork
+	}
+	return StartTarget(cfg)
+}
+
+// plannedWork draws how long a target works on a request: as those of the users, mostly
+// short and at times up to the timeout of a route.
+func plannedWork() time.Duration {
+	if rand.IntN(slowShare) == 0 {
+		return rand.N(maxSlowWork)
+	}
+	return minWork + rand.N(maxWorkTime-minWork)
 }
 
 func (s *soak) killTargets() {
@@ -121,7 +164,7 @@
 func (s *soak) runRounds(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(s.cfg.Seed, 1))
 	for n := 1; ctx.Err() == nil; n++ {
-		list := Round(rng, s.cfg.Planned)
+		list := s.draw(rng)
 		fmt.Fprintf(s.cfg.Out, "round %d: %+v\n", n, list)
 		var faults sync.WaitGroup
 		for _, f := range list {
@@ -137,6 +180,13 @@
 	}
 }
 
+func (s *soak) draw(rng *rand.Rand) []Fault {
+	if s.cfg.Planned {
+		return PlannedRound(rng, s.cfg.Reload)
+	}
+	return Round(rng)
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -144,98 +194,6 @@
 	}
 }
 
-// inject causes the fault and ends it after f.For if it is one that ends.
-func (s *soak) inject(ctx context.Context, f Fault) error {
-	entry := s.hosts.Entries[f.Pick%len(s.hosts.Entries)]
-	control := func(i int) *kqprocess.Host { return s.hosts.Control[(f.Pick+i)%len(s.hosts.Control)] }
-	switch f.Kind {
-	case KillEntry:
-		return entry.Signal(syscall.SIGKILL)
-	case StopEntry:
-		return stop(ctx, entry, 0)
-	case StopEntryTwice:
-		return stop(ctx, entry, f.For)
-	case StopControl:
-		return control(0).Signal(syscall.SIGTERM)
-	case FreezeEntry:
-		return freeze(ctx, entry, f.For)
-	case FreezeControl:
-		return freeze(ctx, control(0), f.For)
-	case KillControl:
-		return forEach(f.Count, func(i int) error { return control(i).Signal(syscall.SIGKILL) })
-	case LoseDisk:
-		return forEach(f.Count, func(i int) error { return s.hosts.loseData(control(i)) })
-	case KillAll:
-		all := s.hosts.All()
-		return forEach(len(all), func(i int) error { return all[i].Signal(syscall.SIGKILL) })
-	default:
-		s.injectTarget(ctx, f)
-		return nil
-	}
-}
-
-func forEach(n int, do func(i int) error) error {
-	var err error
-	for i := range n {
-		err = errors.CombineErrors(err, do(i))
-	}
-	return err
-}
-
-func freeze(ctx context.Context, h *kqprocess.Host, d time.Duration) error {
-	if err := h.Signal(syscall.SIGSTOP); err != nil {
-		return err
-	}
-	wait(ctx, d)
-	return h.Signal(syscall.SIGCONT)
-}
-
-// stop ends a host as planned and waits until the time for that is over. With second, it
-// sends a second signal after that time.
-func stop(ctx context.Context, h *kqprocess.Host, second time.Duration) error {
-	if err := h.Signal(syscall.SIGTERM); err != nil {
-		return err
-	}
-	wait(ctx, second)
-	if second > 0 {
-		if err := h.Signal(syscall.SIGTERM); err != nil {
-			return err
-		}
-	}
-	wait(ctx, stopFinish-second)
-	return nil
-}
-
-func (s *soak) injectTarget(ctx context.Context, f Fault) {
-	s.mu.Lock()
-	i := f.Pick % len(s.targets)
-	t := s.targets[i]
-	if f.Kind == TargetCrash || f.Kind == TargetLeaves {
-		s.targets[i] = s.newTarget()
-	}
-	s.mu.Unlock()
-	switch f.Kind {
-	case TargetCrash:
-		t.Kill()
-	case TargetLeaves:
-		t.leave(ctx)
-		wait(ctx, f.For+drainBound)
-		t.Kill()
-	case TargetSlow:
-		t.slowdown.Store(900)
-		wait(ctx, f.For)
-		t.slowdown.Store(0)
-	case TargetRejects:
-		t.rejects.Store(true)
-		wait(ctx, f.For)
-		t.rejects.Store(false)
-	case TargetDropsAnswers:
-		t.dropsAnswers.Store(true)
-		wait(ctx, f.For)
-		t.dropsAnswers.Store(false)
-	}
-}
-
 // checkRecovery records a violation if the system does not serve in time after faults.
 func (s *soak) checkRecovery(ctx context.Context, when string) {
 	began := time.Now()
--- a/internal/bench/kqsoak/target.go
+++ b/internal/bench/kqsoak/target.go
@@ -24,13 +24,21 @@
 	serviceTime      = 60 * time.Millisecond
 	announceInterval = time.Second // between two announcements, also the timeout of one attempt
 	padding          = 3000        // bytes that follow the ID and checksum in an answer
+	largePadding     = 600 << 10
+	maxLargeWork     = 2 * serviceTime // for a large answer, which needs time to be read
 )
 
 // answerTo returns the full answer body of a target to the request.
 func answerTo(id string) string {
-	return fmt.Sprintf("%s %08x %s", id, crc32.ChecksumIEEE([]byte(id)), strings.Repeat("-", padding))
+	n := padding
+	if isLarge(id) {
+		n = largePadding
+	}
+	return fmt.Sprintf("%s %08x %s", id, crc32.ChecksumIEEE([]byte(id)), strings.Repeat("-", n))
 }
 
+func isLarge(id string) bool { return strings.HasSuffix(id, largeMark) }
+
 // TargetConfig configures a Target.
 type TargetConfig struct {
 	ID           string
@@ -77,12 +85,15 @@
 
 // Kill stops the target without announcing that it leaves.
 func (t *Target) Kill() {
-	t.stop()
+	t.quit()
 	t.server.CloseClientConnections()
 	t.server.Listener.Close()
 	t.done.Wait()
 }
 
+// quit ends the announcements; requests are served on.
+func (t *Target) quit() { t.stop() }
+
 func (t *Target) announceLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		t.announce(ctx)
@@ -167,7 +178,11 @@
 	t.cfg.Ledger.Ran(id, t.cfg.ID, time.Now())
 	t.inFlight.Add(1)
 	defer t.inFlight.Add(-1)
-	time.Sleep(t.cfg.Work() * time.Duration(100+t.slowdown.Load()) / 100)
+	work := t.cfg.Work() * time.Duration(100+t.slowdown.Load()) / 100
+	if isLarge(id) {
+		work = min(work, maxLargeWork)
+	}
+	time.Sleep(work)
 	if t.dropsAnswers.Load() {
 		panic(http.ErrAbortHandler)
 	}
