Soak: no false loss by a target that moves while control hosts stop

The process of a target that is replaced at a new address ends some seconds after the new one announced itself, as one that left. Beside a stop of control hosts the announcement may be late; requests in progress there would end with it and the soak would blame the entry host. So the two share no round, as those with a target that leaves.

A loss names the time since the last signal to its host, which may be the second one.

--- a/internal/bench/kqsoak/fault_test.go
+++ b/internal/bench/kqsoak/fault_test.go
@@ -52,6 +52,18 @@
 			for _, f := range list {
 				seen[f.Kind] = true
 			}
+			moves, control := 0, 0
+			for _, f := range list {
+				if leaves(f.Kind) {
+					moves++
+				}
+				if delaysLeave(f.Kind) {
+					control++
+				}
+			}
+			if control > 1 || control > 0 && moves > 0 {
+				t.Fatalf("seed %d: %+v", seed, list)
+			}
 			if len(list) > 2 {
 				overlaps++
 			}
--- a/internal/bench/kqsoak/ledger.go
+++ b/internal/bench/kqsoak/ledger.go
@@ -191,7 +191,7 @@
 	}
 	way.Lost++
 	l.lost = append(l.lost, id)
-	l.violate("%s (%s) was cut %s, %s, passed on: %t: %v", id, c.way, after(e.Sent, e.At, "it was sent"), after(l.signals[e.Addr], e.At, "the signal"), ran, e.Err)
+	l.violate("%s (%s) was cut %s, %s, passed on: %t: %v", id, c.way, after(e.Sent, e.At, "it was sent"), after(l.signals[e.Addr], e.At, "the last signal"), ran, e.Err)
 }
 
 // after says how long after an event something was.
