Test: an acknowledged change survives lost folders under a loss of power

What callers would see: a change that was acknowledged, or shown to a reader, is gone after a final fault in which as many hosts as tolerated lose their folders while all the others lose power. None was seen; until now nothing looked for it: of the histories of this package, the ones that lose two folders and stop the other hosts choose a random moment.

Checked: in the same step as an answer (a change, a repeated change or a read), two of five hosts lose their folders, at random or those with the newest entries. All others lose power in the middle of what they have to save and of messages that just arrive; a part of an unsynced write is missing, cut off, or zeros. After each of four such blackouts a run has to elect a leader, all hosts have to vote, and each promise has to be there.

Why it holds: an entry is committed only when max(majority, tolerance + 1) voters have synced it, and effects are performed in order, so no answer overtakes a save.

--- a/internal/fake/kqfake/disk.go
+++ b/internal/fake/kqfake/disk.go
@@ -44,6 +44,7 @@
 	failSync      bool
 	full          bool
 	maxWrite      int // bytes, 0: no limit
+	tearAnywhere  bool
 	syncs         int
 }
 
@@ -79,6 +80,12 @@
 	d.full, d.maxWrite = false, 0
 }
 
+// TearAnywhere makes a crash leave gaps of zero bytes within unsynced data, besides cutting
+// off its end.
+func (d *Disk) TearAnywhere() {
+	d.tearAnywhere = true
+}
+
 // Syncs returns the number of successful syncs of files.
 func (d *Disk) Syncs() int {
 	return d.syncs
@@ -110,6 +117,10 @@
 	}
 	extra := d.rng.IntN(len(n.data) - len(n.synced) + 1)
 	n.data = slices.Clone(n.data[:len(n.synced)+extra])
+	if d.tearAnywhere && extra > 0 {
+		from := len(n.synced) + d.rng.IntN(extra)
+		clear(n.data[from : from+d.rng.IntN(len(n.data)-from+1)])
+	}
 	n.synced = slices.Clone(n.data)
 }
 
--- a/internal/state/kqreplica/mutation_test.go
+++ b/internal/state/kqreplica/mutation_test.go
@@ -19,6 +19,8 @@
 		{lostDiskVotes, 12, checkHistory},
 		{commitsEarlierTerm, 760, checkHistory},
 		{fullDiskIgnored, 1, checkFullHistory},
+		{entriesNotSynced, 1, checkBlackouts},
+		{folderNotSynced, 1, checkBlackouts},
 	}
 	for _, c := range cases {
 		t.Run(string(c.mutant), func(t *testing.T) {
--- a/internal/state/kqreplica/simulation_test.go
+++ b/internal/state/kqreplica/simulation_test.go
@@ -25,6 +25,8 @@
 	lostDiskVotes      mutation = "host with a lost disk votes at once"
 	commitsEarlierTerm mutation = "commits an earlier term by count"
 	fullDiskIgnored    mutation = "acknowledges what a full disk refused"
+	entriesNotSynced   mutation = "acknowledges entries that are not synced"
+	folderNotSynced    mutation = "does not sync the folder"
 )
 
 // testMachine is a state machine that holds contracts and applies JSON commands.
@@ -88,6 +90,8 @@
 	pending   []Effect     // effects of events handled together, not carried out yet
 	full      bool         // the disk refused the first of them
 	fullUntil int          // slot until which the disk is full
+
+	stalledUntil int // slot until which the disk hangs, and the host with it
 }
 
 // simulation runs replicas with fake disks and links. One slot lasts one tick.
@@ -144,7 +148,7 @@
 
 func (s *simulation) start(n *node) {
 	n.disk.Crash()
-	journal, loaded, err := kqjournal.Open(n.disk)
+	journal, loaded, err := kqjournal.Open(s.diskOf(n))
 	if err != nil {
 		panic(fmt.Sprintf("slot %d: %s does not start: %v", s.slot, n.name, err))
 	}
@@ -174,6 +178,35 @@
 	s.announceLinks(n)
 }
 
+// diskOf returns the disk as the journal of the host sees it.
+func (s *simulation) diskOf(n *node) kq.Disk {
+	switch s.mutant {
+	case folderNotSynced:
+		return unsyncedFolder{n.disk}
+	case entriesNotSynced:
+		return unsyncedFiles{n.disk}
+	default:
+		return n.disk
+	}
+}
+
+// unsyncedFolder is a disk whose folder is never synced.
+type unsyncedFolder struct{ *kqfake.Disk }
+
+func (unsyncedFolder) SyncFolder() error { return nil }
+
+// unsyncedFiles is a disk whose files are never synced.
+type unsyncedFiles struct{ *kqfake.Disk }
+
+func (d unsyncedFiles) OpenAppend(name string) (kq.File, error) {
+	f, err := d.Disk.OpenAppend(name)
+	return unsyncedFile{f}, err
+}
+
+type unsyncedFile struct{ kq.File }
+
+func (unsyncedFile) Sync() error { return nil }
+
 // announceLinks reports the links of a started host to it and to the running hosts.
 func (s *simulation) announceLinks(n *node) {
 	if !s.batchEvents {
@@ -241,6 +274,9 @@
 // later effect is carried out.
 func (s *simulation) perform(n *node, effects []Effect) {
 	for i, e := range effects {
+		if !n.up && !isSave(e) {
+			continue // the host lost power at an earlier effect
+		}
 		err := s.performOne(n, e)
 		if errors.Is(err, kq.ErrFull) {
 			s.becomeFull(n, effects[i:])
@@ -253,6 +289,16 @@
 	}
 }
 
+// isSave reports whether the effect writes to the disk.
+func isSave(e Effect) bool {
+	switch e.(type) {
+	case SaveMeta, SaveEntries, SaveSnapshot:
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *simulation) performOne(n *node, e Effect) error {
 	switch e := e.(type) {
 	case SaveMeta:
@@ -329,19 +375,20 @@
 	due := s.queue
 	s.queue = nil
 	for _, p := range due {
-		if p.at > s.slot {
+		if p.at > s.slot || s.nodes[p.to].stalledUntil > s.slot {
 			s.queue = append(s.queue, p)
 			continue
 		}
 		s.feed(s.nodes[p.to], Received{From: p.from, Message: p.m})
 	}
 	for _, name := range s.names {
-		if s.noFaults || s.rng.IntN(20) > 0 { // a slow host misses ticks
-			s.feed(s.nodes[name], Tick{})
+		n := s.nodes[name]
+		if (s.noFaults || s.rng.IntN(20) > 0) && n.stalledUntil <= s.slot { // a slow host misses ticks
+			s.feed(n, Tick{})
 		}
 	}
 	for _, name := range s.names {
-		if n := s.nodes[name]; n.up {
+		if n := s.nodes[name]; n.up && n.stalledUntil <= s.slot {
 			s.flush(n)
 		}
 	}
