Request bodies in progress share a bound on their memory

Cause: up to 1 MiB of each request's body is read before the request is sent, and nothing bounded the sum. A caller that announced 1 MiB and sent one byte took 1 MiB; 200 such callers, or a line of uploads to a slow service, are more than the smallest host has.

Change: all bodies in progress share a sixth of the process's memory. The first 16 KiB of each are free. A body beyond the bound waits for at most a second, or an eighth of its caller's time, and is then refused as not run, with when to come back. While one waits, the body that has paused for over a second is ended (408). The memory grows with what has arrived, not with what was announced.

Why it works: every buffer is counted by its capacity before it is made, and given back when its request ends; waiting bodies cannot block each other, since each gives back what it has when its wait is over.

--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	kq "kumquatglade"
+	"kumquatglade/internal/call/kqbody"
 	"kumquatglade/internal/call/kqshutdown"
 	"kumquatglade/internal/call/kqtransport"
 	"kumquatglade/internal/host/kqlog"
@@ -29,6 +30,7 @@
 	Hosts       func() int // returns the number of entry hosts, this one included, that share limits
 	Limits      Limits
 	LinkRate    float64 // bytes a second that the host's link carries; 0: unknown
+	Memory      int64   // bytes that the process may use; 0: unknown
 }
 
 // Limits are the limits that all entry hosts share.
@@ -45,6 +47,7 @@
 	pool       *kqtransport.Pool
 	pacer      *kqtransport.Pacer // of long bodies in both directions
 	readAheads *readAheadPool
+	bodies     *kqbody.Memory
 	routing    atomic.Pointer[routingState]
 	shutdown   kqshutdown.Shutdown
 	inFlight   atomic.Int64
@@ -81,7 +84,7 @@
 	pacer := kqtransport.NewPacer(cfg.LinkRate)
 	e := &Engine{
 		started: cfg.Clock.Now(), firstRoutes: make(chan struct{}),
-		cfg: cfg, pacer: pacer, pool: kqtransport.NewPool(kqtransport.Config{Pacer: pacer}), shortestProbes: map[string]time.Duration{}, readAheads: newReadAheadPool(), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{},
+		cfg: cfg, pacer: pacer, pool: kqtransport.NewPool(kqtransport.Config{Pacer: pacer}), shortestProbes: map[string]time.Duration{}, readAheads: newReadAheadPool(), bodies: kqbody.NewMemory(cfg.Memory), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{},
 		retryBudgets: map[string]*kqselection.RetryBudget{},
 		choosers:     map[string]*chooser{}, serviceTimes: map[string]*kqselection.ServiceTime{}, longestTimeouts: map[string]time.Duration{},
 	}
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -1,7 +1,6 @@
 package kqproxy
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -9,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"kumquatglade/internal/call/kqbody"
 	"kumquatglade/internal/route/kqselection"
 	"kumquatglade/internal/state/kqroutes"
 
@@ -37,7 +37,8 @@
 
 	service  string
 	body     []byte
-	bodyRest io.Reader // rest of a body that is longer than maxBufferedBody
+	buffer   *kqbody.Buffer // of body, nil if there is none
+	bodyRest io.Reader      // rest of a body that is longer than maxBufferedBody
 	header   http.Header
 	chosen   choice
 	heldFor  atomic.Int64 // time for which the last byte was held back, in nanoseconds
@@ -64,8 +65,9 @@
 		p.refuse(http.StatusServiceUnavailable, causeShutdown, p.retryAfter(true))
 		return
 	}
+	defer p.releaseBody()
 	if status, err := p.readBody(); err != nil {
-		p.refuse(status, err.Error(), 0)
+		p.refuseBody(status, err)
 		return
 	}
 	p.engine.mu.Lock()
@@ -153,7 +155,8 @@
 
 // readBody reads the body before a target is chosen, so that a slow caller does not
 // occupy a slot of a target. Of a long body it reads only the beginning. On an error
-// it returns the HTTP status of the response.
+// it returns the HTTP status of the response; kqbody.ErrNoRoom says that the host holds as
+// many bodies as it can.
 func (p *proxiedRequest) readBody() (status int, err error) {
 	if p.in.Body == nil || p.in.Body == http.NoBody {
 		return 0, nil
@@ -163,15 +166,16 @@
 		return http.StatusRequestEntityTooLarge, errors.Newf("body of %d bytes", p.in.ContentLength)
 	}
 	rc := http.NewResponseController(p.w)
-	_ = rc.SetReadDeadline(p.deadline) // ends a caller that sends too slowly for its own deadline; not all writers support it
-	buf := bytes.NewBuffer(make([]byte, 0, max(512, min(p.in.ContentLength+1, maxBufferedBody))))
-	_, err = io.CopyN(buf, p.in.Body, maxBufferedBody)
-	p.body = buf.Bytes()
-	switch {
-	case err == io.EOF: //nolint:errorlint // io.CopyN returns io.EOF unwrapped
-		err = nil
-	case err == nil:
+	_ = rc.SetReadDeadline(p.deadline)                                                                                            // ends a caller that sends too slowly for its own deadline; not all writers support it
+	p.buffer = p.engine.bodies.NewBuffer(p.in.ContentLength, maxBufferedBody, func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) }) // not all writers support it
+	complete, err := p.buffer.Fill(p.in.Body, p.deadline, p.in.Context().Done())
+	p.body = p.buffer.Bytes()
+	if errors.Is(err, kqbody.ErrNoRoom) {
+		return http.StatusServiceUnavailable, err
+	}
+	if err == nil && !complete {
 		p.bodyRest = p.in.Body
+		_ = rc.SetReadDeadline(p.deadline) // the buffer may have cut it; not all writers support it
 		if limit > 0 {
 			p.bodyRest = http.MaxBytesReader(nil, p.in.Body, limit-maxBufferedBody)
 		}
@@ -186,6 +190,31 @@
 	return 0, nil
 }
 
+// releaseBody lets other requests use the memory of the body.
+func (p *proxiedRequest) releaseBody() {
+	if p.buffer != nil {
+		p.buffer.Release()
+	}
+}
+
+// refuseBody responds to a request whose body was not read. If there was no room for it,
+// the rest is discarded after the response, since closing the connection while the caller
+// still sends could destroy the response.
+func (p *proxiedRequest) refuseBody(status int, err error) {
+	if !errors.Is(err, kqbody.ErrNoRoom) {
+		p.refuse(status, err.Error(), 0)
+		return
+	}
+	p.releaseBody()
+	p.body = nil
+	rc := http.NewResponseController(p.w)
+	_ = rc.EnableFullDuplex() // the caller gets the response while it still sends; not all writers support it
+	p.w.Header().Set("Connection", "close")
+	p.refuse(status, err.Error(), p.retryAfter(false))
+	_ = rc.Flush()                                          // an error shows at the next write
+	_, _ = io.CopyN(io.Discard, p.in.Body, maxBufferedBody) // the connection ends either way
+}
+
 // outcome is the result of a send that gave no response for the caller.
 type outcome struct {
 	mayHaveRun bool // the target may have executed the request or may still do so
