Contracts: bodies of calls in progress share a bound on their memory

What callers saw: none yet; the report is that of kept bytes without end.

Cause: a call's body, up to 64 MiB by its contract, is read before the call counts towards the limit of active calls, so nothing bounded the bodies of callers that begin to send and stop.

Change: they share the bound of kqbody, as request bodies on routes do. A call for whose body there is no room is refused with "room", not run, and when to come back.

--- a/internal/call/kqcall/engine.go
+++ b/internal/call/kqcall/engine.go
@@ -8,6 +8,7 @@
 
 	kq "kumquatglade"
 	"kumquatglade/internal/call/kqaccount"
+	"kumquatglade/internal/call/kqbody"
 	"kumquatglade/internal/call/kqidempotency"
 	"kumquatglade/internal/call/kqshutdown"
 	"kumquatglade/internal/call/kqtransport"
@@ -36,7 +37,8 @@
 	// service that this host may use now.
 	LimitFraction func(owner, service string) float64
 	// View returns the configuration in force, or nil if this host must not serve.
-	View func() *kqfeed.View
+	View   func() *kqfeed.View
+	Memory int64 // bytes that the process may use; 0: unknown
 }
 
 // Engine runs the dispatch reducer and the calls in flight.
@@ -45,6 +47,7 @@
 	started     int64 // Unix nanoseconds; keeps call IDs unique across restarts
 	pool        *kqtransport.Pool
 	accounts    *kqaccount.Accounts
+	bodies      *kqbody.Memory
 	activeCalls atomic.Int64
 	entryHosts  atomic.Int64 // entry hosts that share the targets' connections
 	shutdown    kqshutdown.Shutdown
@@ -64,7 +67,7 @@
 // NewEngine returns a running Engine.
 func NewEngine(cfg Config) *Engine {
 	e := &Engine{
-		cfg: cfg, started: cfg.Clock.Now().UnixNano(), pool: kqtransport.NewPool(kqtransport.Config{}), accounts: kqaccount.NewAccounts(cfg.Clock.Now),
+		cfg: cfg, started: cfg.Clock.Now().UnixNano(), pool: kqtransport.NewPool(kqtransport.Config{}), accounts: kqaccount.NewAccounts(cfg.Clock.Now), bodies: kqbody.NewMemory(cfg.Memory),
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
 		served:   metrics.GetOrRegisterTimer("calls.served", cfg.Metrics),
 		refused:  metrics.GetOrRegisterCounter("calls.refused", cfg.Metrics),
--- a/internal/call/kqcall/request.go
+++ b/internal/call/kqcall/request.go
@@ -5,12 +5,12 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"kumquatglade/internal/call/kqbody"
 	"kumquatglade/internal/call/kqheader"
 	"kumquatglade/internal/state/kqcheck"
 	"kumquatglade/internal/state/kqcontract"
@@ -37,6 +37,7 @@
 	callerCallID string      // call ID from the caller's header, empty if none
 	header       http.Header // to send to the target
 	body         []byte
+	buffer       *kqbody.Buffer // of body, nil if there is none
 }
 
 // checkRequest validates everything of the call but its body. A non-nil problem is
@@ -182,27 +183,37 @@
 
 // readBody reads the whole body before the call takes a target's slot, so that a
 // slow caller does not occupy one. It returns an error if the body is larger than
-// the service allows or is not read before the call's deadline.
-func (q *request) readBody(w http.ResponseWriter, r *http.Request) error {
+// the service allows or is not read before the call's deadline, and kqbody.ErrNoRoom if
+// this host holds as many bodies as it can.
+func (q *request) readBody(bodies *kqbody.Memory, w http.ResponseWriter, r *http.Request) error {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
 	if r.ContentLength > q.service.Body {
 		return errors.Newf("body of %d bytes: at most %d", r.ContentLength, q.service.Body)
 	}
-	http.NewResponseController(w).SetReadDeadline(q.deadline) // best effort: not every ResponseWriter supports deadlines
-	body, err := io.ReadAll(io.LimitReader(r.Body, q.service.Body+1))
+	rc := http.NewResponseController(w)
+	rc.SetReadDeadline(q.deadline) // best effort: not every ResponseWriter supports deadlines
+	q.buffer = bodies.NewBuffer(r.ContentLength, q.service.Body+1, func() { rc.SetReadDeadline(time.Unix(1, 0)) })
+	complete, err := q.buffer.Fill(r.Body, q.deadline, r.Context().Done())
 	if err != nil {
 		return errors.Wrap(err, "body")
 	}
-	if int64(len(body)) > q.service.Body {
+	q.body = q.buffer.Bytes()
+	if !complete || int64(len(q.body)) > q.service.Body {
 		return errors.Newf("body: at most %d bytes", q.service.Body)
 	}
-	http.NewResponseController(w).SetReadDeadline(time.Time{}) // best effort, as above
-	q.body = body
+	rc.SetReadDeadline(time.Time{}) // best effort, as above
 	return nil
 }
 
+// releaseBody lets other calls use the memory of the body.
+func (q *request) releaseBody() {
+	if q.buffer != nil {
+		q.buffer.Release()
+	}
+}
+
 func (q *request) problem(status int, code, run string, wait time.Duration) problem {
 	return problem{
 		Error: code, Owner: q.owner, Service: q.service.Name, Version: q.version,
--- a/internal/call/kqcall/serve.go
+++ b/internal/call/kqcall/serve.go
@@ -6,13 +6,20 @@
 	"time"
 
 	"kumquatglade/internal/call/kqaccount"
+	"kumquatglade/internal/call/kqbody"
 	"kumquatglade/internal/call/kqheader"
 	"kumquatglade/internal/call/kqidempotency"
 	"kumquatglade/internal/call/kqtransport"
 	"kumquatglade/internal/host/kqevent"
 	"kumquatglade/internal/route/kqdispatch"
+
+	"github.com/cockroachdb/errors"
 )
 
+// noRoomRetryDelay is the Retry-After time of a call for whose body there was no room: paused
+// bodies are ended in that time.
+const noRoomRetryDelay = time.Second
+
 // ServeHTTP serves one call: it validates the request, dispatches it to a target and
 // writes the response.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -22,10 +29,9 @@
 	}
 	q, p := e.checkRequest(r, now)
 	if p == nil {
-		if err := q.readBody(w, r); err != nil {
-			bodyProblem := q.problem(http.StatusBadRequest, "body", kqheader.RunNo, 0)
-			bodyProblem.Detail = err.Error()
-			p = &bodyProblem
+		defer q.releaseBody()
+		if err := q.readBody(e.bodies, w, r); err != nil {
+			p = q.bodyProblem(err)
 			w.Header().Set("Connection", "close") // the rest of the body is not read
 		} else {
 			p = e.checkShutdown(q) // it may have begun while the body arrived
@@ -45,6 +51,17 @@
 	e.served.UpdateSince(now)
 }
 
+// bodyProblem returns the response to a call whose body was not read.
+func (q *request) bodyProblem(err error) *problem {
+	if errors.Is(err, kqbody.ErrNoRoom) {
+		p := q.problem(http.StatusServiceUnavailable, "room", kqheader.RunNo, noRoomRetryDelay)
+		return &p
+	}
+	p := q.problem(http.StatusBadRequest, "body", kqheader.RunNo, 0)
+	p.Detail = err.Error()
+	return &p
+}
+
 // serveCall runs one call. A non-nil claim stores the response, or is released if
 // the call certainly did not run.
 func (e *Engine) serveCall(ctx context.Context, w http.ResponseWriter, r *http.Request, q *request, claim *kqidempotency.Claim) {
--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -225,7 +225,7 @@
 	})
 	d.engine = kqcall.NewEngine(kqcall.Config{
 		Host: d.settings.Host, Policy: d.newPolicy, PolicyOnly: d.opts.PolicyOnly, Clock: kqclock.System{}, Rand: newRand(),
-		Events: d.events, Metrics: d.metrics, Coordinator: d.coordinator, LimitFraction: d.quota.Fraction, View: func() *kqfeed.View { return d.follower.View() },
+		Events: d.events, Metrics: d.metrics, Coordinator: d.coordinator, LimitFraction: d.quota.Fraction, Memory: int64(d.settings.Memory), View: func() *kqfeed.View { return d.follower.View() },
 	})
 	d.targets = kqregistry.NewTargetRegistry(kqregistry.Config{
 		Host: d.settings.Host, Link: d.mesh, Clock: kqclock.System{}, Events: d.events, Metrics: d.metrics,
