A small document cannot decode to more memory than a host has

What operators saw: none yet; one malformed desired state of 8 MiB, within the limit of its size, takes more memory than the smallest control host has.

Cause: an array element of two bytes ("0,") decodes to a route or service of up to 200 bytes, and the decoder goes on after an element of the wrong type.

Change: before a document is decoded, its array elements are counted: 16,384 are free, and one for each 64 bytes; nesting is limited to 64. It holds for desired states, routes, contracts, host lists and settings files.

TestBoundElements allows 90,000 plain routes and 20,000 with two weighted services.

--- a/internal/state/kqcheck/check.go
+++ b/internal/state/kqcheck/check.go
@@ -81,9 +81,53 @@
 	return err == nil && a.Port() != 0
 }
 
-// Decode decodes exactly one JSON document into v. It fails on unknown keys and on a
-// second document.
+const (
+	// A document may have freeElements elements in its arrays, and one more for each
+	// bytesPerElement: a plain route takes more bytes than that. An element of two bytes may
+	// decode to 200, so that a document within its limit could fill the memory of a host.
+	freeElements    = 16 << 10
+	bytesPerElement = 64
+
+	maxNesting = 64 // arrays and objects within each other
+)
+
+// BoundElements returns an error if the JSON document has far more array elements than its
+// size explains, or is nested too deeply. It does not check the syntax.
+func BoundElements(p []byte) error {
+	most := freeElements + len(p)/bytesPerElement
+	var arrays []bool // whether each open container is an array
+	elements, inString, escaped := 0, false, false
+	for _, c := range p {
+		switch {
+		case escaped:
+			escaped = false
+		case inString:
+			escaped, inString = c == '\\', c != '"'
+		case c == '"':
+			inString = true
+		case c == '[' || c == '{':
+			arrays = append(arrays, c == '[')
+			if c == '[' {
+				elements++
+			}
+		case (c == ']' || c == '}') && len(arrays) > 0:
+			arrays = arrays[:len(arrays)-1]
+		case c == ',' && len(arrays) > 0 && arrays[len(arrays)-1]:
+			elements++
+		}
+		if elements > most || len(arrays) > maxNesting {
+			return errors.Newf("more than %d elements, or nested deeper than %d", most, maxNesting)
+		}
+	}
+	return nil
+}
+
+// Decode decodes exactly one JSON document into v. It fails on unknown keys, on a second
+// document and on more elements than BoundElements allows.
 func Decode(p []byte, v any) error {
+	if err := BoundElements(p); err != nil {
+		return err
+	}
 	dec := json.NewDecoder(bytes.NewReader(p))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
