Documents on the control and admin addresses share a bound, and must arrive in time

What operators saw: none yet; the report is that of kept bytes without end.

Cause: each desired state, route document, contract or ping was bounded, but not their sum, and none had to end: callers that begin to send 8 MiB and stop, or send a byte now and then, kept their memory for good.

Change: the bodies of an address share 8 MiB by kqbody, with one larger alone; a body without room is refused with 503 and when to come back; one that has not arrived after 30 s (a ping: 5 s) is refused with 408. On the admin address it holds for callers with the operators' key; the bodies of others are not read.

TestMiddleware covers bodies that stop, drip and never end.

--- a/internal/admin/kqadmin/server.go
+++ b/internal/admin/kqadmin/server.go
@@ -9,15 +9,21 @@
 
 	kq "kumquatglade"
 	"kumquatglade/internal/call/kqaccount"
+	"kumquatglade/internal/call/kqbody"
 	"kumquatglade/internal/host/kqevent"
 	"kumquatglade/internal/route/kqdirectory"
 	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqcontrol"
+	"kumquatglade/internal/state/kqroutes"
 
 	"github.com/labstack/echo/v4"
 	"github.com/rcrowley/go-metrics"
 )
 
+// bodyTimeout is how long a document of an operator may take to arrive: the time after which
+// the command gives up.
+const bodyTimeout = 30 * time.Second
+
 // submitTimeout bounds the wait for a quorum to decide a change or confirm a read.
 const submitTimeout = 10 * time.Second
 
@@ -68,16 +74,18 @@
 func (s *Server) Register(e *echo.Echo) {
 	e.GET("/v1/health", s.health)
 	g := e.Group("/v1", s.authorize)
-	g.PUT("/contracts/:owner", s.putContract)
+	bodies := kqbody.NewMemory(kqroutes.MaxDocument)
+	small := bodies.Middleware(kqcontract.MaxDocumentBytes, bodyTimeout)
+	g.PUT("/contracts/:owner", s.putContract, small)
 	g.DELETE("/contracts/:owner", s.deleteContract)
 	g.GET("/contracts/:owner", s.getContract)
 	g.GET("/contracts", s.listContracts)
 	g.GET("/history", s.history)
-	g.PUT("/routes", s.putRoutes)
+	g.PUT("/routes", s.putRoutes, bodies.Middleware(kqroutes.MaxDocument, bodyTimeout))
 	g.GET("/routes", s.getRoutes)
 	g.GET("/routes/history", s.routesHistory)
 	g.GET("/hosts", s.getHosts)
-	g.PUT("/hosts", s.putHosts)
+	g.PUT("/hosts", s.putHosts, small)
 	g.GET("/status", s.status)
 	g.GET("/targets", s.targets)
 	g.GET("/accounts/:owner", s.account)
--- a/internal/call/kqbody/memory.go
+++ b/internal/call/kqbody/memory.go
@@ -42,16 +42,20 @@
 	freed   chan struct{}        // closed and replaced when a body is released
 }
 
-// NewMemory returns the Memory of a process that may use the given number of bytes, 0 if
-// unknown.
-func NewMemory(process int64) *Memory {
-	limit := int64(defaultMemory)
-	if process > 0 {
-		limit = max(process/memoryDivisor, minMemory)
-	}
+// NewMemory returns a Memory for the given bytes. One body alone may exceed them.
+func NewMemory(limit int64) *Memory {
 	return &Memory{limit: limit, reading: map[*Buffer]struct{}{}, freed: make(chan struct{})}
 }
 
+// Share returns the bytes for the request bodies of a process that may use the given number
+// of bytes, 0 if unknown.
+func Share(process int64) int64 {
+	if process <= 0 {
+		return defaultMemory
+	}
+	return max(process/memoryDivisor, minMemory)
+}
+
 // Held returns the counted bytes.
 func (m *Memory) Held() int64 {
 	m.mu.Lock()
--- a/internal/call/kqbody/memory_test.go
+++ b/internal/call/kqbody/memory_test.go
@@ -14,8 +14,7 @@
 // TestOnlyPausedUploadIsCut guards against an upload that makes progress and is ended for
 // another one, and against one that has paused and is not.
 func TestOnlyPausedUploadIsCut(t *testing.T) {
-	m := NewMemory(0)
-	m.limit = 2 * mebibyte
+	m := NewMemory(2 * mebibyte)
 	late := time.Now().Add(time.Hour)
 	cuts := make(chan string, 3)
 	begin := func(name string) (*Buffer, *io.PipeWriter, chan error) {
@@ -86,7 +85,7 @@
 		}
 		for _, known := range []bool{true, false} {
 			t.Run(strconv.Itoa(size)+" "+strconv.FormatBool(known), func(t *testing.T) {
-				m := NewMemory(0)
+				m := NewMemory(Share(0))
 				announced := int64(-1)
 				if known {
 					announced = int64(size)
@@ -113,3 +112,12 @@
 		}
 	}
 }
+
+// TestShare guards against a bound that a small host does not have, and against none at all.
+func TestShare(t *testing.T) {
+	for process, want := range map[int64]int64{0: 32 << 20, 1: 4 << 20, 192 << 20: 32 << 20, 6 << 30: 1 << 30} {
+		if got := Share(process); got != want {
+			t.Errorf("%d of %d bytes, want %d", got, process, want)
+		}
+	}
+}
--- a/internal/call/kqcall/engine.go
+++ b/internal/call/kqcall/engine.go
@@ -67,7 +67,7 @@
 // NewEngine returns a running Engine.
 func NewEngine(cfg Config) *Engine {
 	e := &Engine{
-		cfg: cfg, started: cfg.Clock.Now().UnixNano(), pool: kqtransport.NewPool(kqtransport.Config{}), accounts: kqaccount.NewAccounts(cfg.Clock.Now), bodies: kqbody.NewMemory(cfg.Memory),
+		cfg: cfg, started: cfg.Clock.Now().UnixNano(), pool: kqtransport.NewPool(kqtransport.Config{}), accounts: kqaccount.NewAccounts(cfg.Clock.Now), bodies: kqbody.NewMemory(kqbody.Share(cfg.Memory)),
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
 		served:   metrics.GetOrRegisterTimer("calls.served", cfg.Metrics),
 		refused:  metrics.GetOrRegisterCounter("calls.refused", cfg.Metrics),
--- a/internal/call/kqproxy/endlessbody_test.go
+++ b/internal/call/kqproxy/endlessbody_test.go
@@ -117,8 +117,8 @@
 		return replyOK(c, r)
 	}
 	f := newFixture(t, kqroutes.Unsafe, time.Second, respond, respond)
-	f.engine.bodies = kqbody.NewMemory(1) // the least
-	const uploads, small = 4, 8 << 10     // together just below the least limit; one that needs no room
+	f.engine.bodies = kqbody.NewMemory(4 << 20)
+	const uploads, small = 4, 8 << 10 // together just below the limit; one that needs no room
 	body := strings.Repeat("x", 1e6)
 	if res, _, err := f.call("/filings/1", body); err != nil || res.StatusCode != http.StatusOK {
 		t.Fatal(res, err)
