Heads have at most 256 fields, so that their size bounds their memory

Cause: a head of 60 KB, within the limit, may have 12,000 fields of five bytes, each of which takes some 200 in memory, and a copy goes to the target or the caller. 64 such requests in progress are more than the smallest host has.

Change: a request with more than 256 fields is refused with 431; a response with more counts as a head that is too long: the connection to the target is closed.

--- a/internal/call/kqcall/request.go
+++ b/internal/call/kqcall/request.go
@@ -48,6 +48,9 @@
 	reject := func(status int, code, detail string) (*request, *problem) {
 		return q, &problem{Error: code, Owner: q.owner, Service: name, Version: q.version, Run: kqheader.RunNo, Detail: detail, status: status}
 	}
+	if kqheader.TooMany(r.Header) {
+		return reject(http.StatusRequestHeaderFieldsTooLarge, "malformed", "too many header fields")
+	}
 	v := e.cfg.View()
 	if v == nil {
 		p := problem{Error: "cut", Owner: q.owner, Service: name, Run: kqheader.RunNo, status: http.StatusServiceUnavailable, wait: time.Second}
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kumquatglade/internal/call/kqbody"
+	"kumquatglade/internal/call/kqheader"
 	"kumquatglade/internal/route/kqselection"
 	"kumquatglade/internal/state/kqroutes"
 
@@ -49,6 +50,10 @@
 
 // serve forwards the request and writes the response.
 func (p *proxiedRequest) serve() {
+	if kqheader.TooMany(p.in.Header) {
+		p.refuse(http.StatusRequestHeaderFieldsTooLarge, "too many header fields", 0)
+		return
+	}
 	if p.routing = p.awaitRoutes(); p.routing == nil {
 		p.refuse(http.StatusServiceUnavailable, "no confirmed routes yet", p.retryAfterStart())
 		return
--- a/internal/call/kqtransport/conn.go
+++ b/internal/call/kqtransport/conn.go
@@ -79,7 +79,8 @@
 	}
 }
 
-// errHeadTooLong means that the target sent maxHead bytes without the end of a head.
+// errHeadTooLong means that the target sent maxHead bytes without the end of a head, or too
+// many fields in one.
 var errHeadTooLong = errors.New("head of the response is too long")
 
 // limitHead limits the bytes that are read from now on to those of one head; the
--- a/internal/call/kqtransport/endless_test.go
+++ b/internal/call/kqtransport/endless_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"kumquatglade/internal/call/kqheader"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -68,3 +70,62 @@
 		}
 	}
 }
+
+// TestTooManyFields guards against a head within the limit of its size that takes many times
+// that in memory, and against a limit that a usual head reaches.
+func TestTooManyFields(t *testing.T) {
+	for fields, ok := range map[int]bool{kqheader.MaxFields - 1: true, kqheader.MaxFields: false, 8000: false} { // one more is the length
+		t.Run(strconv.Itoa(fields), func(t *testing.T) {
+			s := serve(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+strings.Repeat("X-F: 1\r\n", fields)+"\r\nok")
+				return true
+			})
+			p := NewPool(Config{})
+			defer p.Close()
+			got, err := send(t, p, newRequest(s, http.MethodPost))
+			if ok && (err != nil || got != "ok") || !ok && !errors.Is(err, errHeadTooLong) {
+				t.Errorf("%q %v, want allowed %v", got, err, ok)
+			}
+		})
+	}
+}
+
+// TestEndlessBody guards against parts of a response behind its head that never end and are no
+// content, which nobody bounds by what they hold: reading must end with an error.
+func TestEndlessBody(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	cases := map[string]struct{ start, repeated string }{
+		"chunk extension":           {chunked + "5;", strings.Repeat("x", 1<<10)},
+		"size of a chunk":           {chunked, strings.Repeat("0", 1<<10)},
+		"extensions of tiny chunks": {chunked, "1;" + strings.Repeat("x", 1<<10) + "\r\nx\r\n"},
+		"trailers":                  {chunked + "0\r\n", "X-Trailer: 1\r\n"},
+		"trailer":                   {chunked + "0\r\nX-Trailer: ", strings.Repeat("x", 1<<10)},
+	}
+	for name, bytes := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+				_, err := io.WriteString(c, bytes.start)
+				for err == nil {
+					_, err = io.WriteString(c, bytes.repeated)
+				}
+				return false
+			})
+			p := NewPool(Config{})
+			defer p.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			reply, err := p.Send(ctx, newRequest(s, http.MethodPost))
+			if err != nil {
+				t.Fatal(err)
+			}
+			n, err := io.Copy(io.Discard, reply.Body)
+			reply.Close()
+			if err == nil || ctx.Err() != nil || n > 1<<10 {
+				t.Errorf("%d bytes of content, %v, want an error before the time is over", n, err)
+			}
+			if n := p.OpenConns(s.listener.Addr().String()); n != 0 {
+				t.Errorf("%d connections are open", n)
+			}
+		})
+	}
+}
--- a/internal/call/kqtransport/send.go
+++ b/internal/call/kqtransport/send.go
@@ -9,6 +9,8 @@
 	"net/url"
 	"time"
 
+	"kumquatglade/internal/call/kqheader"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -288,7 +290,8 @@
 }
 
 // readFinalHead reads the header of the response and skips the interim (1xx) ones
-// before it. It returns errHeadTooLong if all heads together are longer than maxHead.
+// before it. It returns errHeadTooLong if all heads together are longer than maxHead,
+// or one has too many fields.
 func readFinalHead(c *conn, out *http.Request) (*http.Response, error) {
 	defer c.limitHead()()
 	for {
@@ -299,6 +302,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if kqheader.TooMany(res.Header) {
+			return nil, errHeadTooLong
+		}
 		if res.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("target switches protocols")
 		}
