The command keeps at most 32 MiB of an answer

A server that answers without end made the command keep 256 MiB, and up to 850 MB while its buffer grew; it may run on a host of 184 MB, and then took what was kept for a whole answer.

Change: the limit is 32 MiB, four times the largest document; a longer answer is an error, and so is a head over 64 KiB.

Evidence: TestEndlessAnswer printed before: "<nil> after 480.220249ms, want an error" and "read 262144 KB, want at most 33792 KB" for a body without a length, and the like for chunks and a refusal. It passes now.

--- a/internal/admin/kqclient/client.go
+++ b/internal/admin/kqclient/client.go
@@ -14,7 +14,8 @@
 
 const (
 	requestTimeout = 30 * time.Second
-	maxAnswerBytes = 256 << 20 // bytes
+	maxAnswerBytes = 32 << 20 // four times the largest document; the command may run on the smallest host
+	maxHeadBytes   = 64 << 10
 )
 
 // Config holds the settings of a Client.
@@ -32,7 +33,7 @@
 // New returns a Client.
 func New(cfg Config) *Client {
 	return &Client{cfg: cfg, http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{
-		ResponseHeaderTimeout: requestTimeout, DisableKeepAlives: true,
+		ResponseHeaderTimeout: requestTimeout, MaxResponseHeaderBytes: maxHeadBytes, DisableKeepAlives: true,
 	}}}
 }
 
@@ -115,10 +116,13 @@
 		return err
 	}
 	defer res.Body.Close()
-	p, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	p, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
 	if err != nil {
 		return errors.Wrapf(err, "answer of %s", server)
 	}
+	if len(p) > maxAnswerBytes {
+		return errors.Newf("answer of %s: more than %d bytes", server, maxAnswerBytes)
+	}
 	if res.StatusCode != http.StatusOK {
 		refused := &RefusedError{Status: res.StatusCode}
 		if json.Unmarshal(p, refused) != nil || refused.Reason == "" {
