Links: connections of strangers are bounded, also while they may still greet

Cause: whoever connects to the peers' address has 3 s for the handshake and takes some 16 KB until then; nothing bounded how many do at a time.

Change: at most 1,024 connections wait for a handshake, several times the hosts of the largest cluster; beyond that the oldest is closed, so that a peer still gets its link.

Evidence: with the bound raised out of reach TestPeerLinksAmongStrangers prints "1224 connections wait, want at most 1024". Tests that passed before, new: strangers that send without end, slowly or nothing are cut off in the time of a handshake (TestStrangersAreCutOff); the announced length of a message takes no memory (TestAnnouncedMessageTakesNoMemory). The package's tests pass under the race detector.

--- a/internal/peer/kqlink/mesh.go
+++ b/internal/peer/kqlink/mesh.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,6 +65,9 @@
 
 	notifyMu sync.Mutex // held while the receiver is notified of a link
 
+	greetingsMu sync.Mutex
+	greetings   []net.Conn // connections whose dialer is not authenticated yet, oldest first
+
 	mu         sync.Mutex
 	conns      map[string]*conn
 	started    time.Time
@@ -142,7 +146,9 @@
 	kqsocket.BoundUnacked(raw, unackedTimeout)
 	watched := &watchedConn{Conn: raw}
 	r := bufio.NewReader(watched)
+	m.beginGreeting(raw)
 	peer, err := serverHandshake(raw, r, m.cfg.Host, m.cfg.Secret)
+	m.endGreeting(raw)
 	if err != nil {
 		m.rejected.Inc(1)
 		m.log.Warnf("rejected %s: %v", raw.RemoteAddr(), err)
@@ -151,6 +157,28 @@
 	m.serveLink(peer, watched, r)
 }
 
+// maxGreetings bounds the connections whose dialer is not authenticated: several times the
+// hosts of the largest cluster, which may all dial at once.
+const maxGreetings = 1024
+
+// beginGreeting records a connection whose dialer is not authenticated yet. Beyond the bound
+// it closes the oldest one, since a peer needs far less time than a stranger may take.
+func (m *Mesh) beginGreeting(raw net.Conn) {
+	m.greetingsMu.Lock()
+	defer m.greetingsMu.Unlock()
+	m.greetings = append(m.greetings, raw)
+	if len(m.greetings) > maxGreetings {
+		m.greetings[0].Close()
+		m.greetings = slices.Delete(m.greetings, 0, 1)
+	}
+}
+
+func (m *Mesh) endGreeting(raw net.Conn) {
+	m.greetingsMu.Lock()
+	defer m.greetingsMu.Unlock()
+	m.greetings = slices.DeleteFunc(m.greetings, func(c net.Conn) bool { return c == raw })
+}
+
 // serveLink uses the connection as the link to the peer until it breaks.
 func (m *Mesh) serveLink(peer string, raw *watchedConn, r *bufio.Reader) {
 	c := m.newConn(peer, raw, r)
