A caller that receives nothing of a whole response is cut off after 15 s

What callers saw: none yet; the report is that of kept bytes without end.

Cause: writing the rest of a large response is bounded to 15 s for a chunk, but not writing its beginning or a whole response of up to 64 KB. A caller that stopped reading kept it, its request and its connection for good.

Change: responses from 4 KB on, and the beginning of long ones, are written in chunks of 16 KB with the same bound.

Evidence: TestCallerThatReceivesNothingIsCutOff printed before: "4096 bytes: waits for good true" and "65535 bytes: waits for good true". It passes now; the package's tests pass under the race detector.

--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -237,7 +238,7 @@
 	}
 	p.w.WriteHeader(reply.Status)
 	cause := "caller: "
-	_, err := p.w.Write(body)
+	err := p.writeBounded(body)
 	if rest != nil {
 		failing := io.Writer(p.w)
 		if err != nil {
@@ -247,6 +248,8 @@
 		if fromTarget, err = rest.writeTo(e.pacer.Writer(p.in.Context(), failing), p.boundStall); fromTarget {
 			cause = "target: "
 		}
+	}
+	if len(body) >= minBlockingBody {
 		p.endStallBound()
 	}
 	if err != nil && !bodyless {
@@ -268,6 +271,25 @@
 // connection is closed: slow callers make progress, and others would hold memory for ever.
 const maxCallerStall = 15 * time.Second
 
+// minBlockingBody is the body size in bytes from which writing it may wait for the caller: the
+// server buffers less, and the socket much more.
+const minBlockingBody = 4 << 10
+
+// writeBounded writes the body, or the beginning of a long one, to the caller.
+func (p *proxiedRequest) writeBounded(body []byte) error {
+	if len(body) < minBlockingBody {
+		_, err := p.w.Write(body)
+		return err
+	}
+	for chunk := range slices.Chunk(body, readAheadChunk) {
+		p.boundStall()
+		if _, err := p.w.Write(chunk); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // boundStall bounds the time of the next write to the caller.
 func (p *proxiedRequest) boundStall() {
 	_ = http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(maxCallerStall)) // not all writers support it
