Contracts: a caller that receives nothing of a response is cut off after 15 s

What callers saw: none yet. A caller that stopped reading a response of 4 KB or more kept its call, the target's slot and the buffers for good, also past the call's deadline.

Change: each write of such a response is bounded to 15 s, as on routes. The copying buffers are shared.

Evidence: TestCallerThatReceivesNothingIsCutOff printed before: "length -1: i/o timeout, waits for good true". It passes now; the package's tests pass under the race detector.

--- a/internal/call/kqcall/attempt.go
+++ b/internal/call/kqcall/attempt.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
+	"time"
 
 	"kumquatglade/internal/call/kqaccount"
 	"kumquatglade/internal/call/kqheader"
@@ -177,19 +179,56 @@
 	panic(http.ErrAbortHandler)
 }
 
+// maxCallerStall is how long a caller may receive nothing of a response before its connection
+// is closed: slow callers make progress, and others would hold memory for ever.
+const maxCallerStall = 15 * time.Second
+
+const (
+	minBlockingBody = 4 << 10  // body size in bytes from which writing it may wait for the caller
+	copyBufferSize  = 16 << 10 // bytes that are written at once
+)
+
 // copyBody copies the response body to the caller. A body of unknown length is
 // flushed after each write, because the target may be streaming; one of known
 // length is buffered.
 func copyBody(w http.ResponseWriter, reply *kqtransport.Reply) (int64, error) {
-	if reply.BodyLength >= 0 {
+	if reply.BodyLength >= 0 && reply.BodyLength < minBlockingBody {
 		return io.Copy(w, reply.Body)
 	}
-	return io.Copy(flushWriter{w, http.NewResponseController(w)}, reply.Body)
+	rc := http.NewResponseController(w)
+	out := stallWriter{w, rc}
+	defer out.end()
+	buf := copyBuffers.Get().(*[copyBufferSize]byte)
+	defer copyBuffers.Put(buf)
+	if reply.BodyLength >= 0 {
+		return io.CopyBuffer(out, reply.Body, buf[:])
+	}
+	return io.CopyBuffer(flushWriter{out, rc}, reply.Body, buf[:])
+}
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
+
+// stallWriter bounds the time of each write to the caller.
+type stallWriter struct {
+	w  io.Writer
+	rc *http.ResponseController
+}
+
+func (s stallWriter) Write(p []byte) (int, error) {
+	s.rc.SetWriteDeadline(time.Now().Add(maxCallerStall)) // best effort: not every ResponseWriter supports deadlines
+	return s.w.Write(p)
+}
+
+// end sends what is buffered and removes the bound, which would hold for the next call on the
+// connection.
+func (s stallWriter) end() {
+	s.rc.Flush()                       // an error shows at the next write
+	s.rc.SetWriteDeadline(time.Time{}) // best effort, as above
 }
 
 // flushWriter flushes the response after each write.
 type flushWriter struct {
-	w  http.ResponseWriter
+	w  io.Writer
 	rc *http.ResponseController
 }
 
--- a/internal/call/kqcall/endlessbody_test.go
+++ b/internal/call/kqcall/endlessbody_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"runtime"
 	"strings"
 	"sync"
@@ -11,6 +13,7 @@
 	"time"
 
 	"kumquatglade/internal/call/kqheader"
+	"kumquatglade/internal/call/kqtransport"
 	"kumquatglade/internal/state/kqcontract"
 )
 
@@ -70,3 +73,33 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 }
+
+// stallingWriter is a ResponseWriter whose caller receives nothing: a write waits for its
+// deadline.
+type stallingWriter struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+	unbound  bool // a write would have waited for good
+}
+
+func (w *stallingWriter) SetWriteDeadline(t time.Time) error {
+	w.deadline = t
+	return nil
+}
+
+func (w *stallingWriter) Write([]byte) (int, error) {
+	w.unbound = w.unbound || w.deadline.IsZero() || time.Until(w.deadline) > time.Minute
+	return 0, os.ErrDeadlineExceeded
+}
+
+// TestCallerThatReceivesNothingIsCutOff guards against a caller that stops reading a response and
+// keeps its call, the target's slot and the buffers for good.
+func TestCallerThatReceivesNothingIsCutOff(t *testing.T) {
+	for _, length := range []int64{-1, 100_000} {
+		w := &stallingWriter{ResponseRecorder: httptest.NewRecorder()}
+		_, err := copyBody(w, &kqtransport.Reply{BodyLength: length, Body: strings.NewReader(strings.Repeat("x", 100_000))})
+		if err == nil || w.unbound || !w.deadline.IsZero() {
+			t.Errorf("length %d: %v, waits for good %v, deadline %v", length, err, w.unbound, w.deadline)
+		}
+	}
+}
