The body of an announcement must arrive within 5 s

A target's announcement has 4 KB at most, but its body never had to end: connections on which a byte comes now and then stayed for good. kqbody's TestMiddleware covers bodies that stop, drip and never end; it is in use here now.

--- a/internal/call/kqbody/memory.go
+++ b/internal/call/kqbody/memory.go
@@ -42,7 +42,8 @@
 	freed   chan struct{}        // closed and replaced when a body is released
 }
 
-// NewMemory returns a Memory for the given bytes. One body alone may exceed them.
+// NewMemory returns a Memory for the given bytes, besides the first 16 KiB of each body. One
+// body alone may exceed them.
 func NewMemory(limit int64) *Memory {
 	return &Memory{limit: limit, reading: map[*Buffer]struct{}{}, freed: make(chan struct{})}
 }
--- a/internal/route/kqapi/routes.go
+++ b/internal/route/kqapi/routes.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"kumquatglade/internal/call/kqbody"
 	"kumquatglade/internal/state/kqcheck"
 	"kumquatglade/internal/state/kqtargets"
 
@@ -17,6 +18,7 @@
 const (
 	maxAnnouncementBytes = 4 << 10
 	renewInterval        = time.Second
+	bodyTimeout          = 5 * time.Second // for the body of an announcement to arrive
 	announceTimeout      = 2 * time.Second // a target gets 503 if its announcement is undecided by then
 )
 
@@ -65,7 +67,7 @@
 			return c.JSON(http.StatusServiceUnavailable, refusal{"undecided", err.Error()})
 		}
 		return c.JSON(http.StatusOK, renewal{renewInterval.String()})
-	})
+	}, kqbody.NewMemory(0).Middleware(maxAnnouncementBytes, bodyTimeout))
 }
 
 func decode(r io.Reader) (kqtargets.Target, error) {
--- a/internal/route/kqregistry/handlers.go
+++ b/internal/route/kqregistry/handlers.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"kumquatglade/internal/call/kqbody"
 	"kumquatglade/internal/call/kqheader"
 	"kumquatglade/internal/route/kqdirectory"
 	"kumquatglade/internal/route/kqresolve"
@@ -19,7 +20,10 @@
 	"github.com/labstack/echo/v4"
 )
 
-const maxAnnouncementBytes = 4 << 10
+const (
+	maxAnnouncementBytes = 4 << 10
+	announcementTimeout  = 5 * time.Second // for its body to arrive: far longer than a target waits
+)
 
 // announcement is the request body of POST /v1/targets.
 type announcement struct {
@@ -69,7 +73,7 @@
 
 // Register adds POST /v1/targets and GET /v1/entries.
 func (r *TargetRegistry) Register(e *echo.Echo) {
-	e.POST("/v1/targets", r.postTarget)
+	e.POST("/v1/targets", r.postTarget, kqbody.NewMemory(0).Middleware(maxAnnouncementBytes, announcementTimeout))
 	e.GET("/v1/entries", r.getEntries)
 }
 
