Callers: a connection that closes with bytes of a request that gets no answer leaves a line

What on-call could not tell: a request that was read behind another one and dropped with its connection left no line, and a request cut at the end of a stop left one only if its handler ran before the process was gone.

Change: kqlistener splits what it hands to the server at the end of each head and body (framing), so that the server's buffer holds nothing of a further request when a handler runs; Handler tells the connection how long a body is. What is left when a connection closes can so be counted: one line with the caller's address, the bytes and the cause (left, stop, broken, timeout, closing), and the counters callers.unanswered.<cause>. At the end of a stop each request in flight has a line with its ID (request: cut by the end of the host) before its connection is closed, and the counter routes.cut. What is closed is not changed here.

--- a/internal/call/kqlistener/conn.go
+++ b/internal/call/kqlistener/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -18,6 +19,7 @@
 	// behind more of them a caller that leaves is noticed late.
 	maxAhead   = 64 << 10
 	aheadChunk = 2 << 10 // bytes read at once
+	maxSpare   = 4 << 10 // bytes kept for the next use: as many as the server reads at once
 
 	// lingerTime is how long a connection stays open for reading after the last response.
 	// Closing it at once resets it if the caller has sent more, and a reset can overtake
@@ -40,9 +42,16 @@
 
 	mu       sync.Mutex
 	changed  *sync.Cond
-	ahead    []byte    // bytes read behind the request in progress
+	ahead    []byte    // bytes read and not yet handed to the server
+	spare    []byte    // memory for ahead
+	framing  framing   // of the bytes handed to the server
+	handling bool      // a request was given to its handler, and the server has not gone on to the next
+	finished bool      // its handler has returned
+	broken   bool      // its handler has panicked
+	bodyDone bool      // its body was read to the end
 	reading  bool      // readAhead is running
 	ended    error     // why nothing more can be read, nil while the caller is there
+	timedOut bool      // a further request did not arrive within the server's deadline
 	pending  bool      // bytes of a request were read that has no response yet
 	served   bool      // a response was sent
 	retiring bool      // to be closed once no request is pending
@@ -57,24 +66,42 @@
 	return c
 }
 
-// Read reads from the caller. The server reads a single byte while a request is in
-// progress, to notice that the caller leaves. If that byte belongs to a further request,
-// it would notice nothing any more; so reading then goes on in the background.
+// Read reads from the caller, and not beyond the end of a request: what the server held of
+// a further one would be gone when it closes the connection. The server reads a single byte
+// while a request is in progress, to notice that the caller leaves. If that byte belongs to
+// a further request, it would notice nothing any more; so reading then goes on in the
+// background.
 func (c *conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	watches := len(p) == 1 // also if it is the last byte of a buffer, where reading on does no harm
+	c.bodyDone = c.bodyDone || c.handling && watches
 	for c.reading && len(c.ahead) == 0 {
 		c.changed.Wait()
 	}
+	n, err := 0, error(nil)
 	if len(c.ahead) > 0 {
-		n := copy(p, c.ahead)
+		n = c.framing.hand(c.ahead[:min(len(c.ahead), len(p))])
+		copy(p, c.ahead[:n])
 		c.ahead = c.ahead[n:]
-		c.pending = true
-		return n, nil
+	} else if n, err = c.readNow(p); n == 0 {
+		return 0, err
 	}
+	c.pending = true
+	if watches && err == nil && c.ended == nil && !c.reading && len(c.ahead) < maxAhead {
+		c.reading = true
+		go c.readAhead()
+	}
+	return n, err
+}
+
+// readNow reads from the connection, keeps what the server is not to get yet, and returns
+// how much it gets. The lock is held, but not while it waits.
+func (c *conn) readNow(p []byte) (int, error) {
 	if c.ended != nil {
 		return 0, c.ended
 	}
+	p = c.framing.within(p)
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
@@ -84,15 +111,27 @@
 	if n == 0 {
 		return n, err
 	}
-	c.pending = true
 	if c.retiring {
 		_ = c.Conn.SetReadDeadline(c.deadline) // a failure shows at the next read
 	}
-	if len(p) == 1 && err == nil {
-		c.reading = true
-		go c.readAhead()
+	handed := c.framing.hand(p[:n])
+	c.keep(p[handed:n])
+	return handed, err
+}
+
+// keep appends to ahead. The lock is held.
+func (c *conn) keep(p []byte) {
+	if len(p) == 0 {
+		return
+	}
+	if len(c.ahead) == 0 {
+		c.ahead = c.spare[:0]
+	}
+	first := len(c.ahead) == 0
+	c.ahead = append(c.ahead, p...)
+	if first && cap(c.ahead) <= maxSpare {
+		c.spare = c.ahead[:0]
 	}
-	return n, err
 }
 
 // readFailed records that a read failed and returns what to tell the reader. Before a
@@ -103,6 +142,7 @@
 		return 0, err
 	}
 	if !c.retiring || c.pending {
+		c.timedOut = !c.handling
 		return 0, err
 	}
 	if n := c.readArrived(p); n > 0 {
@@ -138,7 +178,7 @@
 	for {
 		n, err := c.Conn.Read(buf)
 		c.mu.Lock()
-		c.ahead = append(c.ahead, buf[:n]...)
+		c.keep(buf[:n])
 		left := err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 		if left {
 			c.ended = err
@@ -191,7 +231,11 @@
 func (c *conn) becameIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending, c.served = len(c.ahead) > 0, true
+	if !c.handling {
+		c.framing.handed = 0 // without Handler, all that was handed was the request
+	}
+	c.handling, c.served = false, true
+	c.pending = c.framing.handed > 0 || len(c.ahead) > 0
 	if c.retiring && !c.pending {
 		_ = c.Conn.SetReadDeadline(past) // a failure shows at the next read
 	}
@@ -212,6 +256,22 @@
 	}
 }
 
+// begin records that a handler runs, for a request with a body of so many bytes, -1 if it
+// is sent in chunks. Of what follows the head the server has read nothing.
+func (c *conn) begin(body int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling, c.finished, c.broken, c.bodyDone = true, false, true, body == 0
+	c.framing = framing{body: max(body, 0)}
+}
+
+// finish records that the handler has returned, normally or by a panic.
+func (c *conn) finish(broken bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finished, c.broken = true, broken
+}
+
 // Close closes the connection, and only after a while for reading if a response may be
 // under way.
 func (c *conn) Close() error {
@@ -222,7 +282,11 @@
 	}
 	c.closed = true
 	linger := c.ended == nil && !c.wroteAt.IsZero() && time.Since(c.wroteAt) < lingerAfter
+	behind, why := c.unanswered(), c.whyClosed()
 	c.mu.Unlock()
+	if behind > 0 {
+		c.listener.recordUnanswered(c, behind, why)
+	}
 	c.cancel()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && linger && half.CloseWrite() == nil {
 		time.AfterFunc(lingerTime, func() {
@@ -234,3 +298,69 @@
 	c.listener.remove(c)
 	return c.Conn.Close()
 }
+
+// unanswered returns how many bytes have arrived of further requests, as far as it can be
+// told where the current one ends. The lock is held.
+func (c *conn) unanswered() int {
+	n := len(c.ahead)
+	if c.ended == nil {
+		n += c.unread()
+	}
+	switch {
+	case !c.handling || c.bodyDone:
+		return c.framing.handed + n
+	case c.framing.body > 0:
+		return max(0, n-int(min(c.framing.body, math.MaxInt32)))
+	default:
+		return 0
+	}
+}
+
+// unread returns how many bytes have arrived that were not read from the connection.
+func (c *conn) unread() (n int) {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	// Unlike Read, Control does not wait for a read that is under way.
+	err = rc.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// closeCause says why a connection was closed.
+type closeCause string
+
+const (
+	causeLeft    closeCause = "left"    // the caller has left
+	causeStop    closeCause = "stop"    // the end of the stop, or of the process
+	causeBroken  closeCause = "broken"  // the response was broken off
+	causeTimeout closeCause = "timeout" // the rest of the request did not arrive in time
+	causeClosing closeCause = "closing" // the response before closed the connection
+)
+
+var closeCauses = []closeCause{causeLeft, causeStop, causeBroken, causeTimeout, causeClosing}
+
+// whyClosed returns why the connection is closed. The lock is held.
+func (c *conn) whyClosed() closeCause {
+	switch {
+	case c.ended != nil:
+		return causeLeft
+	case c.listener.ended.Load() && !c.finished:
+		return causeStop
+	case c.handling && c.broken:
+		return causeBroken
+	case c.timedOut:
+		return causeTimeout
+	case c.handling:
+		return causeClosing
+	default:
+		return causeStop
+	}
+}
--- a/internal/call/kqlistener/listener.go
+++ b/internal/call/kqlistener/listener.go
@@ -5,7 +5,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"kumquatglade/internal/host/kqlog"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -18,10 +23,20 @@
 	retireInterval = 50 * time.Millisecond
 )
 
-// Listener accepts connections for an http.Server, which must use its ConnContext and
-// ConnState. It is safe for concurrent use.
+// Config constructs a Listener.
+type Config struct {
+	Listener net.Listener
+	Log      *kqlog.Log
+	Metrics  metrics.Registry
+}
+
+// Listener accepts connections for an http.Server, which must use its ConnContext,
+// ConnState and Handler. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
+	log        *kqlog.Log
+	unanswered map[closeCause]metrics.Counter // connections closed with bytes of a further request
+	ended      atomic.Bool                    // Close was called: the server closes all connections
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
@@ -29,9 +44,18 @@
 	closed  bool // all connections that were accepted are in conns
 }
 
-// New returns a Listener that accepts from l.
+// New returns a Listener that accepts from l and records nothing.
 func New(l net.Listener) *Listener {
-	return &Listener{Listener: l, conns: map[*conn]struct{}{}}
+	return Open(Config{Listener: l, Log: kqlog.Discard(), Metrics: metrics.NewRegistry()})
+}
+
+// Open returns a Listener.
+func Open(cfg Config) *Listener {
+	l := &Listener{Listener: cfg.Listener, log: cfg.Log, unanswered: map[closeCause]metrics.Counter{}, conns: map[*conn]struct{}{}}
+	for _, cause := range closeCauses {
+		l.unanswered[cause] = metrics.GetOrRegisterCounter("callers.unanswered."+string(cause), cfg.Metrics)
+	}
+	return l
 }
 
 // Accept waits for the next connection.
@@ -57,7 +81,27 @@
 		return ctx
 	}
 	ctx, mine.cancel = context.WithCancel(ctx)
-	return ctx
+	return context.WithValue(ctx, connKey{}, mine)
+}
+
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// Handler returns a handler that tells the connection where the body of a request ends, and
+// has it served by h.
+func (l *Listener) Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if !ok {
+			h.ServeHTTP(w, r)
+			return
+		}
+		broken := true
+		defer func() { c.finish(broken) }()
+		c.begin(r.ContentLength)
+		h.ServeHTTP(w, r)
+		broken = false
+	})
 }
 
 // ConnState records which connections have a request in progress.
@@ -114,3 +158,16 @@
 	defer l.mu.Unlock()
 	delete(l.conns, c)
 }
+
+// Close closes the listening socket, when the server is about to close all connections.
+func (l *Listener) Close() error {
+	l.ended.Store(true)
+	return l.Listener.Close()
+}
+
+// recordUnanswered records that a connection is closed with bytes of further requests.
+func (l *Listener) recordUnanswered(c *conn, bytes int, why closeCause) {
+	l.log.Info().Str("caller", c.RemoteAddr().String()).Int("bytes", bytes).Str("cause", string(why)).
+		Msg("callers: closed with bytes of a request that gets no answer")
+	l.unanswered[why].Inc(1)
+}
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -63,11 +63,15 @@
 	serviceTimes    map[string]*kqselection.ServiceTime // by route name
 	shortestProbes  map[string]time.Duration            // by failure domain: the shortest time to the answer of a probe
 	longestTimeouts map[string]time.Duration            // by route name: the longest timeout of a caller so far
+
+	runningMu sync.Mutex
+	running   map[*proxiedRequest]struct{} // requests in flight
 }
 
 // engineMetrics are the engine's published metrics.
 type engineMetrics struct {
 	requests, answered, refused, failed, retries, probes, failedProbes metrics.Counter
+	cut                                                                metrics.Counter // requests in flight when the host ended
 	barred                                                             metrics.Counter // sends given up because the target was barred after it was chosen
 	uninformed                                                         metrics.Counter // sends without a load report in time
 	foreign                                                            metrics.Counter // responses to other requests that were skipped
@@ -84,12 +88,13 @@
 		cfg: cfg, pacer: pacer, pool: kqtransport.NewPool(kqtransport.Config{Pacer: pacer}), shortestProbes: map[string]time.Duration{}, readAheads: newReadAheadPool(), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{},
 		retryBudgets: map[string]*kqselection.RetryBudget{},
 		choosers:     map[string]*chooser{}, serviceTimes: map[string]*kqselection.ServiceTime{}, longestTimeouts: map[string]time.Duration{},
+		running: map[*proxiedRequest]struct{}{},
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("routes."+name, cfg.Metrics) }
 	e.metrics = engineMetrics{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"), failed: counter("failed"),
 		retries: counter("second"), probes: counter("questions"), failedProbes: counter("unanswered"),
-		barred: counter("barred"), foreign: counter("foreign"), uninformed: counter("uninformed"), leaving: counter("leaving"), quiet: counter("quiet"), oddQuiet: counter("oddquiet"),
+		cut: counter("cut"), barred: counter("barred"), foreign: counter("foreign"), uninformed: counter("uninformed"), leaving: counter("leaving"), quiet: counter("quiet"), oddQuiet: counter("oddquiet"),
 		latency:   metrics.GetOrRegisterTimer("routes.latency", cfg.Metrics),
 		firstByte: metrics.GetOrRegisterTimer("routes.firstbyte", cfg.Metrics),
 		probeTime: metrics.GetOrRegisterTimer("routes.asking", cfg.Metrics),
@@ -120,6 +125,26 @@
 // InFlight returns the number of requests in flight.
 func (e *Engine) InFlight() int64 { return e.inFlight.Load() }
 
+// LogCut logs each request in flight, when the host is about to end.
+func (e *Engine) LogCut() {
+	e.runningMu.Lock()
+	defer e.runningMu.Unlock()
+	for p := range e.running {
+		e.metrics.cut.Inc(1)
+		e.cfg.Log.Warn().Str("id", p.id).Str("path", p.in.URL.Path).Dur("took", e.cfg.Clock.Now().Sub(p.started)).Msg("request: cut by the end of the host")
+	}
+}
+
+func (e *Engine) setRunning(p *proxiedRequest, running bool) {
+	e.runningMu.Lock()
+	defer e.runningMu.Unlock()
+	if running {
+		e.running[p] = struct{}{}
+		return
+	}
+	delete(e.running, p)
+}
+
 // Ready reports whether routes have been applied.
 func (e *Engine) Ready() bool { return e.routing.Load() != nil }
 
@@ -161,5 +186,7 @@
 	e.metrics.requests.Inc(1)
 	p := &proxiedRequest{engine: e, w: w, in: r, started: e.cfg.Clock.Now(), id: r.Header.Get(e.cfg.HeaderNames.RequestID)}
 	defer func() { e.metrics.latency.Update(e.cfg.Clock.Now().Sub(p.started)) }()
+	e.setRunning(p, true)
+	defer e.setRunning(p, false)
 	p.serve()
 }
--- a/internal/host/kqlog/log.go
+++ b/internal/host/kqlog/log.go
@@ -65,6 +65,12 @@
 	return &Log{out: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}}
 }
 
+// To returns a log that writes each line to w before it goes on; w must be safe for
+// concurrent use.
+func To(w io.Writer) *Log {
+	return &Log{out: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w}}}
+}
+
 // Component returns a log whose messages start with the name of the component.
 func (l *Log) Component(name string) *Log {
 	return &Log{out: l.out, prefix: name + ": ", sink: l.sink}
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -183,8 +183,8 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	d.callers = kqlistener.New(l)
-	srv := newServer(d.proxy)
+	d.callers = kqlistener.Open(kqlistener.Config{Listener: l, Log: d.log, Metrics: d.metrics})
+	srv := newServer(d.callers.Handler(d.proxy))
 	srv.ConnContext, srv.ConnState = d.callers.ConnContext, d.callers.ConnState
 	d.serveOn(d.callers, srv)
 	return nil
@@ -247,6 +247,7 @@
 	defer cancel()
 	if err := d.callers.Drain(ctx); err != nil {
 		d.log.Warnf("stopping with %d requests in flight: %v", d.proxy.InFlight(), err)
+		d.proxy.LogCut()
 	}
 }
 
