Stop: a response closes its connection only if nothing further has arrived there

What callers saw: requests sent right behind another one, whole, got no response: their connection ended with the response to the one before, more than 200 ms after their last byte.

Cause: during a planned stop each response said Connection: close at once. What had been read behind its request, by the listener or into the buffer of net/http, went with the connection.

Change: MoreArrived tells whether bytes have arrived behind the request: held back by the listener, read by the server while it watches for a caller that leaves, or waiting in the socket. A response of a host that shuts down closes only if not. What has arrived is answered first, served or refused as not run, in order; the last of these closes; a part is waited for within the server's deadlines and the end of the stop. A request that is refused with its body arrived and more behind it has that body read, at most 20 ms; a body that has not arrived is not waited for, and the connection then closes as before. Once nothing is accepted any more, a caller that never stops sending is answered for 64 KiB more.

Evidence: TestShutdownAnswersWhatHasArrived: 17 of 18 cases failed before (response 0 of 2 closes: true; response 1: unexpected EOF). TestWholeBatchIsAnswered failed (1 responses, then unexpected EOF, want 8). TestEndlessSender without the limit: the stop is held up. TestRequestsInPieces and TestCallerLeavesBehindAnswered guard the splitting.

--- a/internal/call/kqlistener/conn.go
+++ b/internal/call/kqlistener/conn.go
@@ -55,6 +55,8 @@
 	pending  bool      // bytes of a request were read that has no response yet
 	served   bool      // a response was sent
 	retiring bool      // to be closed once no request is pending
+	hurried  bool      // to be closed soon, also if its caller never stops sending
+	late     int       // bytes read since then
 	deadline time.Time // read deadline that the server asked for
 	wroteAt  time.Time // when the last bytes were written
 	closed   bool
@@ -114,11 +116,19 @@
 	if c.retiring {
 		_ = c.Conn.SetReadDeadline(c.deadline) // a failure shows at the next read
 	}
+	c.countLate(n)
 	handed := c.framing.hand(p[:n])
 	c.keep(p[handed:n])
 	return handed, err
 }
 
+// countLate counts bytes that were read. The lock is held.
+func (c *conn) countLate(n int) {
+	if c.hurried {
+		c.late += n
+	}
+}
+
 // keep appends to ahead. The lock is held.
 func (c *conn) keep(p []byte) {
 	if len(p) == 0 {
@@ -178,6 +188,7 @@
 	for {
 		n, err := c.Conn.Read(buf)
 		c.mu.Lock()
+		c.countLate(n)
 		c.keep(buf[:n])
 		left := err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 		if left {
@@ -247,6 +258,7 @@
 func (c *conn) retire(hurry bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.hurried = c.hurried || hurry
 	if c.retiring || !hurry && !c.served && time.Since(c.accepted) < newConnGrace {
 		return
 	}
@@ -299,6 +311,23 @@
 	return c.Conn.Close()
 }
 
+// moreArrived reports whether anything has arrived behind the request in progress.
+func (c *conn) moreArrived(bodyRead bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	body := c.framing.body
+	switch {
+	case !bodyRead && !c.bodyDone && body == 0:
+		return false // of a body in chunks it cannot be told where it ends
+	case c.framing.handed > 0 || int64(len(c.ahead)) > body:
+		return c.late < maxAhead
+	case c.ended != nil || c.hurried:
+		return false
+	default:
+		return int64(len(c.ahead)+c.unread()) > body
+	}
+}
+
 // unanswered returns how many bytes have arrived of further requests, as far as it can be
 // told where the current one ends. The lock is held.
 func (c *conn) unanswered() int {
--- a/internal/call/kqlistener/listener.go
+++ b/internal/call/kqlistener/listener.go
@@ -104,6 +104,15 @@
 	})
 }
 
+// MoreArrived reports whether the caller has sent anything behind the request with the
+// context, so that the response must not close the connection yet. A handler that may not
+// have read the body to its end says so. Once connections are accepted no more, a caller
+// that never stops sending is given only some time.
+func MoreArrived(ctx context.Context, bodyRead bool) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.moreArrived(bodyRead)
+}
+
 // ConnState records which connections have a request in progress.
 func (l *Listener) ConnState(c net.Conn, state http.ConnState) {
 	mine, ok := c.(*conn)
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -60,8 +60,7 @@
 	p.route = route
 	p.deadline = p.computeDeadline()
 	if !p.engine.shutdown.Takes(p.deadline) {
-		_ = http.NewResponseController(p.w).EnableFullDuplex() // the response need not wait for the body; not all writers support it
-		p.refuse(http.StatusServiceUnavailable, causeShutdown, p.retryAfter(true))
+		p.refuseForShutdown()
 		return
 	}
 	if status, err := p.readBody(); err != nil {
--- a/internal/call/kqproxy/response.go
+++ b/internal/call/kqproxy/response.go
@@ -1,12 +1,14 @@
 package kqproxy
 
 import (
+	"io"
 	"net/http"
 	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
 
+	"kumquatglade/internal/call/kqlistener"
 	"kumquatglade/internal/route/kqselection"
 )
 
@@ -80,13 +82,44 @@
 	p.writeError(status, cause)
 }
 
-// closeIfStopping makes the response close the caller's connection if the host shuts down.
+// closeIfStopping makes the response close the caller's connection if the host shuts down,
+// unless a further request has arrived there, which gets its response first.
 func (p *proxiedRequest) closeIfStopping() {
-	if p.engine.shutdown.Begun() {
+	if p.engine.shutdown.Begun() && !kqlistener.MoreArrived(p.in.Context(), p.bodyRest == nil) {
 		p.w.Header().Set("Connection", "close")
 	}
 }
 
+// arrivedBodyTime is how long a request that is refused because the host shuts down waits
+// for the rest of a body that is arriving: it was received and need only be read.
+const arrivedBodyTime = 20 * time.Millisecond
+
+// refuseForShutdown refuses a request whose body was not read. The response does not wait for
+// a body that has not arrived, and then closes the connection.
+func (p *proxiedRequest) refuseForShutdown() {
+	if !p.discardArrivedBody() {
+		p.w.Header().Set("Connection", "close")
+		_ = http.NewResponseController(p.w).EnableFullDuplex() // not all writers support it
+	}
+	p.refuse(http.StatusServiceUnavailable, causeShutdown, p.retryAfter(true))
+}
+
+// discardArrivedBody reads the body if it has arrived with something behind it, and reports
+// whether the connection stands at its end.
+func (p *proxiedRequest) discardArrivedBody() bool {
+	if p.in.Body == nil || p.in.Body == http.NoBody {
+		return true
+	}
+	if p.in.Header.Get("Expect") != "" || !kqlistener.MoreArrived(p.in.Context(), true) {
+		return false
+	}
+	rc := http.NewResponseController(p.w)
+	_ = rc.SetReadDeadline(time.Now().Add(arrivedBodyTime)) // not all writers support it
+	_, err := io.CopyN(io.Discard, p.in.Body, maxBufferedBody)
+	_ = rc.SetReadDeadline(time.Time{}) // not all writers support it
+	return err == io.EOF                //nolint:errorlint // io.CopyN returns io.EOF unwrapped
+}
+
 // writeError writes an error response of the proxy itself.
 func (p *proxiedRequest) writeError(status int, cause string) {
 	p.closeIfStopping()
