Stop: connections that the kernel has accepted are served, not reset

What callers saw: a connection that was established, with a request on it, was reset when the host closed its listening socket.

Cause: StopAccepting closed the socket with connections in its backlog that the server had not taken yet, as on a busy machine; the kernel resets them.

Change: StopAccepting takes what waits in the backlog, without waiting, before it closes the socket; Accept returns these connections before its error, and Drain waits for them as for the others.

A connection whose handshake ends between the last look and the close is still reset.

--- a/internal/call/kqlistener/listener.go
+++ b/internal/call/kqlistener/listener.go
@@ -40,8 +40,9 @@
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
-	closing bool // StopAccepting was called, so a connection without a request need not be waited for
-	closed  bool // all connections that were accepted are in conns
+	taken   []net.Conn // accepted when the listening socket was about to close, for Accept
+	closing bool       // StopAccepting was called, so a connection without a request need not be waited for
+	closed  bool       // all connections that were accepted are in conns
 }
 
 // New returns a Listener that accepts from l and records nothing.
@@ -62,10 +63,9 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
 	if err != nil {
-		l.mu.Lock()
-		l.closed = l.closing
-		l.mu.Unlock()
-		return nil, err
+		if raw = l.nextTaken(); raw == nil {
+			return nil, err
+		}
 	}
 	c := newConn(raw, l)
 	l.mu.Lock()
@@ -74,6 +74,20 @@
 	return c, nil
 }
 
+// nextTaken returns a connection that StopAccepting took. If none is left, all that were
+// accepted are in conns.
+func (l *Listener) nextTaken() net.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.taken) == 0 {
+		l.closed = l.closing
+		return nil
+	}
+	c := l.taken[0]
+	l.taken = l.taken[1:]
+	return c
+}
+
 // ConnContext returns a context that ends when the caller at the other end has left.
 func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	mine, ok := c.(*conn)
@@ -153,12 +167,17 @@
 	return len(l.conns) == 0 && l.closing == l.closed
 }
 
-// StopAccepting closes the listening socket; open connections go on. A server must be
-// accepting.
+// StopAccepting closes the listening socket; open connections go on, and those that the
+// kernel had accepted are served. A server must be accepting.
 func (l *Listener) StopAccepting() error {
 	l.mu.Lock()
 	l.closing = true
+	taken, err := acceptWaiting(l.Listener)
+	l.taken = append(l.taken, taken...)
 	l.mu.Unlock()
+	if err != nil {
+		l.log.Warnf("callers: connections that wait to be accepted may be reset: %v", err)
+	}
 	return l.Listener.Close()
 }
 
@@ -171,6 +190,12 @@
 // Close closes the listening socket, when the server is about to close all connections.
 func (l *Listener) Close() error {
 	l.ended.Store(true)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.taken {
+		c.Close()
+	}
+	l.taken = nil
 	return l.Listener.Close()
 }
 
