--- a/internal/call/kqlistener/listener.go
+++ b/internal/call/kqlistener/listener.go
@@ -5,7 +5,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"kumquatglade/internal/host/kqlog"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -18,30 +23,49 @@
 	retireInterval = 50 * time.Millisecond
 )
 
-// Listener accepts connections for an http.Server, which must use its ConnContext and
-// ConnState. It is safe for concurrent use.
+// Config constructs a Listener.
+type Config struct {
+	Listener net.Listener
+	Log      *kqlog.Log
+	Metrics  metrics.Registry
+}
+
+// Listener accepts connections for an http.Server, which must use its ConnContext,
+// ConnState and Handler. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
+	log        *kqlog.Log
+	unanswered map[closeCause]metrics.Counter // connections closed with bytes of a further request
+	ended      atomic.Bool                    // Close was called: the server closes all connections
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
-	closing bool // StopAccepting was called, so a connection without a request need not be waited for
-	closed  bool // all connections that were accepted are in conns
+	taken   []net.Conn // accepted when the listening socket was about to close, for Accept
+	closing bool       // StopAccepting was called, so a connection without a request need not be waited for
+	closed  bool       // all connections that were accepted are in conns
 }
 
-// New returns a Listener that accepts from l.
+// New returns a Listener that accepts from l and records nothing.
 func New(l net.Listener) *Listener {
-	return &Listener{Listener: l, conns: map[*conn]struct{}{}}
+	return Open(Config{Listener: l, Log: kqlog.Discard(), Metrics: metrics.NewRegistry()})
+}
+
+// Open returns a Listener.
+func Open(cfg Config) *Listener {
+	l := &Listener{Listener: cfg.Listener, log: cfg.Log, unanswered: map[closeCause]metrics.Counter{}, conns: map[*conn]struct{}{}}
+	for _, cause := range closeCauses {
+		l.unanswered[cause] = metrics.GetOrRegisterCounter("callers.unanswered."+string(cause), cfg.Metrics)
+	}
+	return l
 }
 
 // Accept waits for the next connection.
 func (l *Listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
 	if err != nil {
-		l.mu.Lock()
-		l.closed = l.closing
-		l.mu.Unlock()
-		return nil, err
+		if raw = l.nextTaken(); raw == nil {
+			return nil, err
+		}
 	}
 	c := newConn(raw, l)
 	l.mu.Lock()
@@ -50,6 +74,20 @@
 	return c, nil
 }
 
+// nextTaken returns a connection that StopAccepting took. If none is left, all that were
+// accepted are in conns.
+func (l *Listener) nextTaken() net.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.taken) == 0 {
+		l.closed = l.closing
+		return nil
+	}
+	c := l.taken[0]
+	l.taken = l.taken[1:]
+	return c
+}
+
 // ConnContext returns a context that ends when the caller at the other end has left.
 func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	mine, ok := c.(*conn)
@@ -57,7 +95,36 @@
 		return ctx
 	}
 	ctx, mine.cancel = context.WithCancel(ctx)
-	return ctx
+	return context.WithValue(ctx, connKey{}, mine)
+}
+
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// Handler returns a handler that tells the connection where the body of a request ends, and
+// has it served by h.
+func (l *Listener) Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if !ok {
+			h.ServeHTTP(w, r)
+			return
+		}
+		broken := true
+		defer func() { c.finish(broken) }()
+		c.begin(r.ContentLength)
+		h.ServeHTTP(w, r)
+		broken = false
+	})
+}
+
+// MoreArrived reports whether the caller has sent anything behind the request with the
+// context, so that the response must not close the connection yet. A handler that may not
+// have read the body to its end says so. Once connections are accepted no more, a caller
+// that never stops sending is given only some time.
+func MoreArrived(ctx context.Context, bodyRead bool) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.moreArrived(bodyRead)
 }
 
 // ConnState records which connections have a request in progress.
@@ -100,12 +167,17 @@
 	return len(l.conns) == 0 && l.closing == l.closed
 }
 
-// StopAccepting closes the listening socket; open connections go on. A server must be
-// accepting.
+// StopAccepting closes the listening socket; open connections go on, and those that the
+// kernel had accepted are served. A server must be accepting.
 func (l *Listener) StopAccepting() error {
 	l.mu.Lock()
 	l.closing = true
+	taken, err := acceptWaiting(l.Listener)
+	l.taken = append(l.taken, taken...)
 	l.mu.Unlock()
+	if err != nil {
+		l.log.Warnf("callers: connections that wait to be accepted may be reset: %v", err)
+	}
 	return l.Listener.Close()
 }
 
@@ -114,3 +186,22 @@
 	defer l.mu.Unlock()
 	delete(l.conns, c)
 }
+
+// Close closes the listening socket, when the server is about to close all connections.
+func (l *Listener) Close() error {
+	l.ended.Store(true)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.taken {
+		c.Close()
+	}
+	l.taken = nil
+	return l.Listener.Close()
+}
+
+// recordUnanswered records that a connection is closed with bytes of further requests.
+func (l *Listener) recordUnanswered(c *conn, bytes int, why closeCause) {
+	l.log.Info().Str("caller", c.RemoteAddr().String()).Int("bytes", bytes).Str("cause", string(why)).
+		Msg("callers: closed with bytes of a request that gets no answer")
+	l.unanswered[why].Inc(1)
+}
