Idle connections on which a target sends are closed within a second

What callers saw: nothing yet; the report is that of bytes without end. A target that keeps sending behind a complete answer filled the receive buffer of a connection that lay idle in the pool, and that memory counts towards the process.

Cause: the pool looked for such bytes only when it used the connection again; an unused one stayed open for up to 8 s.

Change: the search for expired connections, once a second, also closes those that the target has closed or sends on.

--- a/internal/call/kqtransport/pool.go
+++ b/internal/call/kqtransport/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -178,17 +179,19 @@
 	}
 }
 
-// CloseExpired closes the connections that have been idle for longer than MaxIdleTime.
+// CloseExpired closes the connections that have been idle for longer than MaxIdleTime, and
+// those that the target has closed or keeps sending on.
 func (p *Pool) CloseExpired() {
 	p.mu.Lock()
 	var expired []*conn
 	for _, b := range p.targets {
-		n := 0
-		for n < len(b.idle) && time.Since(b.idle[n].idleSince) > MaxIdleTime {
-			n++
-		}
-		expired = append(expired, b.idle[:n]...)
-		b.idle = b.idle[n:]
+		b.idle = slices.DeleteFunc(b.idle, func(c *conn) bool {
+			ends := time.Since(c.idleSince) > MaxIdleTime || !c.usable()
+			if ends {
+				expired = append(expired, c)
+			}
+			return ends
+		})
 	}
 	p.mu.Unlock()
 	for _, c := range expired {
