Soak: what waits behind a slow request counts, hosts are asked side by side

The soak asked its entry hosts one after the other for 20 good answers in a row; with the work times of the users that took 8 to 15 s of the 15 s for recovery, on a busy machine. It asks them side by side, still 20 in a row through each, and a failure through one starts all of them again.

--- a/internal/bench/kqsoak/ledger.go
+++ b/internal/bench/kqsoak/ledger.go
@@ -224,18 +224,15 @@
 	}
 }
 
-// WayCounts returns the counts of a way.
-func (l *Ledger) WayCounts(w Way) WayCounts {
+// ByWay returns the counts of each way and the IDs of the requests that were lost.
+func (l *Ledger) ByWay() (counts map[Way]WayCounts, lost []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return *l.way(w)
-}
-
-// Lost returns the IDs of the requests that were lost.
-func (l *Ledger) Lost() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.Clone(l.lost)
+	counts = map[Way]WayCounts{}
+	for w, c := range l.ways {
+		counts[w] = *c
+	}
+	return counts, slices.Clone(l.lost)
 }
 
 // Left records when the leave of a target was acknowledged.
--- a/internal/bench/kqsoak/ledger_test.go
+++ b/internal/bench/kqsoak/ledger_test.go
@@ -106,10 +106,11 @@
 		end(id)
 	}
 	want := WayCounts{Sent: 5, Answered: 1, Refused: 1, Failed: 1, Crossed: 1, Lost: 1}
-	if got := l.WayCounts(WaySlow); got != want {
-		t.Errorf("%+v, want %+v", got, want)
+	counts, lost := l.ByWay()
+	if diff := cmp.Diff(want, counts[WaySlow]); diff != "" {
+		t.Error(diff)
 	}
-	if diff := cmp.Diff([]string{"4"}, l.Lost()); diff != "" {
+	if diff := cmp.Diff([]string{"4"}, lost); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/internal/bench/kqsoak/soak.go
+++ b/internal/bench/kqsoak/soak.go
@@ -1,6 +1,7 @@
 package kqsoak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -107,10 +108,11 @@
 	if s.cfg.Planned {
 		s.ledger.CheckWays(ways)
 	}
+	byWay, lost := s.ledger.ByWay()
 	for _, w := range ways {
-		fmt.Fprintf(s.cfg.Out, "%-30s %+v\n", w, s.ledger.WayCounts(w))
+		fmt.Fprintf(s.cfg.Out, "%-30s %+v\n", w, byWay[w])
 	}
-	for _, line := range s.hosts.trace(s.ledger.Lost()) {
+	for _, line := range s.hosts.trace(lost) {
 		fmt.Fprintln(s.cfg.Out, line)
 	}
 	counts, violations := s.ledger.Result()
@@ -209,24 +211,35 @@
 func (s *soak) awaitServing(ctx context.Context, limit time.Duration) string {
 	until := time.Now().Add(limit)
 	missing, successes := "", 0
-	for successes < requiredSuccesses*len(s.hosts.Entries) {
+	for successes < requiredSuccesses {
 		if time.Now().After(until) {
 			return missing
 		}
-		if missing = s.findOutdated(ctx); missing != "" {
+		if missing = s.findOutdated(ctx); missing == "" {
+			missing = s.sendThroughAll(ctx)
+		}
+		if successes++; missing != "" {
 			successes = 0
 			time.Sleep(pollInterval)
-			continue
 		}
-		for _, e := range s.hosts.Entries {
+	}
+	return ""
+}
+
+// sendThroughAll sends a request through each entry host and names one through which it
+// failed; empty if there is none.
+func (s *soak) sendThroughAll(ctx context.Context) string {
+	var calls sync.WaitGroup
+	failed := make([]string, len(s.hosts.Entries))
+	for i, e := range s.hosts.Entries {
+		calls.Go(func() {
 			if !s.callers.send(ctx, e.Settings.Listen.Calls) {
-				missing, successes = "requests through "+e.Settings.Label+" fail", -1
-				time.Sleep(pollInterval)
+				failed[i] = "requests through " + e.Settings.Label + " fail"
 			}
-			successes++
-		}
+		})
 	}
-	return ""
+	calls.Wait()
+	return cmp.Or(failed...)
 }
 
 // findOutdated describes the first control host without the newest accepted routes or
--- a/internal/bench/kqsoak/stay_test.go
+++ b/internal/bench/kqsoak/stay_test.go
@@ -55,6 +55,11 @@
 	}
 }
 
+func countsOf(l *Ledger, w Way) WayCounts {
+	counts, _ := l.ByWay()
+	return counts[w]
+}
+
 // stay runs a stayer that uses only one way against the handler for a while.
 func stay(t *testing.T, way Way, l *Ledger, h http.Handler) {
 	t.Helper()
@@ -83,7 +88,7 @@
 				io.WriteString(w, answerTo(id))
 			}))
 			counts, violations := l.Result()
-			if got := l.WayCounts(way); got.Sent == 0 || got.Answered != got.Sent || counts.Broken > 0 || len(violations) > 0 {
+			if got := countsOf(l, way); got.Sent == 0 || got.Answered != got.Sent || counts.Broken > 0 || len(violations) > 0 {
 				t.Errorf("%+v %v", got, violations)
 			}
 		})
@@ -103,7 +108,7 @@
 				l.Ran(r.Header.Get(kqproxy.DefaultHeaderNames.RequestID), "t", time.Now())
 				panic(http.ErrAbortHandler)
 			}))
-			if got := l.WayCounts(way); got.Lost == 0 || got.Answered > 0 {
+			if got := countsOf(l, way); got.Lost == 0 || got.Answered > 0 {
 				t.Errorf("%+v", got)
 			}
 		})
@@ -135,7 +140,7 @@
 	}()
 	s := &Stayer{Name: "s", Addr: raw.Addr().String(), Ledger: l, Ways: []Way{WayAtOnce}, Leaves: true}
 	s.Run(t.Context())
-	if got := l.WayCounts(WayAtOnce); got.Sent != 2 || got.Refused != 1 || got.Lost != 1 {
+	if got := countsOf(l, WayAtOnce); got.Sent != 2 || got.Refused != 1 || got.Lost != 1 {
 		t.Errorf("%+v, want the second request lost", got)
 	}
 }
--- a/internal/bench/kqsoak/target.go
+++ b/internal/bench/kqsoak/target.go
@@ -25,6 +25,7 @@
 	announceInterval = time.Second // between two announcements, also the timeout of one attempt
 	padding          = 3000        // bytes that follow the ID and checksum in an answer
 	largePadding     = 600 << 10
+	slowWork         = 2 * lossSlack   // behind which a dropped request counts as lost
 	maxLargeWork     = 2 * serviceTime // for a large answer, which needs time to be read
 )
 
@@ -178,11 +179,7 @@
 	t.cfg.Ledger.Ran(id, t.cfg.ID, time.Now())
 	t.inFlight.Add(1)
 	defer t.inFlight.Add(-1)
-	work := t.cfg.Work() * time.Duration(100+t.slowdown.Load()) / 100
-	if isLarge(id) {
-		work = min(work, maxLargeWork)
-	}
-	time.Sleep(work)
+	time.Sleep(t.workOn(id))
 	if t.dropsAnswers.Load() {
 		panic(http.ErrAbortHandler)
 	}
@@ -190,6 +187,18 @@
 	io.WriteString(w, answerTo(id)) // an error only means that the caller has disconnected
 }
 
+// workOn returns how long the target works on the request.
+func (t *Target) workOn(id string) time.Duration {
+	work := t.cfg.Work() * time.Duration(100+t.slowdown.Load()) / 100
+	switch {
+	case isLarge(id):
+		return min(work, maxLargeWork)
+	case strings.HasSuffix(id, slowMark):
+		return max(work, slowWork)
+	}
+	return work
+}
+
 // controlAddrs returns the addresses at which control hosts accept announcements.
 func (h *hosts) controlAddrs() []string {
 	var list []string
--- a/internal/bench/kqsoak/way.go
+++ b/internal/bench/kqsoak/way.go
@@ -51,13 +51,15 @@
 	lastChunk     = "0\r\n\r\n"
 	shortBody     = 3 << 10    // bytes
 	longBody      = 1200 << 10 // bytes, more than a host buffers before it sends a request on
-	largeMark     = "-large"   // in the ID of a request that gets a large answer
+	largeMark     = "-large"   // at the end of the ID of a request that gets a large answer
+	slowMark      = "-slow"    // at the end of the ID of a request whose work lasts longer than lossSlack
 )
 
 // message is one request of a stayer.
 type message struct {
 	id   string
 	post bool
+	long bool // a POST with a long body, on the route of uploads
 }
 
 // piece is what a stayer writes at once.
@@ -73,17 +75,17 @@
 func (w Way) messages(rng *rand.Rand, name string) []message {
 	switch w {
 	case WayGet, WayHead:
-		return []message{{name, false}}
+		return []message{{id: name}}
 	case WayLarge, WayReader:
-		return []message{{name + largeMark, rng.IntN(2) == 0}}
+		return []message{{id: name + largeMark, post: rng.IntN(2) == 0}}
 	case WayHalfClose:
-		return []message{{name, rng.IntN(2) == 0}}
+		return []message{{id: name, post: rng.IntN(2) == 0}}
 	case WayAtOnce, WayBehind:
-		return []message{{name + "a", false}, {name + "b", true}}
+		return []message{{id: name + "a" + slowMark}, {id: name + "b", post: true}}
 	case WayThree:
-		return []message{{name + "a", rng.IntN(2) == 0}, {name + "b", rng.IntN(2) == 0}, {name + "c", true}}
+		return []message{{id: name + "a" + slowMark, post: rng.IntN(2) == 0}, {id: name + "b", post: rng.IntN(2) == 0}, {id: name + "c", post: true}}
 	default:
-		return []message{{name, true}}
+		return []message{{id: name, post: true, long: w == WayUpload}}
 	}
 }
 
@@ -98,7 +100,7 @@
 	case WaySlow:
 		return split(rng, first.head("Transfer-Encoding: chunked")+strings.Repeat(chunk, pieceCount)+lastChunk, maxSlowPause)
 	case WayUpload:
-		return split(rng, uploadHead(first)+strings.Repeat("7", longBody), maxPiecePause)
+		return split(rng, first.head("Content-Length: %d", longBody)+strings.Repeat("7", longBody), maxPiecePause)
 	case WayExpect:
 		head := first.head("Transfer-Encoding: chunked\r\nExpect: 100-continue")
 		return []piece{{data: head, starts: 1}, {data: chunk + lastChunk, ends: 1, awaits: true}}
@@ -148,7 +150,10 @@
 func (m message) head(lines string, args ...any) string {
 	names := kqproxy.DefaultHeaderNames
 	line := fmt.Sprintf("GET %s%s?p=/a/b&n=1", safePrefix, m.id)
-	if m.post {
+	switch {
+	case m.long:
+		line = fmt.Sprintf("POST %s%s", uploadPrefix, m.id)
+	case m.post:
 		line = fmt.Sprintf("POST %s%s/?q=2", unsafePrefix, m.id)
 	}
 	head := fmt.Sprintf("%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", line, siteHost, names.RequestID, m.id, names.Deadline, callTimeout.Milliseconds())
@@ -158,11 +163,6 @@
 	return head + "\r\n"
 }
 
-// uploadHead returns the head of a request with a long body on the route of uploads.
-func uploadHead(m message) string {
-	return strings.Replace(m.head("Content-Length: %d", longBody), unsafePrefix, uploadPrefix, 1)
-}
-
 // whole returns a GET, or a POST whose body is in chunks.
 func (m message) whole() string {
 	if !m.post {
