--- a/internal/bench/kqsoak/fault.go
+++ b/internal/bench/kqsoak/fault.go
@@ -66,16 +66,14 @@
 	stopKinds    = []Kind{StopEntry, StopEntryTwice, StopEntries, StopWithLeader}
 )
 
-// Round draws the faults of one round at random. Two faults for which delaysLeave holds never
+// Round draws the faults of one round at random, or planned work only, which stops an entry
+// host at least; with reload, SIGHUP is part of it. Two faults for which delaysLeave holds never
 // share a round: more data folders than the tolerance might be lost while other control hosts
 // are still catching up.
-func Round(rng *rand.Rand) []Fault {
-	return draws(rng, 1+rng.IntN(maxFaults), func(int) []Kind { return faultKinds })
-}
-
-// PlannedRound draws planned work of one round at random, which stops an entry host at least;
-// with reload, SIGHUP too.
-func PlannedRound(rng *rand.Rand, reload bool) []Fault {
+func Round(rng *rand.Rand, planned, reload bool) []Fault {
+	if !planned {
+		return draws(rng, 1+rng.IntN(maxFaults), func(int) []Kind { return faultKinds })
+	}
 	kinds := plannedKinds
 	if reload {
 		kinds = append(slices.Clone(kinds), Reload, Reload)
--- a/internal/bench/kqsoak/ledger_test.go
+++ b/internal/bench/kqsoak/ledger_test.go
@@ -55,6 +55,25 @@
 			l.Ran("a", "t", epoch)
 			l.Cut("a", Cut{At: at(time.Second)})
 		}, "passed on: true"},
+		{"cut just before the timeout of its route", func(l *Ledger) {
+			l.SetPlanned(true)
+			l.Sent("a", true)
+			l.Ran("a", "t", epoch)
+			l.Cut("a", cutAfter(routeTimeout-1))
+		}, "passed on: true"},
+		{"cut at the timeout of its route", func(l *Ledger) {
+			l.SetPlanned(true)
+			l.Sent("a", true)
+			l.Ran("a", "t", epoch)
+			l.Cut("a", cutAfter(routeTimeout))
+		}, ""},
+		{"dropped, though its time was over", func(l *Ledger) { l.SetPlanned(true); l.Sent("a", true); l.Cut("a", cutAfter(routeTimeout)) }, "passed on: false"},
+		{"cut at the timeout, counted from its beginning", func(l *Ledger) {
+			l.SetPlanned(true)
+			l.Sent("a", true)
+			l.Ran("a", "t", epoch)
+			l.Cut("a", Cut{Began: epoch, At: at(routeTimeout)})
+		}, ""},
 		{"says the way and the time since the signal", func(l *Ledger) {
 			l.SetPlanned(true)
 			l.SentIn(WayExpect, "a", true)
