--- a/internal/bench/kqsoak/target.go
+++ b/internal/bench/kqsoak/target.go
@@ -25,6 +25,7 @@
 	announceInterval = time.Second // between two announcements, also the timeout of one attempt
 	padding          = 3000        // bytes that follow the ID and checksum in an answer
 	largePadding     = 600 << 10
+	slowWork         = 2 * lossSlack   // behind which a dropped request counts as lost
 	maxLargeWork     = 2 * serviceTime // for a large answer, which needs time to be read
 )
 
@@ -59,7 +60,7 @@
 	dropsAnswers atomic.Bool // runs requests but breaks the connection instead of answering
 	inFlight     atomic.Int64
 	seq          atomic.Uint64
-	stop         context.CancelFunc
+	stop         context.CancelFunc // ends the announcements
 	done         sync.WaitGroup
 
 	mu    sync.Mutex
@@ -85,15 +86,12 @@
 
 // Kill stops the target without announcing that it leaves.
 func (t *Target) Kill() {
-	t.quit()
+	t.stop()
 	t.server.CloseClientConnections()
 	t.server.Listener.Close()
 	t.done.Wait()
 }
 
-// quit ends the announcements; requests are served on.
-func (t *Target) quit() { t.stop() }
-
 func (t *Target) announceLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		t.announce(ctx)
@@ -178,11 +176,7 @@
 	t.cfg.Ledger.Ran(id, t.cfg.ID, time.Now())
 	t.inFlight.Add(1)
 	defer t.inFlight.Add(-1)
-	work := t.cfg.Work() * time.Duration(100+t.slowdown.Load()) / 100
-	if isLarge(id) {
-		work = min(work, maxLargeWork)
-	}
-	time.Sleep(work)
+	time.Sleep(t.workOn(id))
 	if t.dropsAnswers.Load() {
 		panic(http.ErrAbortHandler)
 	}
@@ -190,6 +184,18 @@
 	io.WriteString(w, answerTo(id)) // an error only means that the caller has disconnected
 }
 
+// workOn returns how long the target works on the request.
+func (t *Target) workOn(id string) time.Duration {
+	work := t.cfg.Work() * time.Duration(100+t.slowdown.Load()) / 100
+	switch {
+	case isLarge(id):
+		return min(work, maxLargeWork)
+	case strings.HasSuffix(id, slowMark):
+		return max(work, slowWork)
+	}
+	return work
+}
+
 // controlAddrs returns the addresses at which control hosts accept announcements.
 func (h *hosts) controlAddrs() []string {
 	var list []string
