Bench: stand-ins bound the bodies that they keep

A target or caller that sends without end hurt only the bench itself; the limits are the largest body of a contract and 1 MiB for a resolution. No test: the packages have none.

--- a/internal/bench/kqcaller/caller.go
+++ b/internal/bench/kqcaller/caller.go
@@ -115,10 +115,15 @@
 	}
 	defer res.Body.Close()
 	a.Status, a.Header = res.StatusCode, res.Header
-	a.Body, err = io.ReadAll(res.Body)
+	a.Body, err = io.ReadAll(http.MaxBytesReader(nil, res.Body, maxAnswerBytes))
 	return a, errors.Wrapf(err, "answer through %s", entry)
 }
 
+const (
+	maxAnswerBytes     = 64 << 20 // a target may send without end
+	maxResolutionBytes = 1 << 20
+)
+
 // onceReader hides the type of the body, so that the client library cannot
 // send it a second time on its own.
 type onceReader struct{ io.Reader }
@@ -170,7 +175,7 @@
 	}
 	defer res.Body.Close()
 	var r resolution
-	if err := json.NewDecoder(res.Body).Decode(&r); err != nil {
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxResolutionBytes)).Decode(&r); err != nil {
 		return errors.Wrapf(err, "resolve at %s", entry)
 	}
 	hold, err := time.ParseDuration(r.Hold)
--- a/internal/bench/kqtarget/serve.go
+++ b/internal/bench/kqtarget/serve.go
@@ -91,8 +91,10 @@
 	return strconv.FormatInt(t.busy.Load()+t.waiting.Load(), 10) + "/" + strconv.Itoa(t.cfg.Slots)
 }
 
+const maxBodyBytes = 64 << 20 // the largest body of a contract
+
 func (t *Target) call(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		return
 	}
