An idle connection on which a target sends is closed within a second

What callers saw: none; bytes that a target sends behind a whole answer stayed unread in the socket buffer, which counts as memory of the host, until the connection was used again or 8 s old: 128 KB by the kernel's default, times the connections to the target.

Evidence: TestBytesBehindResponseAreNotKept printed before: "1 connections are open, want 0". It passes now.

--- a/internal/call/kqtransport/endless_test.go
+++ b/internal/call/kqtransport/endless_test.go
@@ -129,3 +129,41 @@
 		})
 	}
 }
+
+// TestBytesBehindResponseAreNotKept guards against a target that sends without end behind a whole
+// response: on an idle connection its bytes filled the socket buffer, which counts as memory of
+// the host. A connection without such bytes must stay.
+func TestBytesBehindResponseAreNotKept(t *testing.T) {
+	for _, endless := range []bool{true, false} {
+		t.Run(strconv.FormatBool(endless), func(t *testing.T) {
+			answered := make(chan struct{})
+			s := serve(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+				_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				<-answered // the connection is idle by then
+				for endless && err == nil {
+					_, err = io.WriteString(c, strings.Repeat("x", 1<<10))
+				}
+				return !endless
+			})
+			p := NewPool(Config{})
+			defer p.Close()
+			if got, err := send(t, p, newRequest(s, http.MethodPost)); err != nil || got != "ok" {
+				t.Fatal(got, err)
+			}
+			close(answered)
+			addr, want := s.listener.Addr().String(), 1
+			if endless {
+				want = 0
+			}
+			for began := time.Now(); time.Since(began) < 2*time.Second; time.Sleep(10 * time.Millisecond) {
+				p.CloseExpired()
+				if endless && p.OpenConns(addr) == 0 || !endless && time.Since(began) > 200*time.Millisecond {
+					break
+				}
+			}
+			if n := p.OpenConns(addr); n != want {
+				t.Errorf("%d connections are open, want %d", n, want)
+			}
+		})
+	}
+}
--- a/internal/call/kqtransport/pool.go
+++ b/internal/call/kqtransport/pool.go
@@ -178,17 +178,23 @@
 	}
 }
 
-// CloseExpired closes the connections that have been idle for longer than MaxIdleTime.
+// CloseExpired closes the connections that have been idle for longer than MaxIdleTime, and
+// those that can carry no further request: the target closed them, or sends bytes that belong
+// to no request, which would fill the socket buffer until then.
 func (p *Pool) CloseExpired() {
 	p.mu.Lock()
 	var expired []*conn
 	for _, b := range p.targets {
-		n := 0
-		for n < len(b.idle) && time.Since(b.idle[n].idleSince) > MaxIdleTime {
-			n++
+		kept := b.idle[:0]
+		for _, c := range b.idle {
+			if time.Since(c.idleSince) > MaxIdleTime || !c.usable() {
+				expired = append(expired, c)
+			} else {
+				kept = append(kept, c)
+			}
 		}
-		expired = append(expired, b.idle[:n]...)
-		b.idle = b.idle[n:]
+		clear(b.idle[len(kept):])
+		b.idle = kept
 	}
 	p.mu.Unlock()
 	for _, c := range expired {
