--- a/internal/call/kqtransport/pool.go
+++ b/internal/call/kqtransport/pool.go
@@ -180,7 +180,8 @@
 }
 
 // CloseExpired closes the connections that have been idle for longer than MaxIdleTime, and
-// those that the target has closed or keeps sending on.
+// those that can carry no further request: the target closed them, or sends bytes that belong
+// to no request, which would fill the socket buffer until then.
 func (p *Pool) CloseExpired() {
 	p.mu.Lock()
 	var expired []*conn
