A call that was passed on goes on when its caller closes its sending side

What callers saw: one that closes its sending side after the request, as HTTP/1.1 allows, got no answer, in calm too; after a POST that had been passed on it could not tell whether that ran.

Cause: an end of file from the caller ends the context of its request, which cut the send and the connection.

Change: calls that must not be repeated and were passed on go on until their deadline, and their answer is written. What no target runs is refused as not run (503, Retry-After) and never sent. What may be repeated is taken off its target as before, and answered 502. If the context has a cause, the caller certainly left (a reset), and all is given up as before; no listener names one yet.

TestCallerDisconnects asked that a POST's target be released once its caller is gone. That is what cut these calls. It asks the same, within the same 500 ms, of a request that may be repeated now, which is what the rule names; a POST must end by its deadline (TestClosedCallerEndsByDeadline).

Evidence: TestHalfClosedCallerGetsAnswer (three cases), TestHalfClosedCallerIsNotSentTwice, TestHalfClosedCallerInQueueIsRefused (two) and TestRepeatableRequestIsGivenUp failed before with "no response: unexpected EOF" and pass. TestClosedCallerEndsByDeadline and TestResetCallerIsGivenUp passed before and pass. Package with the race detector: passes.

Why it works: the decision and the first byte are taken under one lock, so a request is either not sent or goes on to its answer.

--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -66,12 +66,13 @@
 	return p.handleReply(ctx, t, reply, started)
 }
 
-// errBarred means that the target was barred after it was chosen, or the host began to
-// shut down, so that nothing was sent.
+// errBarred means that the target was barred after it was chosen, the host began to shut
+// down or the caller closed its side, so that nothing was sent.
 var errBarred = errors.New("target is barred")
 
 // checkBarred returns errBarred if this host knows that the target must get nothing now,
-// or if the host began to shut down meanwhile and might not answer the request any more.
+// if the host began to shut down meanwhile and might not answer the request any more, or if
+// the caller closed its side.
 func (p *proxiedRequest) checkBarred(t *kqselection.Target) error {
 	e := p.engine
 	if !e.shutdown.Takes(p.deadline) {
@@ -82,6 +83,9 @@
 	reason, since := t.Barred(now), t.DrainingSince
 	e.mu.Unlock()
 	if reason == kqselection.NotBarred {
+		if !p.caller.passOn(p.route.Kind.Repeatable()) {
+			return errors.Wrap(errBarred, causeCallerClosed)
+		}
 		e.metrics.firstByte.Update(now.Sub(p.chosen.at))
 		return nil
 	}
@@ -244,7 +248,7 @@
 			failing = failedWriter{err}
 		}
 		var fromTarget bool
-		if fromTarget, err = rest.writeTo(e.pacer.Writer(p.in.Context(), failing), p.boundStall); fromTarget {
+		if fromTarget, err = rest.writeTo(e.pacer.Writer(p.deliveryContext(), failing), p.boundStall); fromTarget {
 			cause = "target: "
 		}
 		p.endStallBound()
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -40,6 +40,7 @@
 	bodyRest io.Reader // rest of a body that is longer than maxBufferedBody
 	header   http.Header
 	chosen   choice
+	caller   callerWatch
 	heldFor  atomic.Int64 // time for which the last byte was held back, in nanoseconds
 	sends    int
 
@@ -74,8 +75,8 @@
 	p.service = route.PickService(u)
 	p.header = forwardedHeader(p.in.Header)
 	p.engine.countRequest(p.service)
-	ctx, cancel := context.WithDeadline(p.in.Context(), p.deadline)
-	defer cancel()
+	ctx, end := p.watchCaller()
+	defer end()
 	p.send(ctx)
 }
 
@@ -230,6 +231,9 @@
 			return
 		}
 		last = res
+		if !res.mayHaveRun {
+			p.caller.takeBack()
+		}
 		if res.unsent {
 			if unreachable++; unreachable >= maxUnreachable {
 				break
@@ -255,12 +259,11 @@
 	return true
 }
 
-// giveUp writes an error response when no target gave a response, or aborts if the
-// caller has disconnected.
+// giveUp writes an error response when no target gave a response.
 func (p *proxiedRequest) giveUp(ctx context.Context, mayHaveRun bool, last outcome) {
-	if p.in.Context().Err() != nil {
-		p.logOutcome("left", 0, last.cause)
-		panic(http.ErrAbortHandler) // the caller has disconnected
+	if p.caller.gaveUp() || wasReset(p.in.Context()) {
+		p.answerClosed(mayHaveRun, last.cause)
+		return
 	}
 	timedOut := ctx.Err() != nil || time.Until(p.deadline) < minTimeLeft
 	switch {
--- a/internal/call/kqproxy/response.go
+++ b/internal/call/kqproxy/response.go
@@ -67,12 +67,16 @@
 func (p *proxiedRequest) refuse(status int, cause string, retryAfter time.Duration) {
 	p.engine.metrics.refused.Inc(1)
 	if retryAfter > 0 {
-		p.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		p.setRetryAfter(retryAfter)
 	}
 	p.logOutcome("refused", status, cause)
 	p.writeError(status, cause)
 }
 
+func (p *proxiedRequest) setRetryAfter(d time.Duration) {
+	p.w.Header().Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
+}
+
 // fail responds to a request that may have been executed.
 func (p *proxiedRequest) fail(status int, cause string) {
 	p.engine.metrics.failed.Inc(1)
