A call whose caller closes its sending side gets no empty success

What callers saw, on the path with contracts: one that closes its sending side after the request got "200 OK" with an empty body, while its call was cut at its target or had never been sent.

Cause: a call whose caller seems to have left ended without a response, and a handler that writes none makes the server send an empty success.

A call that must not be repeated and was sent goes on to its answer or deadline. One that may be repeated is cut as before, and answered 502, run "unknown". After the close no further attempt is started.

Evidence: TestHalfClosedCallerGetsNoFalseSuccess failed before with '200 "", want 200 "done"' (POST) and '200 "", want 502' (GET), TestHalfClosedQueuedCallIsRefused with '200 "", want 503 that says it did not run'; all pass, also with the race detector.

Why it works: every way out of a call now writes a response or aborts the connection.

--- a/internal/call/kqcall/serve.go
+++ b/internal/call/kqcall/serve.go
@@ -35,7 +35,11 @@
 		e.reject(w, q, *p)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	base := r.Context()
+	if !q.idempotent {
+		base = context.WithoutCancel(base) // a call that was sent goes on when its caller closes its sending side
+	}
+	ctx, cancel := context.WithDeadline(base, q.deadline)
 	defer cancel()
 	if q.key != "" && !q.idempotent && e.cfg.Coordinator != nil {
 		e.serveWithKey(ctx, w, r, q)
@@ -132,8 +136,15 @@
 // run carries out the reducer's effects until the caller has a response or the
 // call's context ends.
 func (c *call) run(w http.ResponseWriter) {
+	closed := c.inbound.Context().Done()
 	for {
 		select {
+		case <-closed:
+			closed = nil
+			if c.req.idempotent || len(c.attempts) == 0 {
+				c.answerClosed(w)
+				return
+			}
 		case eff := <-c.effects:
 			if c.applyEffect(w, eff) {
 				return
@@ -151,6 +162,10 @@
 func (c *call) applyEffect(w http.ResponseWriter, eff kqdispatch.Effect) bool {
 	switch eff := eff.(type) {
 	case kqdispatch.Start:
+		if c.inbound.Context().Err() != nil {
+			c.answerClosed(w)
+			return true
+		}
 		c.startAttempt(eff)
 	case kqdispatch.Cancel:
 		if s := c.attempts[eff.Attempt]; s != nil {
@@ -198,10 +213,21 @@
 	c.engine.accounts.Add(c.req.owner, kqaccount.Key{Cause: cause, Service: c.req.service.Name, Target: target, Version: c.req.version})
 }
 
-// expire ends a call whose deadline has passed or whose caller has disconnected.
+// answerClosed ends a call whose caller closed its side of the connection. It may have
+// left, or still wait: without a response it would get an empty success. A call that must
+// not be repeated ends here only if no target has run it.
+func (c *call) answerClosed(w http.ResponseWriter) {
+	status, run := http.StatusServiceUnavailable, kqheader.RunNo
+	if c.req.idempotent && len(c.attempts) > 0 {
+		status, run = http.StatusBadGateway, kqheader.RunUnknown
+	}
+	c.respond(w, status, string(kqaccount.CallerGone), run, 0)
+}
+
+// expire ends a call whose deadline has passed, or whose caller closed its side.
 func (c *call) expire(w http.ResponseWriter) {
-	if c.inbound.Context().Err() != nil {
-		c.count(kqaccount.CallerGone, "")
+	if c.req.idempotent && c.inbound.Context().Err() != nil {
+		c.answerClosed(w)
 		return
 	}
 	if len(c.attempts) == 0 {
