Callers: what arrived before the end of a wait is read, not dropped

What callers saw: none seen; found by looking at each place where a connection is closed. An idle connection whose time was over was closed without a look at a request that had arrived, if the server came to read it only then, as on a busy machine.

Cause: a read whose deadline has passed returns nothing, whatever has arrived. Only retiring connections were looked at once more.

Change: each wait for a request, idle or for the rest of a head, takes what has arrived before it ends. The look needs no change of the deadline any more. A request that the server refuses by itself is told apart in the log (malformed).

Evidence: TestDeadlineLeavesNothingUnread printed before: read "", i/o timeout, want what arrived.

--- a/internal/call/kqlistener/behind_test.go
+++ b/internal/call/kqlistener/behind_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -214,3 +216,35 @@
 		t.Fatal("the request still runs 500 ms after its caller left")
 	}
 }
+
+// TestDeadlineLeavesNothingUnread guards against a request that has arrived before the server
+// finds, late, that the time for it is over: the read would return nothing.
+func TestDeadlineLeavesNothingUnread(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := New(raw)
+	defer l.Close()
+	caller, err := net.Dial("tcp", raw.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	l.ConnState(c, http.StateIdle) // a request was served
+	c.SetReadDeadline(time.Now().Add(5 * time.Millisecond))
+	io.WriteString(caller, request("/r"))
+	time.Sleep(20 * time.Millisecond) // the bytes arrive, and the deadline passes
+	p := make([]byte, 100)
+	if n, err := c.Read(p); err != nil || string(p[:n]) != request("/r") {
+		t.Errorf("read %q, %v, want what arrived", p[:n], err)
+	}
+	if n, err := c.Read(p); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read %d bytes, %v, want the end of the time", n, err)
+	}
+}
--- a/internal/call/kqlistener/conn.go
+++ b/internal/call/kqlistener/conn.go
@@ -40,26 +40,27 @@
 	accepted time.Time
 	cancel   context.CancelFunc // ends the context of its requests
 
-	mu       sync.Mutex
-	changed  *sync.Cond
-	ahead    []byte    // bytes read and not yet handed to the server
-	spare    []byte    // memory for ahead
-	framing  framing   // of the bytes handed to the server
-	handling bool      // a request was given to its handler, and the server has not gone on to the next
-	finished bool      // its handler has returned
-	broken   bool      // its handler has panicked
-	bodyDone bool      // its body was read to the end
-	reading  bool      // readAhead is running
-	ended    error     // why nothing more can be read, nil while the caller is there
-	timedOut bool      // a further request did not arrive within the server's deadline
-	pending  bool      // bytes of a request were read that has no response yet
-	served   bool      // a response was sent
-	retiring bool      // to be closed once no request is pending
-	hurried  bool      // to be closed soon, also if its caller never stops sending
-	late     int       // bytes read since then
-	deadline time.Time // read deadline that the server asked for
-	wroteAt  time.Time // when the last bytes were written
-	closed   bool
+	mu        sync.Mutex
+	changed   *sync.Cond
+	ahead     []byte    // bytes read and not yet handed to the server
+	spare     []byte    // memory for ahead
+	framing   framing   // of the bytes handed to the server
+	handling  bool      // a request was given to its handler, and the server has not gone on to the next
+	finished  bool      // its handler has returned
+	broken    bool      // its handler has panicked
+	bodyDone  bool      // its body was read to the end
+	reading   bool      // readAhead is running
+	ended     error     // why nothing more can be read, nil while the caller is there
+	timedOut  bool      // a further request did not arrive within the server's deadline
+	malformed bool      // the server has refused a request by itself
+	pending   bool      // bytes of a request were read that has no response yet
+	served    bool      // a response was sent
+	retiring  bool      // to be closed once no request is pending
+	hurried   bool      // to be closed soon, also if its caller never stops sending
+	late      int       // bytes read since then
+	deadline  time.Time // read deadline that the server asked for
+	wroteAt   time.Time // when the last bytes were written
+	closed    bool
 }
 
 func newConn(raw net.Conn, l *Listener) *conn {
@@ -144,42 +145,45 @@
 	}
 }
 
-// readFailed records that a read failed and returns what to tell the reader. Before a
-// retiring connection ends, it takes what has arrived on it. The lock is held.
+// readFailed records that a read failed and returns what to tell the reader. A read whose
+// deadline has passed returns nothing even if a request has arrived, so before a wait for
+// one ends, it takes what has arrived. The lock is held.
 func (c *conn) readFailed(p []byte, err error) (int, error) {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended = err
 		return 0, err
 	}
-	if !c.retiring || c.pending {
-		c.timedOut = !c.handling
+	if c.handling {
 		return 0, err
 	}
 	if n := c.readArrived(p); n > 0 {
 		return n, nil
 	}
-	return 0, io.EOF
+	if c.retiring && !c.pending {
+		return 0, io.EOF
+	}
+	c.timedOut = true
+	return 0, err
 }
 
-// readArrived reads without waiting. A read whose deadline has passed returns nothing, even
-// if a request has arrived, whose caller would then get no response.
+// readArrived reads without waiting.
 func (c *conn) readArrived(p []byte) (n int) {
+	c.control(func(fd int) { n, _ = unix.Read(fd, p) })
+	return max(n, 0)
+}
+
+// control calls f with the file descriptor, if there is one. Unlike a read, it does not wait for
+// a read that is under way, or fail after a deadline.
+func (c *conn) control(f func(fd int)) {
 	raw, ok := c.Conn.(syscall.Conn)
-	if !ok || c.Conn.SetReadDeadline(time.Time{}) != nil {
-		return 0
+	if !ok {
+		return
 	}
 	rc, err := raw.SyscallConn()
 	if err != nil {
-		return 0
-	}
-	err = rc.Read(func(fd uintptr) bool {
-		n, err = unix.Read(int(fd), p)
-		return true // whether or not something was there
-	})
-	if err != nil {
-		return 0
+		return
 	}
-	return max(n, 0)
+	_ = rc.Control(func(fd uintptr) { f(int(fd)) }) // a closed connection has nothing
 }
 
 // readAhead reads further requests until the caller leaves or a deadline passes.
@@ -212,6 +216,10 @@
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	c.wroteAt = time.Now()
+	if !c.handling && !c.timedOut {
+		c.malformed = true
+		c.framing.handed = 0 // the server has answered it by itself
+	}
 	c.mu.Unlock()
 	return n, err
 }
@@ -347,19 +355,7 @@
 
 // unread returns how many bytes have arrived that were not read from the connection.
 func (c *conn) unread() (n int) {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	// Unlike Read, Control does not wait for a read that is under way.
-	err = rc.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
-	if err != nil {
-		return 0
-	}
+	c.control(func(fd int) { n, _ = unix.IoctlGetInt(fd, unix.TIOCINQ) })
 	return n
 }
 
@@ -367,14 +363,15 @@
 type closeCause string
 
 const (
-	causeLeft    closeCause = "left"    // the caller has left
-	causeStop    closeCause = "stop"    // the end of the stop, or of the process
-	causeBroken  closeCause = "broken"  // the response was broken off
-	causeTimeout closeCause = "timeout" // the rest of the request did not arrive in time
-	causeClosing closeCause = "closing" // the response before closed the connection
+	causeLeft      closeCause = "left"      // the caller has left
+	causeStop      closeCause = "stop"      // the end of the stop, or of the process
+	causeBroken    closeCause = "broken"    // the response was broken off
+	causeMalformed closeCause = "malformed" // the request before was malformed
+	causeTimeout   closeCause = "timeout"   // the rest of the request did not arrive in time
+	causeClosing   closeCause = "closing"   // the response before closed the connection
 )
 
-var closeCauses = []closeCause{causeLeft, causeStop, causeBroken, causeTimeout, causeClosing}
+var closeCauses = []closeCause{causeLeft, causeStop, causeBroken, causeTimeout, causeMalformed, causeClosing}
 
 // whyClosed returns why the connection is closed. The lock is held.
 func (c *conn) whyClosed() closeCause {
@@ -385,6 +382,8 @@
 		return causeStop
 	case c.handling && c.broken:
 		return causeBroken
+	case c.malformed:
+		return causeMalformed
 	case c.timedOut:
 		return causeTimeout
 	case c.handling:
--- a/internal/call/kqlistener/unanswered_test.go
+++ b/internal/call/kqlistener/unanswered_test.go
@@ -90,6 +90,8 @@
 		{"a caller that leaves", request("/wait") + post, func(_ *server, c *net.TCPConn, _ func()) { c.Close() }, causeLeft},
 		{"a part in time only", request("/r") + post[:20], func(*server, *net.TCPConn, func()) {}, causeTimeout},
 		{"a response that breaks off", request("/wait/panic") + post, func(s *server, _ *net.TCPConn, _ func()) { close(s.release) }, causeBroken},
+		{"a malformed request", request("/r") + "GET\r\n\r\n" + post, func(*server, *net.TCPConn, func()) {}, causeMalformed},
+		{"nothing behind a malformed request", request("/r") + "GET\r\n\r\n", func(*server, *net.TCPConn, func()) {}, ""},
 		{"nothing behind a closing response", request("/close"), func(*server, *net.TCPConn, func()) {}, ""},
 		{"a body that is not read", "POST /close HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nabcde", func(*server, *net.TCPConn, func()) {}, ""},
 		{"a caller that leaves after its answer", request("/r"), func(_ *server, c *net.TCPConn, _ func()) {
