Stop: a long response does not announce the close, so that what arrives meanwhile is answered

What callers saw: a request that arrived while a long response was under way, whose head had said Connection: close, was dropped when that response had been received, however slowly.

Cause: whether a response closes its connection is decided when its head is written.

Change: a response that does not fit the buffer leaves the connection open for a second, to which a further request may come; the response to that one closes. If none comes, the connection ends as an idle one. Once nothing is accepted any more, responses close as before.

Evidence: TestShutdownAnswersBehindLongResponse printed before, in both cases: the request behind a long response: unexpected EOF. Three runs of it with -race passed, and one of kqproxy, kqlistener and kqdaemon.

--- a/internal/call/kqlistener/conn.go
+++ b/internal/call/kqlistener/conn.go
@@ -55,6 +55,8 @@
 	malformed bool      // the server has refused a request by itself
 	pending   bool      // bytes of a request were read that has no response yet
 	served    bool      // a response was sent
+	kept      bool      // to stay open for keepTime after the response
+	keptUntil time.Time // when that is over
 	retiring  bool      // to be closed once no request is pending
 	hurried   bool      // to be closed soon, also if its caller never stops sending
 	late      int       // bytes read since then
@@ -255,6 +257,10 @@
 	}
 	c.handling, c.served = false, true
 	c.pending = c.framing.handed > 0 || len(c.ahead) > 0
+	if c.kept && !c.hurried {
+		c.retiring, c.keptUntil = false, time.Now().Add(keepTime)
+	}
+	c.kept = false
 	if c.retiring && !c.pending {
 		_ = c.Conn.SetReadDeadline(past) // a failure shows at the next read
 	}
@@ -267,7 +273,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hurried = c.hurried || hurry
-	if c.retiring || !hurry && !c.served && time.Since(c.accepted) < newConnGrace {
+	fresh := !c.served && time.Since(c.accepted) < newConnGrace
+	if c.retiring || !hurry && (fresh || time.Now().Before(c.keptUntil)) {
 		return
 	}
 	c.retiring = true
@@ -276,6 +283,15 @@
 	}
 }
 
+// keepOpen makes the connection stay open for a while after the response, unless it is to be
+// closed soon.
+func (c *conn) keepOpen() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kept = !c.hurried
+	return c.kept
+}
+
 // begin records that a handler runs, for a request with a body of so many bytes, -1 if it
 // is sent in chunks. Of what follows the head the server has read nothing.
 func (c *conn) begin(body int64) {
--- a/internal/call/kqlistener/listener.go
+++ b/internal/call/kqlistener/listener.go
@@ -18,6 +18,10 @@
 	// was just accepted: a few round trips to callers.
 	newConnGrace = time.Second
 
+	// keepTime is how long a stop waits for a further request behind a response that did not
+	// say that its connection ends: a few round trips to callers.
+	keepTime = time.Second
+
 	// retireInterval is the time between two looks for connections that have become idle
 	// during a stop.
 	retireInterval = 50 * time.Millisecond
@@ -127,6 +131,13 @@
 	return ok && c.moreArrived(bodyRead)
 }
 
+// KeepOpen keeps the connection open for a while after the response to the request with the
+// context, although it is to end, and reports whether it will be.
+func KeepOpen(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.keepOpen()
+}
+
 // ConnState records which connections have a request in progress.
 func (l *Listener) ConnState(c net.Conn, state http.ConnState) {
 	mine, ok := c.(*conn)
--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -214,7 +214,7 @@
 // that the caller can tell.
 func (p *proxiedRequest) deliver(reply *kqtransport.Reply, body []byte, rest *readAhead) {
 	e := p.engine
-	p.closeIfStopping()
+	p.closeIfStopping(rest != nil)
 	h := p.w.Header()
 	connection := h.Get("Connection")
 	for k, v := range reply.Header {
--- a/internal/call/kqproxy/pipeline_test.go
+++ b/internal/call/kqproxy/pipeline_test.go
@@ -129,7 +129,7 @@
 		time.Sleep(pipelinedWork)
 		return replyOK(c, r)
 	})
-	conn := f.dialListener(t)
+	conn, _ := f.dialListener(t)
 	fmt.Fprint(conn, c.parts[0])
 	waitFor(t, "the first request runs", func() bool { return f.arrivals() == 1 })
 	f.engine.Stop(time.Now().Add(c.left))
@@ -162,7 +162,7 @@
 }
 
 // dialListener serves the engine by a kqlistener and dials it.
-func (f *fixture) dialListener(t *testing.T) net.Conn {
+func (f *fixture) dialListener(t *testing.T) (net.Conn, *kqlistener.Listener) {
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -186,5 +186,55 @@
 		<-done
 		time.Sleep(300 * time.Millisecond) // connections that linger
 	})
-	return conn
+	return conn, l
+}
+
+// TestShutdownAnswersBehindLongResponse guards against requests that are dropped because they
+// arrive while a long response is under way whose head has announced the close, also when the
+// host ends its connections meanwhile.
+func TestShutdownAnswersBehindLongResponse(t *testing.T) {
+	for _, pause := range []time.Duration{0, 100 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			size := 8 << 20
+			f := newFixture(t, kqroutes.Unsafe, 5*time.Second, func(c net.Conn, r *http.Request) bool {
+				if r.Method == http.MethodPost {
+					return replyOK(c, r)
+				}
+				io.WriteString(c, replyHead(r, "200 OK", fmt.Sprintf("Content-Length: %d\r\n\r\n", size)))
+				c.Write(make([]byte, size))
+				return true
+			})
+			conn, l := f.dialListener(t)
+			f.engine.Stop(time.Now().Add(20 * time.Second))
+			fmt.Fprint(conn, getRequest("r0"))
+			r := bufio.NewReader(conn)
+			res, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			drained := make(chan error, 1)
+			go func() { drained <- l.Drain(t.Context()) }()
+			if pause == 0 {
+				fmt.Fprint(conn, chunkedRequest("r1"))
+			}
+			if n, err := io.Copy(io.Discard, res.Body); err != nil || n != int64(size) {
+				t.Fatalf("%d bytes, %v", n, err)
+			}
+			if pause > 0 {
+				time.Sleep(pause)
+				fmt.Fprint(conn, chunkedRequest("r1"))
+			}
+			res, err = http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatalf("the request behind a long response: %v", err)
+			}
+			if id := res.Header.Get(DefaultHeaderNames.RequestID); res.StatusCode != 200 || id != "r1" || !res.Close {
+				t.Errorf("status %d to %s, closes: %t", res.StatusCode, id, res.Close)
+			}
+			if err := <-drained; err != nil {
+				t.Error(err)
+			}
+		})
+	}
 }
--- a/internal/call/kqproxy/response.go
+++ b/internal/call/kqproxy/response.go
@@ -83,9 +83,15 @@
 }
 
 // closeIfStopping makes the response close the caller's connection if the host shuts down,
-// unless a further request has arrived there, which gets its response first.
-func (p *proxiedRequest) closeIfStopping() {
-	if p.engine.shutdown.Begun() && !kqlistener.MoreArrived(p.in.Context(), p.bodyRest == nil) {
+// unless a further request has arrived there, which gets its response first. Behind a long
+// response one may arrive while it is under way.
+func (p *proxiedRequest) closeIfStopping(long bool) {
+	ctx := p.in.Context()
+	switch {
+	case !p.engine.shutdown.Begun():
+	case kqlistener.MoreArrived(ctx, p.bodyRest == nil):
+	case long && kqlistener.KeepOpen(ctx):
+	default:
 		p.w.Header().Set("Connection", "close")
 	}
 }
@@ -122,7 +128,7 @@
 
 // writeError writes an error response of the proxy itself.
 func (p *proxiedRequest) writeError(status int, cause string) {
-	p.closeIfStopping()
+	p.closeIfStopping(false)
 	h := p.w.Header()
 	if p.id != "" {
 		h.Set(p.engine.cfg.HeaderNames.RequestID, p.id)
