A caller that resets its connection is told from one that closes its sending side

What callers saw: nothing; a target worked on until its deadline for a caller that had certainly left, since a request that must not be repeated goes on after an end of file.

Cause: the listener ended the context of a request without saying why.

Change: after a read that failed, and not by an end of file, the context has the error as its cause, and kqproxy gives everything up as before.

Evidence: TestCauseTellsResetFromEnd printed before, in both cases of a reset: 'cause context canceled, reset: want true'. It passes with the race detector; the two cases of an end of file passed before too.

--- a/internal/call/kqlistener/conn.go
+++ b/internal/call/kqlistener/conn.go
@@ -38,7 +38,7 @@
 	net.Conn
 	listener *Listener
 	accepted time.Time
-	cancel   context.CancelFunc // ends the context of its requests
+	cancel   context.CancelCauseFunc // ends the context of its requests
 
 	mu        sync.Mutex
 	changed   *sync.Cond
@@ -66,7 +66,7 @@
 }
 
 func newConn(raw net.Conn, l *Listener) *conn {
-	c := &conn{Conn: raw, listener: l, accepted: time.Now(), cancel: func() {}}
+	c := &conn{Conn: raw, listener: l, accepted: time.Now(), cancel: func(error) {}}
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
@@ -153,6 +153,9 @@
 func (c *conn) readFailed(p []byte, err error) (int, error) {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended = err
+		if cause := resetCause(err); cause != nil {
+			c.cancel(cause)
+		}
 		return 0, err
 	}
 	if c.handling {
@@ -168,6 +171,15 @@
 	return 0, err
 }
 
+// resetCause returns why the caller certainly left, nil after an end of file: it may have
+// closed only its sending side.
+func resetCause(err error) error {
+	if err == io.EOF { //nolint:errorlint // connections return it unwrapped
+		return nil
+	}
+	return err
+}
+
 // readArrived reads without waiting.
 func (c *conn) readArrived(p []byte) (n int) {
 	c.control(func(fd int) { n, _ = unix.Read(fd, p) })
@@ -205,7 +217,7 @@
 		c.changed.Broadcast()
 		c.mu.Unlock()
 		if left {
-			c.cancel()
+			c.cancel(resetCause(err))
 		}
 		if !goOn {
 			return
@@ -323,7 +335,7 @@
 	if behind > 0 {
 		c.listener.recordUnanswered(c, behind, why)
 	}
-	c.cancel()
+	c.cancel(nil)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && linger && half.CloseWrite() == nil {
 		time.AfterFunc(lingerTime, func() {
 			c.Conn.Close()
--- a/internal/call/kqlistener/listener.go
+++ b/internal/call/kqlistener/listener.go
@@ -92,13 +92,14 @@
 	return c
 }
 
-// ConnContext returns a context that ends when the caller at the other end has left.
+// ConnContext returns a context that ends when the caller at the other end has left. Its
+// cause is the error if that is certain, as after a reset.
 func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
 	mine, ok := c.(*conn)
 	if !ok {
 		return ctx
 	}
-	ctx, mine.cancel = context.WithCancel(ctx)
+	ctx, mine.cancel = context.WithCancelCause(ctx)
 	return context.WithValue(ctx, connKey{}, mine)
 }
 
--- a/internal/call/kqlistener/listener_test.go
+++ b/internal/call/kqlistener/listener_test.go
@@ -327,3 +327,63 @@
 		t.Error(err)
 	}
 }
+
+// TestCauseTellsResetFromEnd guards against a caller that closed only its sending side and
+// is taken for one that certainly left, and against the opposite.
+func TestCauseTellsResetFromEnd(t *testing.T) {
+	cases := []struct {
+		name   string
+		behind string
+		leave  func(c *net.TCPConn)
+		reset  bool
+	}{
+		{"reset", "", func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, true},
+		{"reset behind a further request", request("/behind"), func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, true},
+		{"end of the sending side", "", func(c *net.TCPConn) { c.CloseWrite() }, false},
+		{"end of the sending side behind a further request", request("/behind"), func(c *net.TCPConn) { c.CloseWrite() }, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			raw, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			l, causes, began := New(raw), make(chan error, 1), make(chan struct{})
+			srv := &http.Server{ConnContext: l.ConnContext, ConnState: l.ConnState, Handler: l.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/wait" {
+					return
+				}
+				close(began)
+				<-r.Context().Done()
+				causes <- context.Cause(r.Context())
+			}))}
+			done := make(chan struct{})
+			go func() { defer close(done); srv.Serve(l) }()
+			t.Cleanup(func() {
+				srv.Close()
+				<-done
+				time.Sleep(lingerTime + 50*time.Millisecond) // connections that linger
+			})
+			c, err := net.Dial("tcp", raw.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			io.WriteString(c, request("/wait"))
+			<-began
+			if tc.behind != "" {
+				io.WriteString(c, tc.behind)
+				time.Sleep(20 * time.Millisecond) // it arrives on its own
+			}
+			tc.leave(c.(*net.TCPConn))
+			select {
+			case cause := <-causes:
+				if reset := errors.Is(cause, syscall.ECONNRESET); reset != tc.reset {
+					t.Errorf("cause %v, reset: want %t", cause, tc.reset)
+				}
+			case <-time.After(5 * time.Second):
+				t.Error("the context has not ended")
+			}
+		})
+	}
+}
