Heads that are still arriving share a bound on their memory

What callers saw: none yet; the report is that of bytes without end that fill a machine's memory and end the requests of other clients.

Cause: a head is parsed field by field as it arrives, and one of 60 KB in short fields takes 1 MB, up to 5 s each; nothing bounded the number of such heads.

Change: each listener counts the bytes of heads that are arriving, beyond 4 KB of each. Over 512 KB in all, it ends the connection that has been sending one for the longest. All listeners of a host use it.

Evidence: TestEndlessHeadsFillNoMemory printed before: '120 heads without end take 112349 KB, want at most 37683 KB'. It passes now, 10 runs and 3 with the race detector; a request beside them is answered. With a bound of 1 MB it took 35,709 KB in one of three runs.

Why it works: a proper head arrives within milliseconds, so the oldest one is not proper when there are many.

--- a/internal/call/kqlistener/conn.go
+++ b/internal/call/kqlistener/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,6 +64,9 @@
 	deadline  time.Time // read deadline that the server asked for
 	wroteAt   time.Time // when the last bytes were written
 	closed    bool
+
+	headCounted bool        // its head counts towards what the listener holds
+	tooSlow     atomic.Bool // its head took too long while there were too many
 }
 
 func newConn(raw net.Conn, l *Listener) *conn {
@@ -84,6 +88,9 @@
 	for c.reading && len(c.ahead) == 0 {
 		c.changed.Wait()
 	}
+	if c.tooSlow.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := 0, error(nil)
 	if len(c.ahead) > 0 {
 		n = c.framing.hand(c.ahead[:min(len(c.ahead), len(p))])
@@ -93,6 +100,7 @@
 		return 0, err
 	}
 	c.pending = true
+	c.countHead()
 	if watches && err == nil && c.ended == nil && !c.reading && len(c.ahead) < maxAhead {
 		c.reading = true
 		go c.readAhead()
@@ -311,6 +319,7 @@
 	defer c.mu.Unlock()
 	c.handling, c.finished, c.broken, c.bodyDone = true, false, true, body == 0
 	c.framing = framing{body: max(body, 0)}
+	c.countHead()
 }
 
 // finish records that the handler has returned, normally or by a panic.
@@ -329,6 +338,9 @@
 		return net.ErrClosed
 	}
 	c.closed = true
+	if c.headCounted {
+		c.listener.heads.remove(c)
+	}
 	linger := c.ended == nil && !c.wroteAt.IsZero() && time.Since(c.wroteAt) < lingerAfter
 	behind, why := c.unanswered(), c.whyClosed()
 	c.mu.Unlock()
--- a/internal/call/kqlistener/listener.go
+++ b/internal/call/kqlistener/listener.go
@@ -41,6 +41,8 @@
 	log        *kqlog.Log
 	unanswered map[closeCause]metrics.Counter // connections closed with bytes of a further request
 	ended      atomic.Bool                    // Close was called: the server closes all connections
+	framed     atomic.Bool                    // Handler is used, so that heads and bodies can be told apart
+	heads      heads
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
@@ -56,7 +58,7 @@
 
 // Open returns a Listener.
 func Open(cfg Config) *Listener {
-	l := &Listener{Listener: cfg.Listener, log: cfg.Log, unanswered: map[closeCause]metrics.Counter{}, conns: map[*conn]struct{}{}}
+	l := &Listener{Listener: cfg.Listener, log: cfg.Log, unanswered: map[closeCause]metrics.Counter{}, conns: map[*conn]struct{}{}, heads: heads{conns: map[*conn]arrivingHead{}}}
 	for _, cause := range closeCauses {
 		l.unanswered[cause] = metrics.GetOrRegisterCounter("callers.unanswered."+string(cause), cfg.Metrics)
 	}
@@ -109,6 +111,7 @@
 // Handler returns a handler that tells the connection where the body of a request ends, and
 // has it served by h.
 func (l *Listener) Handler(h http.Handler) http.Handler {
+	l.framed.Store(true)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*conn)
 		if !ok {
--- a/internal/run/kqdaemon/server.go
+++ b/internal/run/kqdaemon/server.go
@@ -44,7 +44,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &server{name: name, listener: kqlistener.New(l), giveUp: cancel}
-	srv := newServer(s.count(h))
+	srv := newServer(s.listener.Handler(s.count(h)))
 	srv.BaseContext = func(net.Listener) context.Context { return ctx }
 	srv.ConnContext, srv.ConnState = s.listener.ConnContext, s.listener.ConnState
 	d.serveOn(s.listener, srv)
