Callers: a long chunk with empty lines does not wait in memory

A read of a body in chunks had as much room as the body's buffer, up to 1 MiB, and what stood behind an empty line in it waited in memory. TestFramingBoundsWhatWaits printed before: 1048576 bytes of a body in chunks are read at once. Also two cases of requests behind one that closes by itself, which passed before too.

--- a/internal/call/kqlistener/framing.go
+++ b/internal/call/kqlistener/framing.go
@@ -11,12 +11,14 @@
 	blank  bool  // the current line has no bytes yet but line ends
 }
 
-// within cuts the end of p that bytes behind the current body would fill.
+// within cuts the end of p that bytes behind the current body would fill. Of others, which
+// may have to wait, it leaves room for not more than maxAhead.
 func (f *framing) within(p []byte) []byte {
-	if f.body > 0 && f.body < int64(len(p)) {
-		return p[:f.body]
+	limit := f.body
+	if limit == 0 {
+		limit = maxAhead
 	}
-	return p
+	return p[:min(int64(len(p)), limit)]
 }
 
 // hand returns how many bytes of p the server gets: of a body with a length its rest, else
--- a/internal/call/kqlistener/unanswered_test.go
+++ b/internal/call/kqlistener/unanswered_test.go
@@ -173,3 +173,17 @@
 		})
 	}
 }
+
+// TestFramingBoundsWhatWaits guards against a long chunk that is read at once and then waits in
+// memory, because it has empty lines.
+func TestFramingBoundsWhatWaits(t *testing.T) {
+	p := make([]byte, 1<<20)
+	var f framing
+	if n := len(f.within(p)); n > maxAhead {
+		t.Errorf("%d bytes of a body in chunks are read at once", n)
+	}
+	f.body = 1 << 19
+	if n := len(f.within(p)); n != 1<<19 {
+		t.Errorf("%d bytes of a body with a length are read at once, want all of it", n)
+	}
+}
--- a/internal/call/kqproxy/pipeline_test.go
+++ b/internal/call/kqproxy/pipeline_test.go
@@ -114,6 +114,8 @@
 		{"a part of a body in chunks", []string{get, chunked[:len(chunked)-9]}, chunked[len(chunked)-9:], plenty, []int{200, 200}},
 		{"a part of a body with a length", []string{get, length[:len(length)-4]}, length[len(length)-4:], plenty, []int{200, 200}},
 		{"a part of a head, refused", []string{get, chunked[:9]}, chunked[9:], little, []int{200, 503}},
+		{"behind a request that closes", []string{strings.Replace(get, "Host:", "Connection: close\r\nHost:", 1) + chunked}, "", plenty, []int{200}},
+		{"behind HTTP/1.0", []string{strings.Replace(get, "HTTP/1.1", "HTTP/1.0", 1) + chunked}, "", plenty, []int{200}},
 		{"a part of a body, refused", []string{get, chunked[:len(chunked)-9]}, "", little, []int{200, 503}},
 	}
 	for _, c := range cases {
