Callers: a byte that the server reads before a handler starts is not forgotten

The server looks for a caller that leaves before it starts the handler. If that byte began a further request and nothing else of it had come, the connection closed on it. A head that was read whole and not handled, as when the server closes at that moment, left no line.

TestByteBeforeHandler printed before: the byte of a further request is not seen; TestRecordsWholeHead: 0 recorded, want 1. The package passed twice with -race.

--- a/internal/call/kqlistener/conn.go
+++ b/internal/call/kqlistener/conn.go
@@ -220,7 +220,7 @@
 	c.wroteAt = time.Now()
 	if !c.handling && !c.timedOut {
 		c.malformed = true
-		c.framing.handed = 0 // the server has answered it by itself
+		c.framing.handed, c.framing.whole = 0, 0 // the server has answered it by itself
 	}
 	c.mu.Unlock()
 	return n, err
@@ -255,6 +255,7 @@
 	if !c.handling {
 		c.framing.handed = 0 // without Handler, all that was handed was the request
 	}
+	c.framing.whole = 0
 	c.handling, c.served = false, true
 	c.pending = c.framing.handed > 0 || len(c.ahead) > 0
 	if c.kept && !c.hurried {
@@ -298,7 +299,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handling, c.finished, c.broken, c.bodyDone = true, false, true, body == 0
-	c.framing = framing{body: max(body, 0)}
+	// The server may have read a byte of a further request already, so that one stays counted.
+	c.framing.body, c.framing.whole = max(body, 0), 0
 }
 
 // finish records that the handler has returned, normally or by a panic.
@@ -360,7 +362,9 @@
 		n += c.unread()
 	}
 	switch {
-	case !c.handling || c.bodyDone:
+	case !c.handling:
+		return c.framing.whole + c.framing.handed + n
+	case c.bodyDone:
 		return c.framing.handed + n
 	case c.framing.body > 0:
 		return max(0, n-int(min(c.framing.body, math.MaxInt32)))
--- a/internal/call/kqlistener/framing.go
+++ b/internal/call/kqlistener/framing.go
@@ -8,6 +8,7 @@
 type framing struct {
 	body   int64 // bytes to come of a body with a length
 	handed int   // bytes handed since the last split, of a head, of a body in chunks, or of a further request
+	whole  int   // bytes handed of the head or body in chunks before the last split
 	blank  bool  // the current line has no bytes yet but line ends
 }
 
@@ -36,8 +37,9 @@
 			break
 		}
 		if f.blank && isBlank(p[i:i+length]) {
-			f.handed, f.blank = 0, false
-			return i + length + 1
+			n := i + length + 1
+			f.whole, f.handed, f.blank = f.handed+n, 0, false
+			return n
 		}
 		f.blank = true
 		i += length + 1
--- a/internal/call/kqlistener/unanswered_test.go
+++ b/internal/call/kqlistener/unanswered_test.go
@@ -187,3 +187,63 @@
 		t.Errorf("%d bytes of a body with a length are read at once, want all of it", n)
 	}
 }
+
+// accept returns both ends of a connection whose server is played by the test.
+func accept(t *testing.T, cfg Config) (l *Listener, mine *conn, caller net.Conn) {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Listener = raw
+	l = Open(cfg)
+	caller, err = net.Dial("tcp", raw.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		c.Close()
+		caller.Close()
+		l.Close()
+	})
+	return l, c.(*conn), caller
+}
+
+// TestByteBeforeHandler guards against a further request of which the server reads the first
+// byte before the handler of the current one starts, and that is then forgotten.
+func TestByteBeforeHandler(t *testing.T) {
+	_, c, caller := accept(t, Config{Log: kqlog.Discard(), Metrics: metrics.NewRegistry()})
+	io.WriteString(caller, request("/r")+"G")
+	p := make([]byte, 4096)
+	if n, err := c.Read(p); err != nil || n != len(request("/r")) {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
+	if n, err := c.Read(p[:1]); err != nil || n != 1 {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
+	c.begin(0)
+	if !c.moreArrived(true) {
+		t.Error("the byte of a further request is not seen")
+	}
+	c.SetReadDeadline(past) // ends readAhead
+}
+
+// TestRecordsWholeHead guards against a request whose head was read whole and whose handler does
+// not start, because the server is closed at that moment, without a trace.
+func TestRecordsWholeHead(t *testing.T) {
+	registry := metrics.NewRegistry()
+	l, c, caller := accept(t, Config{Log: kqlog.Discard(), Metrics: registry})
+	io.WriteString(caller, request("/r"))
+	if n, err := c.Read(make([]byte, 4096)); err != nil || n != len(request("/r")) {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
+	l.Close()
+	c.Close()
+	if n := metrics.GetOrRegisterCounter("callers.unanswered.stop", registry).Count(); n != 1 {
+		t.Errorf("%d recorded, want 1", n)
+	}
+}
