Stop: the body of a request is not taken for a caller that never stops sending

Once nothing is accepted any more, a caller is answered for 64 KiB more. The bytes of a body counted, so a request behind a long body was dropped; and what still waited in the socket was not looked at.

Change: bytes of a body that a handler reads do not count, and the socket is looked at, within the same 64 KiB.

TestLongBodyIsNoEndlessSender printed before, with a length and in chunks: 1 responses, then unexpected EOF, want 2.

--- a/internal/call/kqlistener/behind_test.go
+++ b/internal/call/kqlistener/behind_test.go
@@ -248,3 +248,24 @@
 		t.Errorf("read %d bytes, %v, want the end of the time", n, err)
 	}
 }
+
+// TestLongBodyIsNoEndlessSender guards against a request that is dropped in a hurried stop because
+// the body of the one before was long.
+func TestLongBodyIsNoEndlessSender(t *testing.T) {
+	for _, framing := range []string{"Content-Length: %d\r\n\r\n%[2]s", "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n"} {
+		l, dial := startClosing(t)
+		c := dial()
+		size := 4 * maxAhead
+		sent := "POST /r HTTP/1.1\r\nHost: x\r\n" + fmt.Sprintf(framing, size, strings.Repeat("a", size)) + request("/behind")
+		io.WriteString(c, sent[:1000])
+		time.Sleep(20 * time.Millisecond)
+		if err := l.StopAccepting(); err != nil {
+			t.Fatal(err)
+		}
+		l.retire()
+		io.WriteString(c, sent[1000:])
+		if bodies, err := readAll(c); len(bodies) != 2 {
+			t.Errorf("%d responses, then %v, want 2", len(bodies), err)
+		}
+	}
+}
--- a/internal/call/kqlistener/conn.go
+++ b/internal/call/kqlistener/conn.go
@@ -125,9 +125,10 @@
 	return handed, err
 }
 
-// countLate counts bytes that were read. The lock is held.
+// countLate counts bytes that were read, other than of the body that a handler reads. The lock is
+// held.
 func (c *conn) countLate(n int) {
-	if c.hurried {
+	if c.hurried && (!c.handling || c.bodyDone) {
 		c.late += n
 	}
 }
@@ -345,9 +346,11 @@
 	switch {
 	case !bodyRead && !c.bodyDone && body == 0:
 		return false // of a body in chunks it cannot be told where it ends
+	case c.late >= maxAhead:
+		return false // the caller never stops sending
 	case c.framing.handed > 0 || int64(len(c.ahead)) > body:
-		return c.late < maxAhead
-	case c.ended != nil || c.hurried:
+		return true
+	case c.ended != nil:
 		return false
 	default:
 		return int64(len(c.ahead)+c.unread()) > body
