--- a/internal/call/kqlistener/conn.go
+++ b/internal/call/kqlistener/conn.go
@@ -133,9 +133,10 @@
 	return handed, err
 }
 
-// countLate counts bytes that were read. The lock is held.
+// countLate counts bytes that were read, other than of the body that a handler reads. The lock is
+// held.
 func (c *conn) countLate(n int) {
-	if c.hurried {
+	if c.hurried && (!c.handling || c.bodyDone) {
 		c.late += n
 	}
 }
@@ -240,7 +241,7 @@
 	c.wroteAt = time.Now()
 	if !c.handling && !c.timedOut {
 		c.malformed = true
-		c.framing.handed = 0 // the server has answered it by itself
+		c.framing.handed, c.framing.whole = 0, 0 // the server has answered it by itself
 	}
 	c.mu.Unlock()
 	return n, err
@@ -275,6 +276,7 @@
 	if !c.handling {
 		c.framing.handed = 0 // without Handler, all that was handed was the request
 	}
+	c.framing.whole = 0
 	c.handling, c.served = false, true
 	c.pending = c.framing.handed > 0 || len(c.ahead) > 0
 	if c.kept && !c.hurried {
@@ -318,7 +320,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handling, c.finished, c.broken, c.bodyDone = true, false, true, body == 0
-	c.framing = framing{body: max(body, 0)}
+	// The server may have read a byte of a further request already, so that one stays counted.
+	c.framing.body, c.framing.whole = max(body, 0), 0
 	c.countHead()
 }
 
@@ -367,9 +370,11 @@
 	switch {
 	case !bodyRead && !c.bodyDone && body == 0:
 		return false // of a body in chunks it cannot be told where it ends
+	case c.late >= maxAhead:
+		return false // the caller never stops sending
 	case c.framing.handed > 0 || int64(len(c.ahead)) > body:
-		return c.late < maxAhead
-	case c.ended != nil || c.hurried:
+		return true
+	case c.ended != nil:
 		return false
 	default:
 		return int64(len(c.ahead)+c.unread()) > body
@@ -384,7 +389,9 @@
 		n += c.unread()
 	}
 	switch {
-	case !c.handling || c.bodyDone:
+	case !c.handling:
+		return c.framing.whole + c.framing.handed + n
+	case c.bodyDone:
 		return c.framing.handed + n
 	case c.framing.body > 0:
 		return max(0, n-int(min(c.framing.body, math.MaxInt32)))
--- a/internal/call/kqlistener/framing.go
+++ b/internal/call/kqlistener/framing.go
@@ -8,15 +8,18 @@
 type framing struct {
 	body   int64 // bytes to come of a body with a length
 	handed int   // bytes handed since the last split, of a head, of a body in chunks, or of a further request
+	whole  int   // bytes handed of the head or body in chunks before the last split
 	blank  bool  // the current line has no bytes yet but line ends
 }
 
-// within cuts the end of p that bytes behind the current body would fill.
+// within cuts the end of p that bytes behind the current body would fill. Of others, which
+// may have to wait, it leaves room for not more than maxAhead.
 func (f *framing) within(p []byte) []byte {
-	if f.body > 0 && f.body < int64(len(p)) {
-		return p[:f.body]
+	limit := f.body
+	if limit == 0 {
+		limit = maxAhead
 	}
-	return p
+	return p[:min(int64(len(p)), limit)]
 }
 
 // hand returns how many bytes of p the server gets: of a body with a length its rest, else
@@ -34,8 +37,9 @@
 			break
 		}
 		if f.blank && isBlank(p[i:i+length]) {
-			f.handed, f.blank = 0, false
-			return i + length + 1
+			n := i + length + 1
+			f.whole, f.handed, f.blank = f.handed+n, 0, false
+			return n
 		}
 		f.blank = true
 		i += length + 1
