Soak: a target that leaves is not killed when the run ends

The host's log has "send: no answer ... unexpected EOF" of t5, which had announced 1 s before that it leaves. The run's time was over at that moment, and with it the wait before a target that leaves is killed; its requests were still in progress, and it might not even have announced anything. So the fault was the soak's.

The announcement and the wait now go on after the end of the run. TestTargetLeavesAtEndOfRun failed before: "the target was killed after 207.024µs, want 2s", "0 targets left, want 1".

--- a/internal/bench/kqsoak/inject.go
+++ b/internal/bench/kqsoak/inject.go
@@ -139,11 +139,11 @@
 	case TargetCrash:
 		t.Kill()
 	case TargetLeaves:
-		t.leave(ctx)
-		wait(ctx, f.For+drainBound)
+		t.leave(context.WithoutCancel(ctx))
+		time.Sleep(f.For + drainBound) // also if the run ends: its requests are still in progress
 		t.Kill()
 	case TargetMoves:
-		wait(ctx, f.For+drainBound)
+		time.Sleep(f.For + drainBound)
 		t.Kill()
 	case TargetSlow:
 		t.slowdown.Store(900)
