Test: a stop and callers that closed their side, through the listener

Guards against a planned stop that cuts a call whose caller closed its sending side, and against one that waits for a caller that left longer than for the call's own time.

--- a/internal/call/kqproxy/leave_test.go
+++ b/internal/call/kqproxy/leave_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"kumquatglade/internal/call/kqlistener"
 	"kumquatglade/internal/state/kqroutes"
 
 	"github.com/cockroachdb/errors"
@@ -205,3 +206,68 @@
 		t.Fatal("the request still runs 400 ms after the reset")
 	}
 }
+
+// TestHalfClosedCallerDuringStop guards against a stop that cuts a call whose caller closed
+// its sending side, and against one that waits longer for a caller that left than for the
+// call itself.
+func TestHalfClosedCallerDuringStop(t *testing.T) {
+	const deadline = time.Second
+	cases := []struct {
+		name    string
+		answers bool
+		end     func(*net.TCPConn) error
+	}{
+		{"waits for its answer", true, (*net.TCPConn).CloseWrite},
+		{"left", false, (*net.TCPConn).Close},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			release := make(chan struct{})
+			f := newFixture(t, kqroutes.Unsafe, 5*time.Second, func(target net.Conn, r *http.Request) bool {
+				if !c.answers {
+					return false
+				}
+				<-release
+				return replyOK(target, r)
+			})
+			raw, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			l := kqlistener.New(raw)
+			server := &http.Server{Handler: f.engine, ConnContext: l.ConnContext, ConnState: l.ConnState}
+			go server.Serve(l) //nolint:errcheck // ends with the listener
+			defer server.Close()
+			conn, err := net.Dial("tcp", raw.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			fmt.Fprint(conn, rawRequest(http.MethodPost, "filing", fmt.Sprintf("%s: %d\r\n", DefaultHeaderNames.Deadline, deadline.Milliseconds())))
+			started := time.Now()
+			waitFor(t, "the request runs", func() bool { return f.arrivals() == 1 })
+			if err := c.end(conn.(*net.TCPConn)); err != nil {
+				t.Fatal(err)
+			}
+			f.engine.Stop(time.Now().Add(5 * time.Second))
+			if err := l.StopAccepting(); err != nil {
+				t.Fatal(err)
+			}
+			drained := make(chan error, 1)
+			go func() { drained <- l.Drain(t.Context()) }()
+			time.Sleep(100 * time.Millisecond)
+			close(release)
+			if c.answers {
+				if res, body := readWhole(t, conn, 2*time.Second); res.StatusCode != http.StatusOK || body != "whole" {
+					t.Errorf("%d %q, want 200 with the whole answer", res.StatusCode, body)
+				}
+			}
+			if err := <-drained; err != nil {
+				t.Fatal(err)
+			}
+			if took := time.Since(started); took > deadline+500*time.Millisecond {
+				t.Errorf("the stop took %v, want at most the request's %v and some delay", took, deadline)
+			}
+		})
+	}
+}
