A failed disk ends the control role, not the requests of callers

What callers saw: on a host with both roles whose disk failed, requests that had been passed on to a target ended without a response.

Cause: after a fatal error the daemon closed at once, and everything in progress with it.

Change: it stops as after two signals: what is undecided is answered as that, requests in progress get their responses, further ones are refused as not run.

--- a/internal/run/kqmain/main.go
+++ b/internal/run/kqmain/main.go
@@ -123,18 +123,19 @@
 	return signals
 }
 
-// serve runs until a signal or a fatal error; a second signal
-// expedites the shutdown.
+// serve runs until a signal or a fatal error; a second signal expedites the shutdown. A
+// failed disk ends the control role only, so callers get their responses then too.
 func serve(d *kqdaemon.Daemon, signals <-chan os.Signal, stderr io.Writer) int {
+	expedite := make(chan struct{})
 	select {
 	case err := <-d.Fatal():
 		fmt.Fprintln(stderr, "kumquatd:", err)
-		d.Close()
+		close(expedite)
+		d.Stop(expedite)
 		delayFatalExit()
 		return exitFatal
 	case <-signals:
 	}
-	expedite := make(chan struct{})
 	go func() {
 		<-signals
 		close(expedite)
