A connection that cannot be accepted does not end the host

What callers saw: nothing yet.

Cause: net/http goes on after few errors of accept; after the others, such as ENOBUFS, Serve returned, which is fatal for the process, with everything in progress.

Change: the listener logs the error and accepts again after 20 ms, until it is closed.

--- a/internal/call/kqlistener/listener.go
+++ b/internal/call/kqlistener/listener.go
@@ -10,6 +10,7 @@
 
 	"kumquatglade/internal/host/kqlog"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -22,6 +23,8 @@
 	// say that its connection ends: a few round trips to callers.
 	keepTime = time.Second
 
+	acceptPause = 20 * time.Millisecond // after a connection that could not be accepted
+
 	// retireInterval is the time between two looks for connections that have become idle
 	// during a stop.
 	retireInterval = 50 * time.Millisecond
@@ -65,9 +68,15 @@
 	return l
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection. An error of a single connection, or of a kernel
+// without memory for it, does not end the listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
+	for err != nil && !errors.Is(err, net.ErrClosed) {
+		l.log.Warnf("callers: cannot accept: %v", err)
+		time.Sleep(acceptPause)
+		raw, err = l.Listener.Accept()
+	}
 	if err != nil {
 		if raw = l.nextTaken(); raw == nil {
 			return nil, err
