A stop accepts its last connections 400 ms before its end, on every listener

Cause: connections were accepted until 50 ms before the end of the stop; stalls of 88 to 559 ms of the whole process were measured in these tests. What was accepted in the last 50 ms then got no response before the process ended. The other listeners of the host already ended 400 ms before.

Change: one constant for both. Later callers are refused their connection and go to another host at once.

--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -197,8 +197,9 @@
 }
 
 // closingTime is how long before the end of a shutdown the host stops accepting
-// connections, so that those it has accepted get their responses.
-const closingTime = 50 * time.Millisecond
+// connections, so that those it has accepted get their responses. These take a few
+// milliseconds, but a busy machine may not run the process for some tenths of a second.
+const closingTime = 400 * time.Millisecond
 
 // stopCallers ends the connections of callers by the given time. Requests that might not be
 // finished by then are refused from the start, so that only refusals are left at the end.
--- a/internal/run/kqdaemon/server.go
+++ b/internal/run/kqdaemon/server.go
@@ -21,11 +21,6 @@
 	// answerTime is how long before that end a request that is still undecided is told
 	// so, instead of being cut.
 	answerTime = 100 * time.Millisecond
-
-	// minServersTime is how long before the end of the whole stop these listeners begin to
-	// end if callers are still served. Their responses take a few milliseconds, but a busy
-	// machine may not run the process for some tenths of a second.
-	minServersTime = 400 * time.Millisecond
 )
 
 // server is one listener of the host and what serves it.
@@ -75,7 +70,7 @@
 func (d *Daemon) endServers(callersServed context.Context, end time.Time, expedite <-chan struct{}) {
 	select {
 	case <-callersServed.Done():
-	case <-time.After(time.Until(end) - minServersTime):
+	case <-time.After(time.Until(end) - closingTime):
 	}
 	if bound := time.Now().Add(serversTime); bound.Before(end) {
 		end = bound
