Requests of callers that close their sending side are given up at once again, if they can be

Cause: most callers that close have left, and impatient ones leave when targets are busy, so that these would queue and run requests for nobody for a quarter of a second. What remains: a call that must not be repeated and was passed on goes on to its answer; all others get a true answer in place of a cut connection.

--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -249,7 +249,7 @@
 			failing = failedWriter{err}
 		}
 		var fromTarget bool
-		if fromTarget, err = rest.writeTo(e.pacer.Writer(p.caller.delivery, failing), p.boundStall); fromTarget {
+		if fromTarget, err = rest.writeTo(e.pacer.Writer(p.deliveryContext(), failing), p.boundStall); fromTarget {
 			cause = "target: "
 		}
 	}
--- a/internal/call/kqproxy/caller.go
+++ b/internal/call/kqproxy/caller.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -12,8 +11,7 @@
 // callerWatch ends a request whose caller closed its side of the connection. That is how a
 // caller leaves, but HTTP allows a caller to close only its sending side and wait.
 type callerWatch struct {
-	delivery context.Context // of the response, which may take longer than the request's deadline
-	cancel   context.CancelFunc
+	cancel context.CancelFunc
 
 	mu       sync.Mutex
 	closed   bool // the caller closed its side of the connection
@@ -23,31 +21,15 @@
 // causeCallerClosed says why a request is given up.
 const causeCallerClosed = "the caller closed its side of the connection"
 
-// closeWait is how long a request whose caller closed its side goes on as if nothing had
-// happened: half of the half second after which a target must not work for nobody.
-const closeWait = 250 * time.Millisecond
-
-// watchCaller returns the context of the sends. It ends at the deadline, or closeWait after
-// the caller closed its side, unless the request must not be repeated and was passed on: a
-// caller that gets no answer then can't tell whether it ran.
+// watchCaller returns the context of the sends. It ends at the deadline, or when the caller
+// closes its side, unless the request must not be repeated and was passed on: a caller that
+// gets no answer then can't tell whether it ran.
 func (p *proxiedRequest) watchCaller() (ctx context.Context, end func()) {
 	in := p.in.Context()
-	p.caller.delivery, p.caller.cancel = context.WithCancel(context.WithoutCancel(in))
-	ctx, cancel := context.WithDeadline(p.caller.delivery, p.deadline)
-	unwatch := context.AfterFunc(in, func() {
-		if !wasReset(in) {
-			timer := time.NewTimer(closeWait)
-			defer timer.Stop()
-			select {
-			case <-ctx.Done():
-			case <-timer.C:
-			}
-		}
-		p.caller.close(wasReset(in))
-	})
+	ctx, p.caller.cancel = context.WithDeadline(context.WithoutCancel(in), p.deadline)
+	unwatch := context.AfterFunc(in, func() { p.caller.close(wasReset(in)) })
 	return ctx, func() {
 		unwatch()
-		cancel()
 		p.caller.cancel()
 	}
 }
@@ -97,6 +79,15 @@
 	return w.closed && !w.passedOn
 }
 
+// deliveryContext returns the context of the delivery of a response. It may last longer
+// than the request's deadline.
+func (p *proxiedRequest) deliveryContext() context.Context {
+	if p.route.Kind.Repeatable() {
+		return p.in.Context()
+	}
+	return context.WithoutCancel(p.in.Context()) // a write fails if the caller left
+}
+
 // answerClosed responds to a caller that closed its side and may still wait. It aborts the
 // connection of one that certainly left.
 func (p *proxiedRequest) answerClosed(mayHaveRun bool, cause string) {
