--- a/internal/call/kqlistener/differential_test.go
+++ b/internal/call/kqlistener/differential_test.go
@@ -34,7 +34,7 @@
 		fmt.Fprintf(w, "%s %s %q %v %v", r.Method, r.URL.Path, p, err, r.Trailer)
 	})
 	srv := &http.Server{Handler: h}
-	var l net.Listener = raw
+	l := raw
 	if split {
 		mine := New(raw)
 		srv.Handler, srv.ConnContext, srv.ConnState = mine.Handler(h), mine.ConnContext, mine.ConnState
