Contracts: a call that was read behind another one is answered during a stop

What callers saw: as on routes, on hosts with contracts: a call sent right behind another one, whole, got no response, since the response to the one before closed the connection.

Cause: each response of a host that shuts down said Connection: close from its start.

Change: the response decides when its head is written, as kqproxy does, and the listener of calls knows where bodies end.

--- a/internal/call/kqcall/serve.go
+++ b/internal/call/kqcall/serve.go
@@ -22,11 +22,9 @@
 
 // ServeHTTP serves one call: it validates the request, dispatches it to a target and
 // writes the response.
-func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (e *Engine) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	now := e.cfg.Clock.Now()
-	if e.shutdown.Begun() {
-		w.Header().Set("Connection", "close")
-	}
+	w := &closingWriter{ResponseWriter: rw, engine: e, in: r, bodyRead: r.Body == nil || r.Body == http.NoBody}
 	q, p := e.checkRequest(r, now)
 	if p == nil {
 		defer q.releaseBody()
@@ -34,6 +32,7 @@
 			p = q.bodyProblem(err)
 			w.Header().Set("Connection", "close") // the rest of the body is not read
 		} else {
+			w.bodyRead = true
 			p = e.checkShutdown(q) // it may have begun while the body arrived
 		}
 	}
