A body that is cut at its last byte is refused, not passed on

What callers saw: nothing yet; found by the review. While bodies lack room, one that has paused for over a second is cut. If that came just after its last byte, the request went on, and the read deadline that cut it ended its context and that of later requests on its connection.

Change: such a request is refused as not run, with a connection that closes.

--- a/internal/call/kqbody/memory.go
+++ b/internal/call/kqbody/memory.go
@@ -77,6 +77,7 @@
 	milestone int       // length at which markedAt is set next
 	markedAt  time.Time // when the last freeBytes had arrived
 	waiting   bool      // for room
+	wasCut    bool
 }
 
 // NewBuffer returns a buffer for at most the given bytes of a body, which must be released.
@@ -98,11 +99,17 @@
 	b.markedAt = time.Now()
 	m.reading[b] = struct{}{}
 	m.mu.Unlock()
-	defer func() {
-		m.mu.Lock()
-		delete(m.reading, b)
-		m.mu.Unlock()
-	}()
+	complete, err = b.read(src, deadline, done)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.reading, b)
+	if err == nil && b.wasCut { // too late for its read, but the deadline would end the next one
+		return false, ErrNoRoom
+	}
+	return complete, err
+}
+
+func (b *Buffer) read(src io.Reader, deadline time.Time, done <-chan struct{}) (complete bool, err error) {
 	for int64(len(b.p)) < b.most {
 		if len(b.p) == cap(b.p) && !b.grow(deadline, done) {
 			return false, ErrNoRoom
@@ -229,5 +236,6 @@
 		return
 	}
 	delete(m.reading, oldest)
+	oldest.wasCut = true
 	oldest.cut()
 }
--- a/internal/call/kqbody/memory_test.go
+++ b/internal/call/kqbody/memory_test.go
@@ -121,3 +121,27 @@
 		}
 	}
 }
+
+// TestCutAfterLastByteRefuses guards against a body that arrives whole, is cut at that moment
+// and is passed on, although the connection can carry no further request.
+func TestCutAfterLastByteRefuses(t *testing.T) {
+	m := NewMemory(0)
+	b := m.NewBuffer(-1, mebibyte, func() {})
+	defer b.Release()
+	complete, err := b.Fill(cutAtEnd{b}, time.Now().Add(time.Hour), nil)
+	if complete || !errors.Is(err, ErrNoRoom) {
+		t.Errorf("complete %t, %v, want ErrNoRoom", complete, err)
+	}
+}
+
+// cutAtEnd is a body whose buffer is cut while its end is read.
+type cutAtEnd struct{ b *Buffer }
+
+func (r cutAtEnd) Read([]byte) (int, error) {
+	m := r.b.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.b.held, r.b.markedAt = 1, time.Now().Add(-2*maxPause)
+	m.cutPaused(time.Now())
+	return 0, io.EOF
+}
