--- a/internal/call/kqlistener/listener_test.go
+++ b/internal/call/kqlistener/listener_test.go
@@ -349,7 +349,7 @@
 				t.Fatal(err)
 			}
 			l, causes, began := New(raw), make(chan error, 1), make(chan struct{})
-			srv := &http.Server{ConnContext: l.ConnContext, ConnState: l.ConnState, Handler: l.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			srv := &http.Server{ConnContext: l.ConnContext, ConnState: l.ConnState, Handler: l.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				if r.URL.Path != "/wait" {
 					return
 				}
