Soak: a request of http.Client that was read and dropped counts as lost

Cause: of these requests the soak did not know when they had been sent whole, so that one cut later than the rule allows counted as crossing its close. The trace of the client tells it. Answers of targets and hosts are read up to 16 MB.

--- a/internal/bench/kqsoak/drive.go
+++ b/internal/bench/kqsoak/drive.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,7 @@
 	operatorTimeout  = 2 * time.Second         // for one attempt of an operator
 	operatorInterval = 700 * time.Millisecond
 	uploadSize       = 64 << 10 // bytes
+	maxAnswer        = 16 << 20 // bytes that are read of an answer: far more than any target sends
 	safePrefix       = "/read/"
 	unsafePrefix     = "/file/"
 	uploadPrefix     = "/ledger/"
@@ -86,16 +88,28 @@
 	req.Header.Set(kqproxy.DefaultHeaderNames.Deadline, fmt.Sprint(callTimeout.Milliseconds()))
 	c.ledger.SentIn(WayClient, id, k.once)
 	began := time.Now()
+	var sent atomic.Pointer[time.Time] // the client writes while it waits for the response
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if now := time.Now(); info.Err == nil {
+			sent.Store(&now)
+		}
+	}}))
+	cut := func(err error) bool {
+		loss := Cut{Addr: addr, Began: began, At: time.Now(), Err: err}
+		if at := sent.Load(); at != nil {
+			loss.Sent = *at
+		}
+		c.ledger.Cut(id, loss)
+		return false
+	}
 	res, err := c.client.Do(req)
 	if err != nil {
-		c.ledger.Cut(id, Cut{Addr: addr, Began: began, At: time.Now(), Err: err})
-		return false
+		return cut(err)
 	}
 	defer res.Body.Close()
-	p, err := io.ReadAll(res.Body)
+	p, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
 	if err != nil {
-		c.ledger.Cut(id, Cut{Addr: addr, Began: began, At: time.Now(), Err: err})
-		return false
+		return cut(err)
 	}
 	matches := res.Header.Get(kqproxy.DefaultHeaderNames.RequestID) == id && res.Header.Get(kqproxy.DefaultHeaderNames.Seal) != "" && string(p) == answerTo(id)
 	c.ledger.Answered(id, res.StatusCode, true, matches)
@@ -204,7 +218,7 @@
 		return 0, nil
 	}
 	defer res.Body.Close()
-	if answer, err = io.ReadAll(res.Body); err != nil {
+	if answer, err = io.ReadAll(io.LimitReader(res.Body, maxAnswer)); err != nil {
 		return 0, nil
 	}
 	return res.StatusCode, answer
--- a/internal/bench/kqsoak/stay.go
+++ b/internal/bench/kqsoak/stay.go
@@ -189,7 +189,7 @@
 
 func (e *exchange) readBody(res *http.Response, pause time.Duration) ([]byte, error) {
 	if e.way != WayReader {
-		return io.ReadAll(res.Body)
+		return io.ReadAll(io.LimitReader(res.Body, maxAnswer))
 	}
 	var all []byte
 	block := make([]byte, readerBlock)
