Stop: no warning when only the ends of connections are under way

The line said 'stopping with 0 requests in flight' at the end of each stop whose callers stayed; on-call reads it as a loss. The other listeners told the two apart already. Tests of stops pass.

--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -230,8 +230,9 @@
 	}
 	ctx, cancel = context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := d.callers.Drain(ctx); err != nil {
-		d.log.Warnf("stopping with %d requests in flight: %v", d.proxy.InFlight(), err)
+	err := d.callers.Drain(ctx)
+	if n := d.proxy.InFlight(); err != nil && n > 0 { // else only the ends of connections are under way
+		d.log.Warnf("stopping with %d requests in flight: %v", n, err)
 		d.proxy.LogCut()
 	}
 }
