The head of a closed connection is not counted again

Cause: a read that returned while its connection was closed counted the head once more, and nothing removed it: in time, proper heads would have been ended for room.

Evidence: TestClosedConnectionHoldsNoHead printed before: '4097 bytes of 1 heads are held'.

--- a/internal/call/kqlistener/heads.go
+++ b/internal/call/kqlistener/heads.go
@@ -73,6 +73,9 @@
 
 // countHead counts the bytes of a head that is arriving. The lock is held.
 func (c *conn) countHead() {
+	if c.closed {
+		return // Close has removed it
+	}
 	arriving := c.listener.framed.Load() && !c.handling && c.framing.handed > freeHead
 	if arriving {
 		c.listener.heads.set(c, c.framing.handed)
--- a/internal/call/kqlistener/heads_test.go
+++ b/internal/call/kqlistener/heads_test.go
@@ -65,3 +65,20 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// TestClosedConnectionHoldsNoHead guards against a head that counts for good, because its
+// connection was closed while bytes of it were read.
+func TestClosedConnectionHoldsNoHead(t *testing.T) {
+	ours, caller := net.Pipe()
+	defer caller.Close()
+	l := New(nil)
+	l.framed.Store(true)
+	c := newConn(ours, l)
+	c.framing.handed = freeHead + 1
+	c.countHead()
+	c.Close()
+	c.countHead()
+	if l.heads.held != 0 || len(l.heads.conns) != 0 {
+		t.Errorf("%d bytes of %d heads are held", l.heads.held, len(l.heads.conns))
+	}
+}
