Request stages: what a request is, its body and its progress are separate parts

proxiedRequest carried 18 fields through six files. Owner, limit and rank would have made it unreadable. Behaviour is unchanged; kqproxy's tests pass.

--- a/internal/call/kqproxy/barred_test.go
+++ b/internal/call/kqproxy/barred_test.go
@@ -91,7 +91,7 @@
 			f.fakeTargets[0].setLoad("0,0,4,900") // slow: the byte would be held back for long
 			s, target := f.engine.routing.Load(), f.target(0)
 			route, _ := s.table.Find("index.example", "/filings/1")
-			p := &proxiedRequest{engine: f.engine, routing: s, route: route, service: "kekhai"}
+			p := &proxiedRequest{engine: f.engine, requestSpec: requestSpec{routing: s, route: route, service: "kekhai"}}
 			bar()
 			probes, started := f.fakeTargets[0].probes.Load(), time.Now()
 			p.holdLastByte(t.Context(), target)
--- a/internal/call/kqproxy/drain_test.go
+++ b/internal/call/kqproxy/drain_test.go
@@ -126,8 +126,11 @@
 	s := f.engine.routing.Load()
 	route, _ := s.table.Find("index.example", "/filings/1")
 	p := &proxiedRequest{
-		engine: f.engine, w: httptest.NewRecorder(), in: httptest.NewRequest(http.MethodPost, "/filings/1", nil), header: http.Header{},
-		started: time.Now(), deadline: time.Now().Add(5 * time.Second), routing: s, route: route, service: "kekhai",
+		engine: f.engine, w: httptest.NewRecorder(), in: httptest.NewRequest(http.MethodPost, "/filings/1", nil),
+		requestSpec: requestSpec{
+			header: http.Header{}, started: time.Now(), deadline: time.Now().Add(5 * time.Second),
+			routing: s, route: route, service: "kekhai",
+		},
 	}
 	var cause string
 	if p.chosen, cause = p.choose(t.Context(), nil); p.chosen.Target == nil {
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -168,6 +168,13 @@
 	return b
 }
 
+// randomFloat returns a random number that is uniform in [0, 1).
+func (e *Engine) randomFloat() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.Rand.Float64()
+}
+
 // countRequest counts a request to the service towards its retry budget.
 func (e *Engine) countRequest(service string) {
 	e.mu.Lock()
@@ -187,7 +194,8 @@
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	e.metrics.requests.Inc(1)
-	p := &proxiedRequest{engine: e, w: w, in: r, started: e.cfg.Clock.Now(), id: r.Header.Get(e.cfg.HeaderNames.RequestID)}
+	p := &proxiedRequest{engine: e, w: w, in: r}
+	p.started, p.id = e.cfg.Clock.Now(), r.Header.Get(e.cfg.HeaderNames.RequestID)
 	defer func() { e.metrics.latency.Update(e.cfg.Clock.Now().Sub(p.started)) }()
 	e.setRunning(p, true)
 	defer e.setRunning(p, false)
--- a/internal/call/kqproxy/engine_test.go
+++ b/internal/call/kqproxy/engine_test.go
@@ -60,7 +60,7 @@
 			f := newFixtureWithObjective(t, kqroutes.Upload, 20*time.Second, time.Second, replyOK)
 			fake, s := f.fakeTargets[0], f.engine.routing.Load()
 			route, _ := s.table.Find("index.example", "/filings/1")
-			p := &proxiedRequest{engine: f.engine, routing: s, route: route, service: "kekhai"}
+			p := &proxiedRequest{engine: f.engine, requestSpec: requestSpec{routing: s, route: route, service: "kekhai"}}
 			fake.load = func(n int64) string {
 				if becomesFast && n >= fastFromProbe {
 					return fast
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -109,7 +109,7 @@
 	e := p.engine
 	now := e.cfg.Clock.Now()
 	assigned := make(chan *kqselection.Target, 1)
-	w := &kqselection.Waiter{Priority: p.route.Priority, Assign: func(t *kqselection.Target) { assigned <- t }}
+	w := &kqselection.Waiter{Priority: p.priority, Assign: func(t *kqselection.Target) { assigned <- t }}
 	e.mu.Lock()
 	w.StartBy, w.GiveUpAt = p.waitLimits(now)
 	if !ch.Queue.Enqueue(w, now) {
