--- a/internal/call/kqproxy/body.go
+++ b/internal/call/kqproxy/body.go
@@ -74,4 +74,3 @@
 	_ = rc.Flush()                                          // an error shows at the next write
 	_, _ = io.CopyN(io.Discard, p.in.Body, maxBufferedBody) // the connection ends either way
 }
-
--- a/internal/call/kqproxy/names.go
+++ b/internal/call/kqproxy/names.go
@@ -11,10 +11,14 @@
 	NotExecuted string // set by a target that did not execute the request
 	Instance    string // ID of the target in its answers to probes
 	Leaving     string // 1 in the responses of a target that is shutting down
+	Owner       string // name of the request's owner, set by the entry host
+	Cold        string // milliseconds for which a target stays cold, in its answers to probes
+	KeyScheme   string // scheme of Authorization with which callers present a key
 }
 
 // DefaultHeaderNames are the names that kumquatglade defines itself.
 var DefaultHeaderNames = HeaderNames{
 	RequestID: "Kumquat-Call", Deadline: "Kumquat-Deadline", Seal: "Kumquat-Seal", Target: "Kumquat-Target",
 	Load: "Kumquat-Load", NotExecuted: "Kumquat-Not-Run", Instance: "Kumquat-Instance", Leaving: "Kumquat-Leaving",
+	Owner: "Kumquat-Owner", Cold: "Kumquat-Cold", KeyScheme: "Bearer",
 }
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -174,4 +174,3 @@
 	e.longestTimeouts[route] = longest
 	return longest - timeout
 }
-
--- a/internal/host/kqsettings/settings.go
+++ b/internal/host/kqsettings/settings.go
@@ -38,6 +38,8 @@
 	Stop      Stop         `json:"stop"`                                         // times of a planned stop
 	Memory    int          `json:"memory,omitempty" validate:"min=0"`            // memory limit of the process in bytes, 0: none
 	Link      float64      `json:"link,omitempty" validate:"min=0"`              // rate of the host's network link in Mbit/s, 0: unknown
+
+	Domains map[string]string `json:"domains,omitempty" validate:"dive,keys,word,endkeys,word"` // region of each failure domain
 }
 
 // SharedLimits are limits over all entry hosts together.
@@ -46,6 +48,12 @@
 	RetrySlack      float64  `json:"secondSlack" validate:"min=0"`       // additional retries in one window
 	RetryWindow     Duration `json:"secondWindow"`                       // window in which retries are counted, 10s if 0
 	ProbesPerSecond float64  `json:"questions" validate:"min=0"`         // probes to one target per second, 0: no limit
+
+	QuotaWindow  Duration `json:"quotaWindow,omitempty"`                   // window in which the requests of an owner are counted
+	QuotaOverrun float64  `json:"quotaOverrun,omitempty" validate:"min=0"` // share of an owner's limit that may be exceeded in one window
+	QuotaSlack   float64  `json:"quotaSlack,omitempty" validate:"min=0"`   // requests of an owner on top of that in one window
+	ColdOverrun  float64  `json:"coldOverrun,omitempty" validate:"min=0"`  // multiple of the cold rate that a cold target may get in one second
+	ColdSlack    float64  `json:"coldSlack,omitempty" validate:"min=0"`    // requests on top of that
 }
 
 // Stop bounds the steps of a planned stop.
--- a/internal/state/kqroutes/delta.go
+++ b/internal/state/kqroutes/delta.go
@@ -1,6 +1,10 @@
 package kqroutes
 
-import "slices"
+import (
+	"maps"
+	"slices"
+	"strings"
+)
 
 // Delta is the difference between a document and a later version of it.
 type Delta struct {
@@ -10,6 +14,9 @@
 	Limits   *Limits     `json:"limits,omitempty"`
 	Set      []HostRoute `json:"set,omitempty"` // routes that were added or replaced
 	Removed  []RouteKey  `json:"dropped,omitempty"`
+
+	SetOwners     []Owner  `json:"owners,omitempty"` // owners that were added or replaced
+	RemovedOwners []string `json:"droppedOwners,omitempty"`
 }
 
 // RouteKey identifies a route by the HTTP host name and the path prefix.
@@ -68,19 +75,55 @@
 			out.Removed = append(out.Removed, p)
 		}
 	}
+	out.diffOwners(from, d)
 	return out
 }
 
+func (d *Delta) diffOwners(from, to *Document) {
+	old := map[string]*Owner{}
+	if from != nil {
+		for i := range from.Owners {
+			old[from.Owners[i].Name] = &from.Owners[i]
+		}
+	}
+	for i := range to.Owners {
+		o := &to.Owners[i]
+		if before, ok := old[o.Name]; !ok || !equalOwners(before, o) {
+			d.SetOwners = append(d.SetOwners, *o)
+		}
+		delete(old, o.Name)
+	}
+	d.RemovedOwners = slices.Sorted(maps.Keys(old))
+}
+
+// withOwners returns the owners after the delta, sorted by name.
+func (d *Delta) withOwners(old []Owner) []Owner {
+	if len(d.SetOwners)+len(d.RemovedOwners) == 0 {
+		return old
+	}
+	replaced := make(map[string]bool, len(d.SetOwners)+len(d.RemovedOwners))
+	for _, o := range d.SetOwners {
+		replaced[o.Name] = true
+	}
+	for _, name := range d.RemovedOwners {
+		replaced[name] = true
+	}
+	list := slices.DeleteFunc(slices.Clone(old), func(o Owner) bool { return replaced[o.Name] })
+	list = append(list, d.SetOwners...)
+	slices.SortFunc(list, func(a, b Owner) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
 func equalRoutes(a, b *Route) bool {
 	x, y := *a, *b
 	x.Split, y.Split = nil, nil
-	return slices.Equal(a.Split, b.Split) && equalIgnoringSplit(x, y)
+	return slices.Equal(a.Split, b.Split) && slices.Equal(a.Regions, b.Regions) && equalIgnoringSplit(x, y)
 }
 
 func equalIgnoringSplit(a, b Route) bool {
 	return a.Name == b.Name && a.Prefix == b.Prefix && a.Service == b.Service && a.Kind == b.Kind &&
 		a.Attempts == b.Attempts && a.Timeout == b.Timeout && a.Objective == b.Objective &&
-		a.Priority == b.Priority && a.Owner == b.Owner
+		a.Priority == b.Priority && a.Owner == b.Owner && a.Open == b.Open
 }
 
 // With returns the document after the delta, and false if the delta applies to another
@@ -92,7 +135,7 @@
 		if d == nil || d.Version != delta.From {
 			return nil, false
 		}
-		out.Services, out.Limits = d.Services, d.Limits
+		out.Services, out.Limits, out.Owners = d.Services, d.Limits, d.Owners
 		m = d.routesByKey()
 	}
 	if delta.Services != nil {
@@ -108,6 +151,7 @@
 		m[RouteKey{s.Host, s.Route.Prefix}] = s.Route
 	}
 	out.Hosts = groupByHost(m)
+	out.Owners = delta.withOwners(out.Owners)
 	return out, true
 }
 
--- a/internal/state/kqroutes/parse.go
+++ b/internal/state/kqroutes/parse.go
@@ -14,12 +14,25 @@
 	Services []service `json:"services" validate:"required,min=1,unique=Name,dive"`
 	Limits   limits    `json:"limits"`
 	Hosts    []host    `json:"hosts" validate:"unique=Name,dive"`
+	Owners   []owner   `json:"owners" validate:"unique=Name,dive"`
+}
+
+type owner struct {
+	Name     string   `json:"name" validate:"required,word"`
+	Keys     []string `json:"keys"`
+	Priority *int     `json:"priority" validate:"omitempty,min=0"`
+	Rate     float64  `json:"rate" validate:"min=0"`
+	Burst    float64  `json:"burst" validate:"min=0"`
+	Regions  []string `json:"regions" validate:"dive,word"`
 }
 
 type service struct {
 	Name        string `json:"name" validate:"required,word"`
 	Health      string `json:"health" validate:"required"`
 	Connections int    `json:"connections" validate:"min=0"`
+
+	ColdTime duration `json:"coldTime"`
+	ColdRate float64  `json:"coldRate" validate:"min=0"`
 }
 
 type limits struct {
@@ -45,6 +58,8 @@
 	Objective duration          `json:"objective"`
 	Priority  int               `json:"priority" validate:"min=0"`
 	Owner     string            `json:"owner" validate:"omitempty,word"`
+	Open      bool              `json:"open"`
+	Regions   []string          `json:"regions" validate:"dive,word"`
 }
 
 // duration is a time.Duration written as a string such as "2s".
@@ -75,7 +90,9 @@
 		HeaderTime: time.Duration(d.Limits.HeaderTime), IdleTime: time.Duration(d.Limits.IdleTime),
 	}}
 	for _, s := range d.Services {
-		out.Services = append(out.Services, Service(s))
+		out.Services = append(out.Services, Service{
+			Name: s.Name, Health: s.Health, Connections: s.Connections, ColdTime: time.Duration(s.ColdTime), ColdRate: s.ColdRate,
+		})
 	}
 	for _, h := range d.Hosts {
 		next := Host{Name: h.Name}
@@ -83,9 +100,19 @@
 			next.Routes = append(next.Routes, Route{
 				Name: r.Name, Prefix: r.Prefix, Service: r.Service, Split: r.Split, Kind: r.Kind, Attempts: r.Attempts,
 				Timeout: time.Duration(r.Timeout), Objective: time.Duration(r.Objective), Priority: r.Priority, Owner: r.Owner,
+				Open: r.Open, Regions: r.Regions,
 			})
 		}
 		out.Hosts = append(out.Hosts, next)
 	}
+	for _, o := range d.Owners {
+		keys, err := DigestKeys(o.Keys)
+		if err != nil {
+			return nil, errors.Wrapf(err, "routes: owner %s", o.Name)
+		}
+		out.Owners = append(out.Owners, Owner{
+			Name: o.Name, Keys: keys, Priority: o.Priority, Rate: o.Rate, Burst: o.Burst, Regions: o.Regions,
+		})
+	}
 	return out, out.Validate()
 }
--- a/internal/state/kqroutes/routes.go
+++ b/internal/state/kqroutes/routes.go
@@ -38,6 +38,7 @@
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
 	Hosts    []Host    `json:"hosts"`
+	Owners   []Owner   `json:"owners,omitempty"` // empty: requests need no key
 }
 
 // Service is a group of targets that routes can send requests to.
@@ -45,6 +46,9 @@
 	Name        string `json:"name"`
 	Health      string `json:"health"`      // path at which a target reports load and health
 	Connections int    `json:"connections"` // maximum that one target accepts from all hosts together, 0 if unknown
+
+	ColdTime time.Duration `json:"coldTime,omitempty"` // for which a target is slow after its start
+	ColdRate float64       `json:"coldRate,omitempty"` // requests per second that a cold target can handle, 0: no limit
 }
 
 // Limits bounds what callers may send. A zero means that the operator sets no bound.
@@ -73,6 +77,8 @@
 	Objective time.Duration     `json:"objective"` // latency objective
 	Priority  int               `json:"priority"`  // 0 is the highest
 	Owner     string            `json:"owner,omitempty"`
+	Open      bool              `json:"open,omitempty"`    // requests need no key
+	Regions   []string          `json:"regions,omitempty"` // of the targets that requests may be sent to, empty: all
 }
 
 // WeightedService is one service of a traffic split and its share relative to the others.
@@ -93,11 +99,17 @@
 		if s.Name == "" {
 			return errors.New("routes: a service has no name")
 		}
+		if s.ColdTime < 0 || !(s.ColdRate >= 0) || math.IsInf(s.ColdRate, 0) { // also refuses NaN
+			return errors.Newf("routes: service %s: cold time or cold rate is out of range", s.Name)
+		}
 		known[s.Name] = true
 	}
 	if d.Limits.Header < 0 || d.Limits.Body < 0 || d.Limits.HeaderTime < 0 || d.Limits.IdleTime < 0 {
 		return errors.New("routes: a limit is below 0")
 	}
+	if err := validateOwners(d.Owners); err != nil {
+		return err
+	}
 	for _, h := range d.Hosts {
 		if h.Name == "" {
 			return errors.New("routes: a host has no name")
--- a/internal/state/kqroutes/table.go
+++ b/internal/state/kqroutes/table.go
@@ -8,6 +8,8 @@
 	Limits   Limits
 	Services map[string]Service
 	hosts    map[string][]Route // longest prefix first
+	owners   map[string]*Owner  // by name
+	keys     map[KeyDigest]*Owner
 }
 
 // NewTable returns a table of the document's routes.
@@ -23,9 +25,28 @@
 	for _, list := range t.hosts {
 		sortByPrefix(list)
 	}
+	if len(d.Owners) > 0 {
+		t.owners, t.keys = make(map[string]*Owner, len(d.Owners)), make(map[KeyDigest]*Owner, len(d.Owners))
+	}
+	for i := range d.Owners {
+		o := &d.Owners[i]
+		t.owners[o.Name] = o
+		for _, k := range o.Keys {
+			t.keys[k] = o
+		}
+	}
 	return t
 }
 
+// HasOwners reports whether requests need a key, unless their route is open.
+func (t *Table) HasOwners() bool { return len(t.owners) > 0 }
+
+// Owner returns the owner with the name, nil if there is none.
+func (t *Table) Owner(name string) *Owner { return t.owners[name] }
+
+// OwnerByKey returns the owner that has the key, nil if none has.
+func (t *Table) OwnerByKey(k KeyDigest) *Owner { return t.keys[k] }
+
 // Find returns the route of the host with the longest prefix that matches the path, and
 // false if there is none.
 func (t *Table) Find(host, path string) (*Route, bool) {
