Callers leave 16 descriptors to the rest of the process

A connection whose descriptor is one of the last 16 of the limit is now closed and counted (callers.nodescriptors), and the listener pauses.

--- /dev/null
+++ b/internal/call/kqlistener/descriptors.go
@@ -0,0 +1,33 @@
+package kqlistener
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// reservedDescriptors is how many descriptors the connections of callers leave to the rest of
+// the process: the journal opens two files for a segment and its folder, a snapshot as many,
+// and each control host is dialled once.
+const reservedDescriptors = 16
+
+// takesReserve reports whether the descriptor of the connection is one of those that are
+// reserved. The kernel gives out the lowest free descriptor, so all lower ones are in use.
+func takesReserve(c net.Conn) bool {
+	sys, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return false // the connection is served, as if there were no limit
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	reserved := false
+	_ = raw.Control(func(fd uintptr) { reserved = uint64(fd)+reservedDescriptors >= limit.Cur }) // an error means that it is closed
+	return reserved
+}
--- a/internal/call/kqlistener/listener.go
+++ b/internal/call/kqlistener/listener.go
@@ -41,11 +41,12 @@
 // ConnState and Handler. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
-	log        *kqlog.Log
-	unanswered map[closeCause]metrics.Counter // connections closed with bytes of a further request
-	ended      atomic.Bool                    // Close was called: the server closes all connections
-	framed     atomic.Bool                    // Handler is used, so that heads and bodies can be told apart
-	heads      heads
+	log           *kqlog.Log
+	unanswered    map[closeCause]metrics.Counter // connections closed with bytes of a further request
+	noDescriptors metrics.Counter                // connections closed because too few descriptors were left
+	ended         atomic.Bool                    // Close was called: the server closes all connections
+	framed        atomic.Bool                    // Handler is used, so that heads and bodies can be told apart
+	heads         heads
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
@@ -62,6 +63,7 @@
 // Open returns a Listener.
 func Open(cfg Config) *Listener {
 	l := &Listener{Listener: cfg.Listener, log: cfg.Log, unanswered: map[closeCause]metrics.Counter{}, conns: map[*conn]struct{}{}, heads: heads{conns: map[*conn]arrivingHead{}}}
+	l.noDescriptors = metrics.GetOrRegisterCounter("callers.nodescriptors", cfg.Metrics)
 	for _, cause := range closeCauses {
 		l.unanswered[cause] = metrics.GetOrRegisterCounter("callers.unanswered."+string(cause), cfg.Metrics)
 	}
@@ -71,11 +73,11 @@
 // Accept waits for the next connection. An error of a single connection, or of a kernel
 // without memory for it, does not end the listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
+	raw, err := l.acceptOne()
 	for err != nil && !errors.Is(err, net.ErrClosed) {
 		l.log.Warnf("callers: cannot accept: %v", err)
 		time.Sleep(acceptPause)
-		raw, err = l.Listener.Accept()
+		raw, err = l.acceptOne()
 	}
 	if err != nil {
 		if raw = l.nextTaken(); raw == nil {
@@ -89,6 +91,20 @@
 	return c, nil
 }
 
+// errNoDescriptors means that a connection was closed because the process is short of
+// descriptors.
+var errNoDescriptors = errors.New("too few descriptors are left")
+
+// acceptOne waits for the next connection. It closes one that would take a reserved descriptor.
+func (l *Listener) acceptOne() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil || !takesReserve(raw) {
+		return raw, err
+	}
+	l.noDescriptors.Inc(1)
+	return nil, errors.CombineErrors(errNoDescriptors, raw.Close())
+}
+
 // nextTaken returns a connection that StopAccepting took. If none is left, all that were
 // accepted are in conns.
 func (l *Listener) nextTaken() net.Conn {
