Evacuated failure domains: state, orders, feed, entry hosts, admin interface, adapter

An operator orders that nothing more is sent to the targets of a failure domain, and withdraws that. An order names the revision of the domain's entry that a quorum confirmed, and is refused if the entry has changed since; entries stay after the withdrawal, so that a late order cannot restore it. A state, command or change without an evacuation is encoded as before. Hosts whose own domain is evacuated prefer targets of the other domains by rank.

--- a/internal/admin/kqadmin/server.go
+++ b/internal/admin/kqadmin/server.go
@@ -53,6 +53,8 @@
 	Calls    int64           `json:"calls"`
 	Replica  any             `json:"replica,omitempty"`
 	Peers    map[string]bool `json:"peers,omitempty"` // linked or not
+
+	Evacuated []string `json:"evacuated,omitempty"` // failure domains, on an entry host
 }
 
 // Server answers operators.
@@ -84,6 +86,9 @@
 	g.PUT("/routes", s.putRoutes, bodies.Middleware(kqroutes.MaxDocument, bodyTimeout))
 	g.GET("/routes", s.getRoutes)
 	g.GET("/routes/history", s.routesHistory)
+	g.GET("/evacuations", s.listEvacuations)
+	g.PUT("/evacuations/:domain", func(c echo.Context) error { return s.evacuate(c, true) })
+	g.DELETE("/evacuations/:domain", func(c echo.Context) error { return s.evacuate(c, false) })
 	g.GET("/hosts", s.getHosts)
 	g.PUT("/hosts", s.putHosts, small)
 	g.GET("/status", s.status)
--- a/internal/admin/kqcommand/command.go
+++ b/internal/admin/kqcommand/command.go
@@ -43,6 +43,8 @@
 	file, owner string
 	version     uint64
 	wait        string
+	domain      string
+	end         bool
 	filter      eventFilter
 }
 
@@ -59,6 +61,7 @@
 	a.addContract()
 	a.addRoutes()
 	a.addHosts()
+	a.addEvacuate()
 	a.addInspect()
 	return a
 }
--- a/internal/admin/kqcommand/inspect.go
+++ b/internal/admin/kqcommand/inspect.go
@@ -65,7 +65,19 @@
 	for _, m := range s.Missing {
 		t.row(m, "", "", "no answer", "", "", "", "", "")
 	}
-	return t.flush()
+	if err := t.flush(); err != nil {
+		return err
+	}
+	inForce := map[string]int{}
+	for _, h := range s.Hosts {
+		for _, d := range h.Evacuated {
+			inForce[d]++
+		}
+	}
+	for _, d := range sortedKeys(inForce) {
+		fmt.Fprintf(a.out, "domain %s is evacuated on %d hosts\n", d, inForce[d])
+	}
+	return nil
 }
 
 // statusRow is a host's status with the fields of the replica that are printed.
--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -91,6 +91,7 @@
 		return nil
 	}
 	e.metrics.barred.Inc(1)
+	e.metrics.barredBy[reason].Inc(1)
 	p.logBarred(t, reason, now, since)
 	return errors.Wrap(errBarred, string(reason))
 }
--- a/internal/call/kqproxy/barred_test.go
+++ b/internal/call/kqproxy/barred_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kumquatglade/internal/route/kqselection"
+	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqroutes"
 	"kumquatglade/internal/state/kqtargets"
 )
@@ -35,6 +36,7 @@
 }{
 	{kqselection.Draining, func(f *fixture) { f.apply(9, inState(f.targets[0], kqtargets.Draining)) }},
 	{kqselection.Leaving, func(f *fixture) { f.engine.recordLeaving(f.target(0), time.Now()) }},
+	{kqselection.Evacuated, func(f *fixture) { f.evacuate("", true, 9) }},
 	{kqselection.Quiet, func(f *fixture) { f.engine.recordQuiet(f.target(0), "30", time.Now()) }},
 }
 
@@ -264,3 +266,9 @@
 		})
 	}
 }
+
+// evacuate puts the order for the failure domain into effect on the engine.
+func (f *fixture) evacuate(domain string, on bool, revision uint64) {
+	f.evacuations = []kqcontract.Evacuation{{Domain: domain, On: on, Revision: revision, Time: time.Now()}}
+	f.apply(revision, f.targets...)
+}
--- a/internal/call/kqproxy/endlessprobe_test.go
+++ b/internal/call/kqproxy/endlessprobe_test.go
@@ -49,7 +49,7 @@
 			changed := *f.doc
 			changed.Version, changed.Services = 2, slices.Clone(f.doc.Services)
 			changed.Services[0].Health = "/endless"
-			f.engine.Apply(2, &changed, f.targets)
+			f.engine.Apply(2, &changed, f.targets, nil)
 			for range 5 {
 				if res, _, err := f.call("/filings/1", ""); err != nil || !strings.Contains(c.statuses, strconv.Itoa(res.StatusCode)) {
 					t.Errorf("%v %v, want %s", res, err, c.statuses)
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -60,6 +60,7 @@
 	mu              sync.Mutex
 	doc             *kqroutes.Document
 	knownTargets    map[string]*kqselection.Target
+	evacuations     map[string]evacuation // by failure domain
 	retryBudgets    map[string]*kqselection.RetryBudget
 	probeAllowance  kqselection.TokenBucket             // probes that this host may send
 	choosers        map[string]*chooser                 // by service name
@@ -81,6 +82,9 @@
 	leaving, quiet, oddQuiet                                           metrics.Counter // targets that said they shut down, or asked for quiet, or for a time not understood
 	latency, probeTime                                                 metrics.Timer
 	firstByte                                                          metrics.Timer // from the choice of a target to the first byte
+
+	barredBy  map[kqselection.Barred]metrics.Counter // sends given up by reason
+	evacuated metrics.Counter                        // requests refused because all targets are evacuated
 }
 
 // New returns an Engine that refuses all requests until Apply is called.
@@ -88,7 +92,7 @@
 	pacer := kqtransport.NewPacer(cfg.LinkRate)
 	e := &Engine{
 		started: cfg.Clock.Now(), firstRoutes: make(chan struct{}),
-		cfg: cfg, pacer: pacer, pool: kqtransport.NewPool(kqtransport.Config{Pacer: pacer}), shortestProbes: map[string]time.Duration{}, readAheads: newReadAheadPool(), bodies: kqbody.NewMemory(kqbody.Share(cfg.Memory)), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{},
+		cfg: cfg, pacer: pacer, pool: kqtransport.NewPool(kqtransport.Config{Pacer: pacer}), shortestProbes: map[string]time.Duration{}, readAheads: newReadAheadPool(), bodies: kqbody.NewMemory(kqbody.Share(cfg.Memory)), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{}, evacuations: map[string]evacuation{},
 		retryBudgets: map[string]*kqselection.RetryBudget{},
 		choosers:     map[string]*chooser{}, serviceTimes: map[string]*kqselection.ServiceTime{}, longestTimeouts: map[string]time.Duration{},
 		running: map[*proxiedRequest]struct{}{},
@@ -102,6 +106,10 @@
 		firstByte: metrics.GetOrRegisterTimer("routes.firstbyte", cfg.Metrics),
 		probeTime: metrics.GetOrRegisterTimer("routes.asking", cfg.Metrics),
 	}
+	e.metrics.evacuated, e.metrics.barredBy = counter("evacuated"), map[kqselection.Barred]metrics.Counter{}
+	for reason, name := range barredCounters {
+		e.metrics.barredBy[reason] = counter("barred." + name)
+	}
 	go e.closeExpired()
 	return e
 }
--- a/internal/call/kqproxy/engine_test.go
+++ b/internal/call/kqproxy/engine_test.go
@@ -16,6 +16,7 @@
 	"kumquatglade/internal/host/kqclock"
 	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/route/kqselection"
+	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqroutes"
 	"kumquatglade/internal/state/kqtargets"
 
@@ -88,11 +89,12 @@
 	fakeTargets []*fakeTarget
 	doc         *kqroutes.Document
 	targets     []kqtargets.Target // as announced, one for each of fakeTargets
+	evacuations []kqcontract.Evacuation
 }
 
 // apply puts the targets into effect on the engine, with the fixture's routes.
 func (f *fixture) apply(revision uint64, targets ...kqtargets.Target) {
-	f.engine.Apply(revision, f.doc, targets)
+	f.engine.Apply(revision, f.doc, targets, f.evacuations)
 }
 
 // inState returns a copy of the target in the state.
--- /dev/null
+++ b/internal/call/kqproxy/evacuation.go
@@ -0,0 +1,86 @@
+package kqproxy
+
+import (
+	"time"
+
+	"kumquatglade/internal/route/kqselection"
+	"kumquatglade/internal/state/kqcontract"
+	"kumquatglade/internal/state/kqtargets"
+)
+
+// causeEvacuated says why a request is refused while no target of its service may get it
+// because failure domains are evacuated.
+const causeEvacuated = "all targets are evacuated"
+
+// evacuatedRetryAfter is the least time for a caller refused for that: an operator's next
+// order takes seconds, and another host refuses as well.
+const evacuatedRetryAfter = time.Second
+
+// evacuation is what this host knows of a failure domain that was evacuated at least once.
+type evacuation struct {
+	on       bool
+	revision uint64
+	end      time.Time // when this host learnt that it had ended
+}
+
+// applyEvacuations records and logs which failure domains are evacuated; e.mu must be held.
+func (e *Engine) applyEvacuations(list []kqcontract.Evacuation, targets []kqtargets.Target, now time.Time) {
+	for _, c := range list {
+		old := e.evacuations[c.Domain]
+		if old.revision == c.Revision {
+			continue
+		}
+		next := evacuation{on: c.On, revision: c.Revision}
+		if !c.On {
+			next.end = now
+			if e.routing.Load() == nil && c.Time.Before(now) {
+				next.end = c.Time // it ended before this host started
+			}
+		}
+		e.evacuations[c.Domain] = next
+		if !c.On && e.routing.Load() == nil {
+			continue
+		}
+		n, inFlight := 0, 0
+		for _, t := range targets {
+			if k := e.knownTargets[t.ID]; t.Domain == c.Domain {
+				n++
+				if k != nil {
+					inFlight += k.InFlight
+				}
+			}
+		}
+		text := "routes: evacuation ended"
+		if c.On {
+			text = "routes: evacuation in force"
+		}
+		e.cfg.Log.Info().Str("domain", c.Domain).Uint64("revision", c.Revision).Int("targets", n).Int("inflight", inFlight).Msg(text)
+	}
+}
+
+// recordEvacuation records on the target whether its failure domain is evacuated; e.mu must
+// be held.
+func (e *Engine) recordEvacuation(t *kqselection.Target) {
+	if v, ok := e.evacuations[t.Domain]; ok {
+		t.Evacuated, t.EvacuationEnd = v.on, v.end
+	}
+}
+
+// allBarred returns why requests to the service are refused at once, and until when if that
+// is known, or an empty cause if they are not.
+func (e *Engine) allBarred(service string, now time.Time) (cause string, until time.Time) {
+	if until = e.quietEnd(service, now); !until.IsZero() {
+		return causeQuiet, until
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if kqselection.AllEvacuated(e.routing.Load().targets[service], now) {
+		return causeEvacuated, now.Add(evacuatedRetryAfter)
+	}
+	return "", until
+}
+
+// barredCounters are the names of the counters of sends given up for each reason.
+var barredCounters = map[kqselection.Barred]string{
+	kqselection.Draining: "draining", kqselection.Leaving: "leaving", kqselection.Quiet: "quiet", kqselection.Evacuated: "evacuated",
+}
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -44,8 +44,8 @@
 func (p *proxiedRequest) choose(ctx context.Context, tried []*kqselection.Target) (c choice, cause string) {
 	e := p.engine
 	started := e.cfg.Clock.Now()
-	if p.quietUntil = e.quietEnd(p.service, started); !p.quietUntil.IsZero() {
-		return c, causeQuiet
+	if cause, p.quietUntil = e.allBarred(p.service, started); cause != "" {
+		return c, cause
 	}
 	e.mu.Lock()
 	ch := e.chooser(p.service)
@@ -72,7 +72,10 @@
 	now := e.cfg.Clock.Now()
 	c.waited = now.Sub(started)
 	if t == nil {
-		p.quietUntil = e.quietEnd(p.service, now)
+		var barred string
+		if barred, p.quietUntil = e.allBarred(p.service, now); barred == causeEvacuated {
+			cause = barred
+		}
 	}
 	if t != nil {
 		e.mu.Lock()
@@ -194,7 +197,7 @@
 			return
 		}
 		e.mu.Unlock()
-		if !e.quietEnd(service, e.cfg.Clock.Now()).IsZero() {
+		if cause, _ := e.allBarred(service, e.cfg.Clock.Now()); cause != "" {
 			e.mu.Lock()
 			ch.Queue.Clear()
 			e.mu.Unlock()
--- a/internal/call/kqproxy/routing.go
+++ b/internal/call/kqproxy/routing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kumquatglade/internal/route/kqselection"
+	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqroutes"
 	"kumquatglade/internal/state/kqtargets"
 )
@@ -17,10 +18,10 @@
 	targets  map[string][]*kqselection.Target // ready targets by service name
 }
 
-// Apply replaces the current routes and targets. What was learned about a target is
+// Apply replaces the current routes, targets and evacuations of failure domains. What was learned about a target is
 // kept until the target restarts or changes its address. Apply does nothing if doc is
 // nil.
-func (e *Engine) Apply(revision uint64, doc *kqroutes.Document, targets []kqtargets.Target) {
+func (e *Engine) Apply(revision uint64, doc *kqroutes.Document, targets []kqtargets.Target, evacuations []kqcontract.Evacuation) {
 	if doc == nil {
 		return
 	}
@@ -35,6 +36,7 @@
 		e.cfg.Log.Info().Uint64("revision", revision).Uint64("routes", doc.Version).Msg("routes: in force")
 	}
 	e.doc = doc
+	e.applyEvacuations(evacuations, targets, now)
 	targetsByID := map[string]*kqselection.Target{}
 	for _, t := range targets {
 		k := e.knownTargets[t.ID]
@@ -48,6 +50,7 @@
 			}
 		}
 		e.recordDraining(k, t.State != kqtargets.Ready, revision, now)
+		e.recordEvacuation(k)
 		k.Saturation = e.chooser(t.Service).Saturation
 		targetsByID[t.ID] = k
 		if t.State == kqtargets.Ready {
--- a/internal/call/kqproxy/send.go
+++ b/internal/call/kqproxy/send.go
@@ -46,7 +46,7 @@
 		p.chosen, cause = p.choose(ctx, tried)
 		t := p.chosen.Target
 		if t == nil {
-			if p.sends == 0 && unreachable == 0 || cause == causeQuiet {
+			if p.sends == 0 && unreachable == 0 || cause == causeQuiet || cause == causeEvacuated {
 				last.cause = cause
 			}
 			break
@@ -92,6 +92,9 @@
 		return
 	}
 	timedOut := ctx.Err() != nil || time.Until(p.deadline) < minTimeLeft
+	if !mayHaveRun && last.cause == causeEvacuated {
+		p.engine.metrics.evacuated.Inc(1)
+	}
 	switch {
 	case !mayHaveRun:
 		p.refuse(http.StatusServiceUnavailable, last.cause, p.retryAfter(p.sends > 0 || last.cause == causeShutdown))
--- a/internal/route/kqselection/preference.go
+++ b/internal/route/kqselection/preference.go
@@ -19,11 +19,15 @@
 // requests and what is known is recent, also on a host with few requests; since the ranks
 // differ, each target is preferred by about as many hosts. A target that joins or leaves
 // changes one of them at most. The others are for when too few of these are free.
+//
+// While the failure domain is evacuated, the host prefers the n with the highest ranks of
+// all other domains: with random ones, nearly every request would need a new connection.
 func Prefer(list []*Target, domain string, n int) {
+	evacuated := slices.ContainsFunc(list, func(t *Target) bool { return t.Evacuated && t.Domain == domain })
 	near := make([]*Target, 0, len(list))
 	for _, t := range list {
 		t.Preferred = false
-		if t.Domain == domain {
+		if !t.Evacuated && (evacuated || t.Domain == domain) {
 			near = append(near, t)
 		}
 	}
--- a/internal/route/kqselection/preference_test.go
+++ b/internal/route/kqselection/preference_test.go
@@ -1,6 +1,7 @@
 package kqselection
 
 import (
+	"maps"
 	"math/rand/v2"
 	"strconv"
 	"testing"
@@ -74,6 +75,7 @@
 		"slow":        func(t *Target) { t.RecordLoad(Sample{Slots: 4, Slowdown: 9, At: now}) },
 		"draining":    func(t *Target) { t.DrainingSince = now },
 		"leaving":     func(t *Target) { t.RecordLeaving(now) },
+		"evacuated":   func(t *Target) { t.Evacuated = true },
 		"quiet":       func(t *Target) { t.RecordQuiet(now, time.Minute) },
 		"unreachable": func(t *Target) { t.RecordUnreachable(now) },
 	}
@@ -101,3 +103,56 @@
 		}
 	}
 }
+
+// TestPreferenceInEvacuatedDomain guards against hosts of an evacuated failure domain that
+// send each request to another random target, over a new connection: they need preferred
+// targets elsewhere, spread evenly, and their own again after the end.
+func TestPreferenceInEvacuatedDomain(t *testing.T) {
+	const targets = 257
+	evacuate := func(list []*Target, on bool) {
+		for _, t := range list {
+			t.Evacuated = on && t.Domain == "a"
+		}
+	}
+	byTarget, byDomain, hosts := map[string]int{}, map[string]int{}, 0
+	for h := range manyHosts {
+		list := fleet("h"+strconv.Itoa(h), targets)
+		domain := string(rune('a' + h%5))
+		Prefer(list, domain, PreferredTargets)
+		before := preferredIDs(list)
+		evacuate(list, true)
+		Prefer(list, domain, PreferredTargets)
+		during := preferredIDs(list)
+		if domain != "a" && !maps.Equal(before, during) {
+			t.Fatalf("host %d of domain %s prefers others than before", h, domain)
+		}
+		if domain == "a" {
+			hosts++
+			for _, target := range list {
+				if target.Preferred {
+					byTarget[target.ID]++
+					byDomain[target.Domain]++
+				}
+			}
+		}
+		evacuate(list, false)
+		Prefer(list, domain, PreferredTargets)
+		if after := preferredIDs(list); !maps.Equal(before, after) {
+			t.Fatalf("host %d of domain %s does not prefer its earlier targets after the end", h, domain)
+		}
+	}
+	total := hosts * PreferredTargets
+	for _, domain := range []string{"b", "c", "d", "e"} {
+		if n := byDomain[domain]; n < total/4*7/10 || n > total/4*13/10 {
+			t.Errorf("domain %s: %d of %d preferences, want about a quarter", domain, n, total)
+		}
+	}
+	if byDomain["a"] > 0 || len(byTarget) < targets*4/5*8/10 {
+		t.Errorf("%d preferences in the evacuated domain, %d targets preferred", byDomain["a"], len(byTarget))
+	}
+	for id, n := range byTarget {
+		if n > 12 { // the mean is 2.5
+			t.Errorf("%s is preferred by %d of %d hosts", id, n, hosts)
+		}
+	}
+}
--- a/internal/route/kqselection/target.go
+++ b/internal/route/kqselection/target.go
@@ -45,6 +45,13 @@
 	// It holds until the next start, whatever is announced.
 	LeavingSince time.Time
 
+	// Evacuated says that an operator has evacuated the target's failure domain.
+	Evacuated bool
+
+	// EvacuationEnd is when this host learnt that the last evacuation of the target's
+	// failure domain had ended, zero if it knows of none.
+	EvacuationEnd time.Time
+
 	quietUntil    time.Time // the target asked for no requests before this time
 	failureRate   float64
 	failureRateAt time.Time
@@ -93,6 +100,7 @@
 	Draining  Barred = "target drains"
 	Leaving   Barred = "target is shutting down"
 	Quiet     Barred = "target asked for quiet"
+	Evacuated Barred = "failure domain is evacuated"
 )
 
 // Barred returns why the target must get nothing now, NotBarred if it may get requests.
@@ -103,6 +111,8 @@
 		return Draining
 	case !t.LeavingSince.IsZero():
 		return Leaving
+	case t.Evacuated:
+		return Evacuated
 	case now.Before(t.quietUntil):
 		return Quiet
 	}
@@ -153,6 +163,21 @@
 	return end, ok
 }
 
+// AllEvacuated reports whether all of the targets are barred, at least one of them because
+// its failure domain is evacuated and none only for a time.
+func AllEvacuated(list []*Target, now time.Time) bool {
+	evacuated := false
+	for _, t := range list {
+		switch t.Barred(now) {
+		case NotBarred, Quiet:
+			return false
+		case Evacuated:
+			evacuated = true
+		}
+	}
+	return evacuated
+}
+
 // Available reports whether the target may get requests now: it is not barred, and is
 // not avoided after a failed connection attempt or a mismatch.
 func (t *Target) Available(now time.Time) bool {
--- a/internal/run/kqdaemon/peers.go
+++ b/internal/run/kqdaemon/peers.go
@@ -151,7 +151,7 @@
 			s.Calls = d.engine.ActiveCalls()
 		}
 		if v := d.follower.LatestView(); v != nil {
-			s.Revision = v.Revision
+			s.Revision, s.Evacuated = v.Revision, v.EvacuatedDomains()
 		}
 	}
 	if d.control != nil {
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"runtime/debug"
 	"slices"
@@ -107,6 +108,7 @@
 		Hosts: founders, Disk: disk, Link: d.mesh, Clock: kqclock.System{}, Log: d.log.Component("control"),
 		Events: d.events, Metrics: d.metrics, Rand: newRand(),
 		Tolerance: d.settings.Tolerance, OpenMembership: true, JoinOnly: !d.settings.Bootstrap,
+		Domains: slices.Sorted(maps.Keys(d.settings.Domains)),
 		Changed: d.hub.Push, Restored: d.hub.Reset, MembersChanged: d.setMembers, Fatal: d.fail,
 	})
 	d.localStore = kqcontrol.LocalStore{Control: d.control, Hub: d.hub}
@@ -128,7 +130,7 @@
 		Host: d.self(), Controls: d.feedControls, Link: d.mesh, Clock: kqclock.System{},
 		Log: d.log.Component("feed"), Events: d.events, Metrics: d.metrics, OnControls: d.setHubControls, StaleAfter: staleTimeout, SubscribeTimeout: subscribeTimeout, FirstTimeout: firstSubscribeTimeout,
 		OnView: func(v *kqfeed.View) {
-			d.proxy.Apply(v.Revision, v.Routes, v.Targets)
+			d.proxy.Apply(v.Revision, v.Routes, v.Targets, v.Evacuations)
 			if !ready && d.proxy.Ready() {
 				ready = true
 				go d.sendPresenceToAll()
--- a/internal/state/kqcontract/state.go
+++ b/internal/state/kqcontract/state.go
@@ -28,6 +28,8 @@
 	OpJoin   = "join"   // an entry host registers itself
 	OpRoutes = "routes" // new routes are proposed
 	OpTarget = "target" // a target joins, drains or leaves
+
+	OpEvacuate = "evacuate" // an operator evacuates a failure domain or ends that
 )
 
 // Command is one requested change of the state machine.
@@ -41,6 +43,8 @@
 	Routes   *kqroutes.Proposal `json:"routes,omitempty"`
 	Target   *kqtargets.Target  `json:"target,omitempty"` // announced at a control host; entry hosts keep theirs in kqdirectory
 	Time     time.Time          `json:"time"`             // when the leader received it
+
+	Evacuate *EvacuationOrder `json:"evacuate,omitempty"`
 }
 
 // Hosts is the document that lists all control hosts and entry hosts of the system.
@@ -103,6 +107,8 @@
 	ReasonGap     = "gap"     // the version skips at least one version
 	ReasonOld     = "old"     // the version is older than the kept versions
 	ReasonUnknown = "unknown" // the contract does not exist or the command is invalid
+	ReasonStale   = "stale"   // the entry has changed since the revision that the command names
+	ReasonFull    = "full"    // there is no room for another entry
 )
 
 // Result is the outcome of a Command.
@@ -122,6 +128,8 @@
 	Hosts    *Hosts             `json:"hosts,omitempty"`
 	Routes   *kqroutes.Delta    `json:"routes,omitempty"`
 	Targets  []kqtargets.Target `json:"targets,omitempty"` // only those that changed
+
+	Evacuations []Evacuation `json:"evacuations,omitempty"` // all entries if one changed, otherwise none
 }
 
 // State is the deterministic state machine of contracts, hosts, routes and targets.
@@ -133,6 +141,7 @@
 	HostsRevision uint64             `json:"listed"`  // revision at which Hosts last changed
 	Routes        kqroutes.Registry  `json:"routes"`
 	Targets       kqtargets.Set      `json:"targets"`
+	Evacuations   []Evacuation       `json:"evacuations,omitempty"` // by domain; replaced, never modified, as changes share it
 }
 
 // NewState returns the empty state at revision 0.
@@ -162,6 +171,8 @@
 		return s.setRoutes(c)
 	case OpTarget:
 		return s.announceTarget(c)
+	case OpEvacuate:
+		return s.evacuate(c)
 	default:
 		return Result{Refused: ReasonUnknown}, nil
 	}
--- a/internal/state/kqcontrol/control.go
+++ b/internal/state/kqcontrol/control.go
@@ -41,6 +41,8 @@
 	OpenMembership bool // every control host that asks to join is admitted
 	JoinOnly       bool // a host without a cluster never founds one, because its data folder was lost
 
+	Domains []string // failure domains in the settings, which can be evacuated even if they have no targets
+
 	// Changed is called with the changes that came into force on this host since the
 	// last call, in order.
 	Changed func([]kqcontract.Change)
--- a/internal/state/kqcontrol/serve.go
+++ b/internal/state/kqcontrol/serve.go
@@ -36,6 +36,8 @@
 		return decodeAndHandle(body, func(cmd kqcontract.Command) (any, error) { return l.Propose(ctx, cmd) })
 	case MethodCommand:
 		return decodeAndHandle(body, func(cmd kqcontract.Command) (any, error) { return l.Submit(ctx, cmd) })
+	case MethodEvacuate:
+		return decodeAndHandle(body, func(r evacuateRequest) (any, error) { return l.answerEvacuate(ctx, r) })
 	case MethodRead:
 		return decodeAndHandle(body, func(q Query) (any, error) { return l.Read(ctx, q) })
 	case MethodReached:
--- a/internal/state/kqcontrol/store.go
+++ b/internal/state/kqcontrol/store.go
@@ -19,6 +19,8 @@
 	MethodCommand = "command"
 	MethodRead    = "read"
 	MethodReached = "reached"
+
+	MethodEvacuate = "evacuate"
 )
 
 // Query selects the documents to read from the state.
@@ -26,6 +28,8 @@
 	Owner   string `json:"owner,omitempty"` // empty: all owners
 	History bool   `json:"history,omitempty"`
 	Routes  bool   `json:"routes,omitempty"` // include the routes and their history
+
+	Evacuations bool `json:"evacuations,omitempty"` // include the entries of failure domains
 }
 
 // Document is the result of a Query, confirmed by a quorum.
@@ -38,6 +42,8 @@
 
 	Routes   *kqroutes.Proposal         `json:"routes,omitempty"`
 	RouteLog []kqroutes.AcceptedVersion `json:"routeLog,omitempty"`
+
+	Evacuations []kqcontract.Evacuation `json:"evacuations,omitempty"`
 }
 
 // Reach reports on how many entry hosts a revision is in force.
@@ -64,6 +70,10 @@
 	// WaitInForce waits, for at most wait, until the revision is in force on all entry
 	// hosts. A revision that is still missing on some is not an error.
 	WaitInForce(ctx context.Context, revision uint64, wait time.Duration) (Reach, error)
+	// Evacuate evacuates a failure domain or ends its evacuation, and returns its entry.
+	// It fails with kqcontract.ErrUnknownDomain if nothing was changed nor will be; any
+	// other error means that the outcome is unknown.
+	Evacuate(ctx context.Context, domain string, on bool) (kqcontract.Evacuation, error)
 }
 
 // LocalStore is the Store of a host with a replica.
@@ -88,6 +98,9 @@
 		if q.Routes {
 			doc.Routes, doc.RouteLog = s.Routes.Current, slices.Clone(s.Routes.History)
 		}
+		if q.Evacuations {
+			doc.Evacuations = s.Evacuations
+		}
 		if q.History {
 			doc.History = s.History(q.Owner)
 		}
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -321,7 +321,7 @@
 // applyView puts the view into effect on this host and reports its revision to the
 // control host. The lock is held.
 func (f *Follower) applyView(v *View) {
-	f.view.Store(v)
+	f.recordEvacuations(f.view.Swap(v), v)
 	f.cfg.OnView(v)
 	f.cfg.Events.Add(kqevent.Event{Component: "feed", Kind: "inforce", ContractRevision: v.Revision, Peer: f.hub})
 	f.cfg.Link.Send(f.hub, MethodApplied, appliedRevisions{Hosts: map[string]uint64{f.cfg.Host.Name: v.Revision}})
--- a/internal/state/kqfeed/view.go
+++ b/internal/state/kqfeed/view.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 
+	"kumquatglade/internal/host/kqevent"
 	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqroutes"
 	"kumquatglade/internal/state/kqtargets"
@@ -19,6 +20,18 @@
 	HostsRevision uint64                          `json:"listed"` // revision at which Hosts last changed
 	Routes        *kqroutes.Document              `json:"routes,omitempty"`
 	Targets       []kqtargets.Target              `json:"targets,omitempty"` // without those that are gone
+	Evacuations   []kqcontract.Evacuation         `json:"evacuations,omitempty"`
+}
+
+// EvacuatedDomains returns the names of the evacuated failure domains.
+func (v *View) EvacuatedDomains() []string {
+	var list []string
+	for _, e := range v.Evacuations {
+		if e.On {
+			list = append(list, e.Domain)
+		}
+	}
+	return list
 }
 
 // newView returns the part of the state that entry hosts need.
@@ -33,6 +46,7 @@
 		v.Routes = &s.Routes.Current.Document
 	}
 	v.Targets = s.Targets.Live()
+	v.Evacuations = s.Evacuations
 	return v
 }
 
@@ -57,6 +71,9 @@
 			v.Routes = next
 		}
 		changedTargets = append(changedTargets, c.Targets...)
+		if c.Evacuations != nil {
+			v.Evacuations = c.Evacuations
+		}
 		if c.Hosts != nil {
 			v.Hosts, v.HostsRevision = *c.Hosts, c.Revision
 		}
@@ -70,6 +87,27 @@
 	return v, nil
 }
 
+// recordEvacuations adds an event for each failure domain whose evacuation begins or ends
+// with the next view.
+func (f *Follower) recordEvacuations(old, next *View) {
+	known := map[string]uint64{}
+	if old != nil {
+		for _, e := range old.Evacuations {
+			known[e.Domain] = e.Revision
+		}
+	}
+	for _, e := range next.Evacuations {
+		if e.Revision == known[e.Domain] || old == nil && !e.On {
+			continue
+		}
+		kind := "evacuated"
+		if !e.On {
+			kind = "restored"
+		}
+		f.cfg.Events.Add(kqevent.Event{Component: "feed", Kind: kind, ContractRevision: e.Revision, Text: "domain " + e.Domain})
+	}
+}
+
 func withContract(old map[string]*kqcontract.Contract, owner string, c *kqcontract.Contract) map[string]*kqcontract.Contract {
 	next := maps.Clone(old)
 	if c == nil {
--- a/internal/state/kqtargets/targets.go
+++ b/internal/state/kqtargets/targets.go
@@ -77,6 +77,16 @@
 	return a.State == Draining && old.State != Draining || a.Addr != old.Addr || a.Service != old.Service || a.Slots != old.Slots
 }
 
+// HasDomain reports whether a target of the directory is in the failure domain.
+func (s *Set) HasDomain(domain string) bool {
+	for _, t := range s.Targets {
+		if t.Domain == domain {
+			return true
+		}
+	}
+	return false
+}
+
 // mayReturn reports whether a target that left without naming its start is back: it
 // started later, or has gone on announcing itself for long.
 func (t *Target) mayReturn(boot int64, at time.Time) bool {
