--- a/internal/state/kqfeed/changes_test.go
+++ b/internal/state/kqfeed/changes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -216,3 +217,54 @@
 		}
 	}
 }
+
+// TestEvacuationsInViews checks that entry hosts learn of evacuations and of their ends by
+// changes and by full views, and that a view without any is encoded as before.
+func TestEvacuationsInViews(t *testing.T) {
+	s := kqcontract.NewState()
+	order := func(domain string, on bool) kqcontract.Change {
+		entry := s.Evacuation(domain)
+		_, c := s.Apply(kqcontract.Command{
+			Op: kqcontract.OpEvacuate, Evacuate: &kqcontract.EvacuationOrder{Domain: domain, On: on, Revision: entry.Revision}, Time: time.Unix(1, 0).UTC(),
+		})
+		return *c
+	}
+	w := &fakeLink{followers: map[string]*Follower{}}
+	events := kqevent.NewRecorder("e1", time.Now)
+	f := NewFollower(FollowerConfig{Link: &fakeLink{}, Clock: kqclock.System{}, Log: kqlog.Discard(), Events: events, OnView: func(*View) {}})
+	f.hub, f.subscribed = "c1", true
+	w.followers["e1"] = f
+	f.view.Store(&View{})
+	check := func(step string, want ...string) {
+		t.Helper()
+		full := newView(s)
+		if diff := cmp.Diff(want, f.LatestView().EvacuatedDomains()); diff != "" || f.revision() != s.Revision {
+			t.Errorf("%s: revision %d: %s", step, f.revision(), diff)
+		}
+		if diff := cmp.Diff(full.Evacuations, f.LatestView().Evacuations); diff != "" {
+			t.Errorf("%s: the full view differs: %s", step, diff)
+		}
+	}
+	if p, err := json.Marshal(newView(s)); err != nil || strings.Contains(string(p), "evacuat") {
+		t.Errorf("view without an evacuation: %v %s", err, p)
+	}
+	w.Send("e1", MethodChanges, changes{[]kqcontract.Change{order("a", true), order("b", true)}})
+	check("two orders in one message", "a", "b")
+	w.Send("e1", MethodChanges, changes{[]kqcontract.Change{order("a", false)}})
+	check("one end", "b")
+	_, other := s.Apply(targetCommand(1))
+	w.Send("e1", MethodChanges, changes{[]kqcontract.Change{*other}})
+	check("another change", "b")
+	w.Send("e1", MethodChanges, changes{[]kqcontract.Change{order("b", false)}})
+	check("all ended")
+	var kinds []string
+	list, _ := events.Since(kqevent.Timestamp{})
+	for _, e := range list {
+		if strings.HasPrefix(e.Text, "domain ") {
+			kinds = append(kinds, e.Kind+" "+e.Text)
+		}
+	}
+	if diff := cmp.Diff([]string{"evacuated domain a", "evacuated domain b", "restored domain a", "restored domain b"}, kinds); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/state/kqreplica/blackout_test.go
+++ b/internal/state/kqreplica/blackout_test.go
@@ -36,6 +36,7 @@
 	full   int                 // hosts that lost power while their disk was full
 	leads  int                 // blackouts in which the acknowledging host lost its folder
 	reads  int                 // blackouts right after a read
+	orders *orders             // of failure domains, nil: none are sent
 }
 
 func newBlackoutRun(seed uint64, mutant mutation) *blackoutRun {
@@ -64,17 +65,25 @@
 	switch e := e.(type) {
 	case Applied:
 		res, ok := e.Result.(kqcontract.Result)
+		if ok && res.Refused != "" {
+			r.noteOrder(e.ID, res)
+		}
 		if !ok || e.ID == "" || res.Refused != "" {
 			r.handleEffect(n, e)
 			return
 		}
-		r.promise(res.Accepted.Owner, res.Accepted.Version, res.Accepted.Hash)
+		if !r.noteOrder(e.ID, res) {
+			r.promise(res.Accepted.Owner, res.Accepted.Version, res.Accepted.Hash)
+		}
 	case ReadResult:
 		if !e.OK || n.replica.applied < e.Index {
 			r.handleEffect(n, e)
 			return
 		}
 		isRead = true
+		for _, entry := range n.machine.state.Evacuations {
+			r.promiseEvacuation(entry)
+		}
 		for owner, rec := range n.machine.state.Owners {
 			for _, a := range rec.Accepted {
 				r.promise(owner, a.Version, a.Hash)
@@ -240,6 +249,9 @@
 			}
 			r.injectBlackoutFaults()
 			r.stepClients()
+			if r.orders != nil && !r.dark {
+				r.stepOrders()
+			}
 			if !r.dark {
 				r.step()
 			}
@@ -283,6 +295,9 @@
 			}
 		}
 	}
+	if r.orders != nil {
+		return r.missingOrder()
+	}
 	return ""
 }
 
