--- a/internal/admin/kqadmin/server.go
+++ b/internal/admin/kqadmin/server.go
@@ -54,7 +54,7 @@
 	Replica  any             `json:"replica,omitempty"`
 	Peers    map[string]bool `json:"peers,omitempty"` // linked or not
 
-	Evacuated []string `json:"evacuated,omitempty"` // failure domains, on an entry host
+	Evacuated []string `json:"evacuated,omitempty"` // failure domains, as this host knows
 }
 
 // Server answers operators.
--- a/internal/admin/kqcommand/inspect.go
+++ b/internal/admin/kqcommand/inspect.go
@@ -68,14 +68,14 @@
 	if err := t.flush(); err != nil {
 		return err
 	}
-	inForce := map[string]int{}
+	inForce := map[string][]string{}
 	for _, h := range s.Hosts {
 		for _, d := range h.Evacuated {
-			inForce[d]++
+			inForce[d] = append(inForce[d], h.Host)
 		}
 	}
 	for _, d := range sortedKeys(inForce) {
-		fmt.Fprintf(a.out, "domain %s is evacuated on %d hosts\n", d, inForce[d])
+		fmt.Fprintf(a.out, "domain %s is evacuated on: %s\n", d, strings.Join(inForce[d], ", "))
 	}
 	return nil
 }
--- a/internal/run/kqdaemon/peers.go
+++ b/internal/run/kqdaemon/peers.go
@@ -158,6 +158,9 @@
 		if st, err := d.control.Status(); err == nil {
 			s.Replica = st
 		}
+		if d.follower == nil {
+			s.Evacuated = d.localStore.EvacuatedDomains()
+		}
 	}
 	return s
 }
--- a/internal/scenario/kqscenario/scenario_test.go
+++ b/internal/scenario/kqscenario/scenario_test.go
@@ -46,8 +46,10 @@
 		Dir:   "testdata",
 		Setup: setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"host":  writeHost,
-			"retry": retry,
+			"host":   writeHost,
+			"seeded": writeSeeded,
+			"leader": findLeader,
+			"retry":  retry,
 		},
 	})
 }
@@ -91,6 +93,56 @@
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]+".json"), []byte(text), 0o600))
 }
 
+// writeSeeded writes the settings NAME.json of one host that finds the control hosts c1 to
+// c3 by seeds:
+//
+//	seeded NAME IP ROLE
+func writeSeeded(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: seeded NAME IP ROLE")
+	}
+	at := func(n int) string {
+		_, port, _ := strings.Cut(ts.Getenv(fmt.Sprint("A", n)), ":")
+		return args[1] + ":" + port
+	}
+	listen, seeds := "", ""
+	if args[2] == "control" { // operators ask the control hosts
+		ts.Setenv("KUMQUAT_SERVER", strings.TrimPrefix(ts.Getenv("KUMQUAT_SERVER")+","+at(1), ","))
+	}
+	if args[2] == "entry" {
+		ts.Setenv("ENTRY", at(1))
+		listen = fmt.Sprintf(`"calls": %q, "ready": %q, "directory": %q, `, at(0), at(3), at(5))
+	} else {
+		listen = fmt.Sprintf(`"control": %q, `, at(4))
+	}
+	for i := range 3 {
+		seeds += fmt.Sprintf(`, "%s%d:1"`, seededNet, i+1)
+	}
+	text := fmt.Sprintf(`{
+ "host": %q, "label": %q, "domain": "d-a", "region": "local", "roles": [%q], "data": %q,
+ "listen": {%s"admin": %q, "peers": %q}, "seeds": [%s], "bootstrap": true, "domains": {"d-a": "local", "d-b": "local"},
+ "secret": %q, "operator": %q, "log": {"level": "info", "path": %q}
+}
+`, args[1], args[0], args[2], ts.MkAbs("data-"+args[0]), listen, at(1), at(2), seeds[2:], secret, operatorKey, ts.MkAbs(args[0]+".log"))
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]+".json"), []byte(text), 0o600))
+}
+
+// seededNet is the beginning of the addresses of the control hosts with seeds.
+const seededNet = "127.0.74."
+
+// findLeader waits until a control host with seeds leads, and sets the variable LEADER to
+// its name:
+//
+//	leader
+func findLeader(ts *testscript.TestScript, neg bool, _ []string) {
+	if neg {
+		ts.Fatalf("usage: leader")
+	}
+	retry(ts, false, []string{"leader", "kumquat", "status"})
+	found := regexp.MustCompile(`(?m)^` + seededNet + `(\d) .*leader`).FindStringSubmatch(ts.ReadFile("stdout"))
+	ts.Setenv("LEADER", "c"+found[1])
+}
+
 // retry repeats a command until it succeeds and its output matches an expression:
 //
 //	retry EXPRESSION COMMAND ARGS...
--- a/internal/state/kqcontract/evacuation.go
+++ b/internal/state/kqcontract/evacuation.go
@@ -33,6 +33,17 @@
 	Revision uint64 `json:"revision"` // of the entry when the order was accepted, 0: there was none
 }
 
+// EvacuatedDomains returns the names of the domains that are evacuated now.
+func EvacuatedDomains(list []Evacuation) []string {
+	var names []string
+	for _, e := range list {
+		if e.On {
+			names = append(names, e.Domain)
+		}
+	}
+	return names
+}
+
 // Evacuation returns the entry of the domain; it is zero but for the domain if there is none.
 func (s *State) Evacuation(domain string) Evacuation {
 	if i, ok := s.findEvacuation(domain); ok {
--- a/internal/state/kqcontrol/evacuate.go
+++ b/internal/state/kqcontrol/evacuate.go
@@ -75,6 +75,16 @@
 	return entry, err
 }
 
+// EvacuatedDomains returns the failure domains that are evacuated by this host's state, which
+// may lag; none if the replica has stopped.
+func (l LocalStore) EvacuatedDomains() (names []string) {
+	err := l.View(func(s *kqcontract.State) { names = kqcontract.EvacuatedDomains(s.Evacuations) })
+	if err != nil {
+		l.cfg.Log.Debugf("evacuations are not known: %v", err)
+	}
+	return names
+}
+
 // evacuateRequest is an order that a host without a replica passes on.
 type evacuateRequest struct {
 	Domain string        `json:"domain"`
--- a/internal/state/kqfeed/view.go
+++ b/internal/state/kqfeed/view.go
@@ -24,15 +24,7 @@
 }
 
 // EvacuatedDomains returns the names of the evacuated failure domains.
-func (v *View) EvacuatedDomains() []string {
-	var list []string
-	for _, e := range v.Evacuations {
-		if e.On {
-			list = append(list, e.Domain)
-		}
-	}
-	return list
-}
+func (v *View) EvacuatedDomains() []string { return kqcontract.EvacuatedDomains(v.Evacuations) }
 
 // newView returns the part of the state that entry hosts need.
 func newView(s *kqcontract.State) View {
