Evacuations: control hosts log and record accepted orders; the soak gives both orders

The soak evacuates a failure domain for a while and counts a request that reaches it more than 2 s after the acknowledgement as a violation. TestRound expects 13 kinds, and that no evacuation shares a round with faults that delay what hosts learn.

--- a/internal/bench/kqsoak/drive.go
+++ b/internal/bench/kqsoak/drive.go
@@ -206,9 +206,13 @@
 }
 
 func (o *operator) do(ctx context.Context, method, addr string, body []byte) (status int, answer []byte) {
+	return o.doAt(ctx, method, addr, "/v1/routes", body)
+}
+
+func (o *operator) doAt(ctx context.Context, method, addr, path string, body []byte) (status int, answer []byte) {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+"/v1/routes", bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
--- a/internal/bench/kqsoak/fault.go
+++ b/internal/bench/kqsoak/fault.go
@@ -29,6 +29,7 @@
 	TargetSlow         Kind = "a target turns slow"
 	TargetRejects      Kind = "a target rejects all"
 	TargetDropsAnswers Kind = "a target loses answers"
+	Evacuate           Kind = "evacuate a failure domain for a while"
 )
 
 // Fault is one fault that a round injects.
@@ -47,8 +48,8 @@
 )
 
 // delaysLeave reports whether a fault can keep a host from learning in time that a
-// target leaves. The time limit on leaving does not hold under such a fault, so no
-// target leaves in the same round.
+// target leaves or a failure domain is evacuated. The time limits on these do not hold
+// under such a fault, so neither happens in the same round.
 func delaysLeave(k Kind) bool {
 	switch k {
 	case KillControl, KillAll, StopControl, StopWithLeader, FreezeEntry, FreezeControl, LoseDisk:
@@ -60,7 +61,7 @@
 var (
 	faultKinds = []Kind{
 		KillEntry, KillControl, KillAll, FreezeEntry, FreezeControl, StopEntry, LoseDisk,
-		TargetCrash, TargetLeaves, TargetSlow, TargetRejects, TargetDropsAnswers,
+		TargetCrash, TargetLeaves, TargetSlow, TargetRejects, TargetDropsAnswers, Evacuate,
 	}
 	plannedKinds = []Kind{StopEntry, StopEntryTwice, StopEntries, StopControl, StopWithLeader, TargetLeaves, TargetMoves}
 	stopKinds    = []Kind{StopEntry, StopEntryTwice, StopEntries, StopWithLeader}
@@ -103,8 +104,8 @@
 	return list
 }
 
-// leaves reports whether a target's process ends soon after it announced its change.
-func leaves(k Kind) bool { return k == TargetLeaves || k == TargetMoves }
+// leaves reports whether entry hosts must learn in time that targets get nothing any more.
+func leaves(k Kind) bool { return k == TargetLeaves || k == TargetMoves || k == Evacuate }
 
 func conflicts(f Fault, list []Fault) bool {
 	for _, o := range list {
--- a/internal/bench/kqsoak/fault_test.go
+++ b/internal/bench/kqsoak/fault_test.go
@@ -23,7 +23,7 @@
 			if delaysLeave(f.Kind) {
 				disruptive++
 			}
-			if f.Kind == TargetLeaves {
+			if f.Kind == TargetLeaves || f.Kind == Evacuate {
 				leaves++
 			}
 			if f.After < 0 || f.After >= roundTime || f.Count > tolerance {
@@ -34,7 +34,7 @@
 			t.Fatalf("seed %d: %+v", seed, list)
 		}
 	}
-	if len(seen) != 12 {
+	if len(seen) != 13 {
 		t.Errorf("kinds %v", seen)
 	}
 }
--- a/internal/bench/kqsoak/inject.go
+++ b/internal/bench/kqsoak/inject.go
@@ -44,6 +44,8 @@
 	case KillAll:
 		all := s.hosts.All()
 		return forEach(len(all), func(i int) error { return all[i].Signal(syscall.SIGKILL) })
+	case Evacuate:
+		return s.evacuate(ctx, domains[f.Pick%len(domains)], f.For)
 	default:
 		s.injectTarget(ctx, f)
 		return nil
--- a/internal/bench/kqsoak/ledger.go
+++ b/internal/bench/kqsoak/ledger.go
@@ -11,7 +11,7 @@
 // Time limits of the guarantees, as the users require them.
 const (
 	lossSlack  = 200 * time.Millisecond // a request may cross the close of its connection
-	drainBound = 2 * time.Second        // until a leaving target gets no new requests
+	drainBound = 2 * time.Second        // until an evacuated domain or a leaving target gets no new requests
 	applyBound = 2 * time.Second        // until every control host returns accepted routes
 )
 
@@ -25,6 +25,7 @@
 	mu         sync.Mutex
 	calls      map[string]*call
 	left       map[string]time.Time // when the leave of a target was acknowledged
+	evacuated  map[string]time.Time // when the evacuation of a failure domain was acknowledged, until its end is ordered
 	accepted   []acceptance         // in order of acknowledgement
 	violations []string
 	counts     Counts
@@ -52,6 +53,7 @@
 	Sent, Good, Refused, Unknown, Broken int
 	Accepted                             int // versions of routes
 	Left                                 int // targets that left as planned
+	Evacuated                            int // evacuations of failure domains
 }
 
 // WayCounts holds the numbers of calls that were sent in one way, by outcome; its field
@@ -73,7 +75,7 @@
 
 // NewLedger returns a Ledger without records.
 func NewLedger() *Ledger {
-	return &Ledger{calls: map[string]*call{}, left: map[string]time.Time{}, ways: map[Way]*WayCounts{}, signals: map[string]time.Time{}}
+	return &Ledger{calls: map[string]*call{}, left: map[string]time.Time{}, evacuated: map[string]time.Time{}, ways: map[Way]*WayCounts{}, signals: map[string]time.Time{}}
 }
 
 // way returns the counts of a way; the caller holds l.mu.
--- a/internal/bench/kqsoak/soak.go
+++ b/internal/bench/kqsoak/soak.go
@@ -51,6 +51,8 @@
 
 	mu      sync.Mutex
 	targets []*Target
+
+	evacuations sync.Mutex // one evacuation at a time, so that domains are left
 }
 
 // Run injects rounds of faults until cfg.RunTime has passed and returns the
--- a/internal/bench/kqsoak/target.go
+++ b/internal/bench/kqsoak/target.go
@@ -82,6 +82,8 @@
 	return t
 }
 
+func (t *Target) domain() string { return domains[int(t.boot)%len(domains)] }
+
 func (t *Target) addr() string { return strings.TrimPrefix(t.server.URL, "http://") }
 
 // Kill stops the target without announcing that it leaves.
@@ -109,7 +111,7 @@
 	state := t.state
 	t.mu.Unlock()
 	p, err := json.Marshal(map[string]any{
-		"service": service, "id": t.cfg.ID, "addr": t.addr(), "domain": domains[int(t.boot)%len(domains)], "slots": t.cfg.Slots,
+		"service": service, "id": t.cfg.ID, "addr": t.addr(), "domain": t.domain(), "slots": t.cfg.Slots,
 		"state": state, "boot": t.boot, "seq": t.seq.Add(1),
 	})
 	if err != nil {
@@ -160,6 +162,7 @@
 		return
 	}
 	id := r.Header.Get(names.RequestID)
+	t.cfg.Ledger.Arrived(id, t.domain(), time.Now())
 	w.Header().Set(names.RequestID, id)
 	if want := r.Header.Get(names.Target); want != t.cfg.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/internal/state/kqcontrol/evacuate.go
+++ b/internal/state/kqcontrol/evacuate.go
@@ -42,17 +42,17 @@
 	case res.Refused != "":
 		return entry, errors.Newf("evacuation of %s: refused: %s", domain, res.Refused)
 	}
-	entry = kqcontract.Evacuation{Domain: domain, On: on, Revision: res.Accepted.Revision, Time: res.Accepted.Time}
-	l.cfg.Log.Info().Str("domain", domain).Bool("evacuated", on).Uint64("revision", entry.Revision).Bool("repeat", res.Repeat).Msg("evacuation: order committed")
-	l.recordEvent("evacuation", entry.Revision, describeEvacuation(domain, on))
-	return entry, nil
+	return kqcontract.Evacuation{Domain: domain, On: on, Revision: res.Accepted.Revision, Time: res.Accepted.Time}, nil
 }
 
-func describeEvacuation(domain string, on bool) string {
-	if on {
-		return "domain " + domain + " is evacuated"
+// logEvacuation logs and records the entry of a failure domain that a command changed.
+func (c *Control) logEvacuation(index uint64, e kqcontract.Evacuation) {
+	kind, text := "evacuated", "control: evacuation accepted"
+	if !e.On {
+		kind, text = "restored", "control: end of evacuation accepted"
 	}
-	return "the evacuation of domain " + domain + " has ended"
+	c.cfg.Log.Info().Uint64("revision", e.Revision).Uint64("index", index).Str("domain", e.Domain).Msg(text)
+	c.recordEvent(kind, e.Revision, "domain "+e.Domain)
 }
 
 // confirmedEvacuation returns the entry of a known domain, confirmed by a quorum before ctx
--- a/internal/state/kqcontrol/note.go
+++ b/internal/state/kqcontrol/note.go
@@ -3,7 +3,7 @@
 import "kumquatglade/internal/state/kqroutes"
 
 // logChange logs the effect of an accepted command: one line for each changed target,
-// one for the routes and one for the contract.
+// one for the routes, one for an evacuation and one for the contract.
 func (c *Control) logChange(index uint64, out outcome) {
 	ch := out.change
 	for _, t := range ch.Targets {
@@ -13,6 +13,11 @@
 	if ch.Routes != nil {
 		c.logRoutes(index, ch.Revision, ch.Routes)
 	}
+	for _, e := range ch.Evacuations {
+		if e.Revision == ch.Revision {
+			c.logEvacuation(index, e)
+		}
+	}
 	if ch.Owner != "" {
 		c.cfg.Log.Info().Uint64("revision", ch.Revision).Uint64("index", index).Str("owner", ch.Owner).
 			Uint64("version", out.result.Accepted.Version).Msg("control: contract accepted")
--- a/internal/state/kqcontrol/perform.go
+++ b/internal/state/kqcontrol/perform.go
@@ -74,7 +74,9 @@
 func (c *Control) handleApplied(e kqreplica.Applied) {
 	out := e.Result.(outcome)
 	if out.change != nil {
-		c.recordEvent("accepted", out.change.Revision, fmt.Sprintf("%s version %d", out.result.Accepted.Owner, out.result.Accepted.Version))
+		if out.change.Evacuations == nil { // logChange records these
+			c.recordEvent("accepted", out.change.Revision, fmt.Sprintf("%s version %d", out.result.Accepted.Owner, out.result.Accepted.Version))
+		}
 		c.logChange(e.Index, out)
 		c.pendingChanges = append(c.pendingChanges, *out.change)
 	}
