--- a/internal/run/kqdaemon/peers.go
+++ b/internal/run/kqdaemon/peers.go
@@ -151,13 +151,16 @@
 			s.Calls = d.engine.ActiveCalls()
 		}
 		if v := d.follower.LatestView(); v != nil {
-			s.Revision = v.Revision
+			s.Revision, s.Evacuated = v.Revision, v.EvacuatedDomains()
 		}
 	}
 	if d.control != nil {
 		if st, err := d.control.Status(); err == nil {
 			s.Replica = st
 		}
+		if d.follower == nil {
+			s.Evacuated = d.localStore.EvacuatedDomains()
+		}
 	}
 	return s
 }
