Directory of targets: a renewal that says the target is colder than known is a change

Cause: only the first announcement of a start carried its remaining cold time to the hosts, so a target that became cold again looked warm.

--- a/internal/state/kqtargets/targets.go
+++ b/internal/state/kqtargets/targets.go
@@ -35,7 +35,8 @@
 	Domain        string        `json:"domain"`
 	Slots         int           `json:"slots"`
 	State         State         `json:"state"`
-	ColdRemaining time.Duration `json:"cold,omitempty"`   // remaining warm-up time at its first announcement, during which it is slow
+	ColdRemaining time.Duration `json:"cold,omitempty"`   // remaining warm-up time, during which it is slow, at its first announcement or at ColdAt
+	ColdAt        int64         `json:"coldAt,omitempty"` // Unix milliseconds at which ColdRemaining was announced, 0 if at the start
 	LeftAt        int64         `json:"leftAt,omitempty"` // Unix milliseconds at which a ready or unknown target left without naming its start
 }
 
@@ -74,7 +75,7 @@
 	case a.Seq <= old.Seq:
 		return false
 	}
-	return a.State == Draining && old.State != Draining || a.Addr != old.Addr || a.Service != old.Service || a.Slots != old.Slots
+	return a.State == Draining && old.State != Draining || old.isColder(a, at) || a.Addr != old.Addr || a.Service != old.Service || a.Slots != old.Slots
 }
 
 // mayReturn reports whether a target that left without naming its start is back: it
@@ -125,6 +126,7 @@
 	if sameBoot && old.State == Draining {
 		a.State = Draining // a target that drains stays so until its next start
 	}
+	a.setColdAt(at)
 	changed := s.endOlderAtAddr(&a)
 	s.store(a)
 	return append(changed, a)
