Cold targets: two entry hosts share the cold rate of each, by rendezvous hash over the list of entry hosts

Cause: a target that has just started, or became cold again, got its share of the load from every host. Target.Barred has the reason Cold; the token is reserved at the choice and taken right before the first byte. Cold news comes from announcements, answers to probes and assumptions, and the youngest counts. Services without coldRate are not affected.

--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -51,6 +51,9 @@
 	reply, err := e.pool.Send(ctx, req)
 	if err != nil {
 		e.finishSend(t, func(now time.Time) {
+			if isUnsent(err) {
+				t.ReleaseCold()
+			}
 			switch {
 			case isPoolExhausted(err) || errors.Is(err, errBarred) || ctx.Err() != nil:
 			case isUnsent(err):
@@ -81,7 +84,8 @@
 	}
 	now := e.cfg.Clock.Now()
 	e.mu.Lock()
-	reason, since := t.Barred(now), t.DrainingSince
+	e.refreshEntries(now)
+	reason, since := t.BarredToSend(now), t.DrainingSince
 	e.mu.Unlock()
 	if reason == kqselection.NotBarred {
 		if !p.caller.passOn(p.route.Kind.Repeatable()) {
@@ -91,6 +95,9 @@
 		return nil
 	}
 	e.metrics.barred.Inc(1)
+	if reason == kqselection.Cold {
+		e.metrics.cold.Inc(1)
+	}
 	p.logBarred(t, reason, now, since)
 	return errors.Wrap(errBarred, string(reason))
 }
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -31,6 +31,9 @@
 	Limits      Limits
 	LinkRate    float64 // bytes a second that the host's link carries; 0: unknown
 	Memory      int64   // bytes that the process may use; 0: unknown
+
+	// Entries returns the list of entry hosts; nil if this is the only one.
+	Entries func() Entries
 }
 
 // Limits are the limits that all entry hosts share.
@@ -39,6 +42,8 @@
 	RetrySlack  float64       // retries in one window on top of RetryRatio, of all hosts together
 	RetryWindow time.Duration // period over which retries are counted
 	ProbeRate   float64       // probes of one target per second by all hosts together; 0 means no limit
+
+	Cold kqselection.ColdLimits // of each cold target
 }
 
 // Engine forwards requests. It is safe for concurrent use.
@@ -66,6 +71,7 @@
 	serviceTimes    map[string]*kqselection.ServiceTime // by route name
 	shortestProbes  map[string]time.Duration            // by failure domain: the shortest time to the answer of a probe
 	longestTimeouts map[string]time.Duration            // by route name: the longest timeout of a caller so far
+	cold            coldTargets
 
 	runningMu sync.Mutex
 	running   map[*proxiedRequest]struct{} // requests in flight
@@ -79,6 +85,7 @@
 	uninformed                                                         metrics.Counter // sends without a load report in time
 	foreign                                                            metrics.Counter // responses to other requests that were skipped
 	leaving, quiet, oddQuiet                                           metrics.Counter // targets that said they shut down, or asked for quiet, or for a time not understood
+	cold, coldRefused, turnedCold, turnedWarm, oddCold                 metrics.Counter // sends barred as cold, requests refused for it, targets that turned cold or warm, cold times not understood
 	latency, probeTime                                                 metrics.Timer
 	firstByte                                                          metrics.Timer // from the choice of a target to the first byte
 }
@@ -98,6 +105,7 @@
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"), failed: counter("failed"),
 		retries: counter("second"), probes: counter("questions"), failedProbes: counter("unanswered"),
 		cut: counter("cut"), barred: counter("barred"), foreign: counter("foreign"), uninformed: counter("uninformed"), leaving: counter("leaving"), quiet: counter("quiet"), oddQuiet: counter("oddquiet"),
+		cold: counter("cold"), coldRefused: counter("coldrefused"), turnedCold: counter("turnedcold"), turnedWarm: counter("turnedwarm"), oddCold: counter("oddcold"),
 		latency:   metrics.GetOrRegisterTimer("routes.latency", cfg.Metrics),
 		firstByte: metrics.GetOrRegisterTimer("routes.firstbyte", cfg.Metrics),
 		probeTime: metrics.GetOrRegisterTimer("routes.asking", cfg.Metrics),
@@ -116,6 +124,7 @@
 			return
 		case <-tick.C:
 			e.pool.CloseExpired()
+			e.sweepCold()
 		}
 	}
 }
--- a/internal/call/kqproxy/probe.go
+++ b/internal/call/kqproxy/probe.go
@@ -44,6 +44,7 @@
 	started := e.cfg.Clock.Now()
 	var toProbe []*kqselection.Target
 	e.mu.Lock()
+	e.refreshEntries(started)
 	list, toProbe, result.fresh = e.chooser(service).PlanProbes(e.routing.Load().untried(service, tried), n, started, func() bool { return e.takeProbe(started) })
 	e.mu.Unlock()
 	result.probed = len(toProbe)
@@ -149,6 +150,9 @@
 	sample, ok := parseLoad(reply.Header.Get(e.cfg.HeaderNames.Load), now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if reply.Status == http.StatusOK {
+		e.recordProbedCold(t, reply.Header.Get(e.cfg.HeaderNames.Cold), sentAt, now)
+	}
 	if ok {
 		sample.At = now.Add(-e.probeDelay(t.Domain, now.Sub(sentAt)))
 		t.RecordLoad(sample)
@@ -193,7 +197,7 @@
 			until = kqselection.BodyHoldDeadline(now, latest)
 		}
 		pause := kqselection.BodyHoldDelay(t, now, until)
-		barred := t.Barred(now) != kqselection.NotBarred
+		barred := t.BarredToProbe(now) != kqselection.NotBarred
 		e.mu.Unlock()
 		if pause == 0 || barred { // the target must not get its last byte any later
 			break
@@ -236,7 +240,7 @@
 func (e *Engine) checkProbeBarred(t *kqselection.Target) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if reason := t.Barred(e.cfg.Clock.Now()); reason != kqselection.NotBarred {
+	if reason := t.BarredToProbe(e.cfg.Clock.Now()); reason != kqselection.NotBarred {
 		return errors.Wrap(errBarred, string(reason))
 	}
 	return nil
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -47,6 +47,9 @@
 	if p.quietUntil = e.quietEnd(p.service, started); !p.quietUntil.IsZero() {
 		return c, causeQuiet
 	}
+	if p.coldForTooLong(tried, started) {
+		return c, causeCold
+	}
 	e.mu.Lock()
 	ch := e.chooser(p.service)
 	c.queueLen = ch.Queue.Len()
@@ -55,12 +58,12 @@
 	if c.queueLen == 0 {
 		list, result := e.probeCandidates(ctx, p.routing.table, p.service, tried, maxProbes, p.route.Objective/firstReplyDivisor)
 		c.probeResult = result
-		if len(list) == 0 {
+		now := e.cfg.Clock.Now()
+		if len(list) == 0 && !e.allCold(p.service, tried, now) {
 			return c, "no target"
 		}
-		now := e.cfg.Clock.Now()
 		e.mu.Lock()
-		if t := ch.Pick(list, result.fresh, now); t != nil {
+		if t := ch.PickFor(list, result.fresh, now, p.toleratesCold(now)); t != nil {
 			e.recordChoice(&c, ch, t, now)
 		}
 		e.mu.Unlock()
@@ -73,6 +76,10 @@
 	c.waited = now.Sub(started)
 	if t == nil {
 		p.quietUntil = e.quietEnd(p.service, now)
+		if e.allCold(p.service, tried, now) {
+			e.metrics.coldRefused.Inc(1)
+			cause = causeCold
+		}
 	}
 	if t != nil {
 		e.mu.Lock()
@@ -112,6 +119,7 @@
 	w := &kqselection.Waiter{Priority: p.priority, Assign: func(t *kqselection.Target) { assigned <- t }}
 	e.mu.Lock()
 	w.StartBy, w.GiveUpAt = p.waitLimits(now)
+	w.ServiceTime = p.usualServiceTime()
 	if !ch.Queue.Enqueue(w, now) {
 		e.mu.Unlock()
 		return nil, "no room in time"
@@ -166,8 +174,13 @@
 // waitLimits returns the time by which the request must start to meet the objective of
 // its route, and the time at which it leaves the queue. e.mu must be held.
 func (p *proxiedRequest) waitLimits(now time.Time) (latestStart, waitUntil time.Time) {
-	unit := p.engine.serviceTime(p.route.Name).OrDefault(p.route.Objective / 3)
-	return kqselection.WaitLimits(now, p.firstTry, p.deadline, p.route.Objective, unit)
+	return kqselection.WaitLimits(now, p.firstTry, p.deadline, p.route.Objective, p.usualServiceTime())
+}
+
+// usualServiceTime returns the service time of the request's route on an idle target, or a
+// guess before the first answer. e.mu must be held.
+func (p *proxiedRequest) usualServiceTime() time.Duration {
+	return p.engine.serviceTime(p.route.Name).OrDefault(p.route.Objective / 3)
 }
 
 // serviceTime returns the usual service time of the route's requests on an idle
--- a/internal/call/kqproxy/routing.go
+++ b/internal/call/kqproxy/routing.go
@@ -35,6 +35,7 @@
 		e.cfg.Log.Info().Uint64("revision", revision).Uint64("routes", doc.Version).Msg("routes: in force")
 	}
 	e.doc = doc
+	e.setColdServices(doc, now)
 	targetsByID := map[string]*kqselection.Target{}
 	for _, t := range targets {
 		k := e.knownTargets[t.ID]
@@ -45,8 +46,11 @@
 			}
 			if old != nil && old.Boot == t.Boot {
 				k.Succeed(old)
+			} else if old != nil {
+				k.SucceedRestarted(old)
 			}
 		}
+		e.applyCold(k, &t, now)
 		e.recordDraining(k, t.State != kqtargets.Ready, revision, now)
 		k.Saturation = e.chooser(t.Service).Saturation
 		targetsByID[t.ID] = k
--- a/internal/route/kqselection/queue.go
+++ b/internal/route/kqselection/queue.go
@@ -72,6 +72,9 @@
 	Priority int           // 0 is the most urgent
 	StartBy  time.Time     // latest start for an answer in time
 	GiveUpAt time.Time     // when it leaves the queue without a target
+
+	ServiceTime time.Duration // usual one on an idle target
+
 	Assign   func(*Target) // called once with the target, or with nil to give up
 	seq      uint64
 }
--- a/internal/route/kqselection/selector.go
+++ b/internal/route/kqselection/selector.go
@@ -73,6 +73,12 @@
 // takes a target with a free slot, as Saturation.Explore decides. If no target of the
 // service ever reported its load, only the requests in flight from this host count.
 func (s *Selector) Pick(list []*Target, fresh map[*Target]bool, now time.Time) *Target {
+	return s.PickFor(list, fresh, now, true)
+}
+
+// PickFor is Pick for a request of which toleratesCold says whether it may get a cold target
+// while others are warm.
+func (s *Selector) PickFor(list []*Target, fresh map[*Target]bool, now time.Time, toleratesCold bool) *Target {
 	s.reportsLoad = s.reportsLoad || slices.ContainsFunc(list, func(t *Target) bool { return !t.LastLoad.At.IsZero() })
 	reportsLoad := s.reportsLoad
 	filter := func(keep func(*Target) bool) []*Target {
@@ -82,6 +88,9 @@
 	if len(available) == 0 && len(list) > 0 && s.Saturation.Explore() {
 		available = filter(func(t *Target) bool { return t.HasFreeSlot(now) })
 	}
+	if !toleratesCold {
+		available = withoutCold(available, list, now)
+	}
 	t := LowestScore(available, func(t *Target) bool { return fresh[t] || !reportsLoad }, now, s.Domain)
 	if t != nil {
 		s.recordSend(t, now)
@@ -104,6 +113,7 @@
 func (s *Selector) recordSend(t *Target, now time.Time) {
 	t.InFlight++
 	t.LastLoad.Sent++
+	t.reserveCold(now)
 	s.Queue.RecordStart(now)
 }
 
@@ -111,11 +121,11 @@
 // headroom.
 func (s *Selector) AssignQueued(list []*Target, fresh map[*Target]bool, now time.Time) {
 	for s.Queue.Len() > 0 {
-		t := s.Pick(list, fresh, now)
+		t := s.PickFor(list, fresh, now, s.Queue.toleratesCold(now))
 		if t == nil {
 			return
 		}
-		s.Queue.Dequeue(now).Assign(t)
+		s.Queue.dequeueFor(t, hasWarm(list, now), now).Assign(t)
 	}
 }
 
@@ -123,8 +133,12 @@
 // until its headroom is used up.
 func (s *Selector) AssignHeadroom(t *Target, now time.Time) {
 	for s.Queue.Len() > 0 && t.Headroom(now, true) > 0 {
+		w := s.Queue.dequeueFor(t, true, now)
+		if w == nil {
+			return
+		}
 		s.recordSend(t, now)
-		s.Queue.Dequeue(now).Assign(t)
+		w.Assign(t)
 	}
 }
 
--- a/internal/route/kqselection/target.go
+++ b/internal/route/kqselection/target.go
@@ -51,6 +51,8 @@
 	downUntil     time.Time // no requests are sent before this time
 	downTime      time.Duration
 	reprobeAt     time.Time // no probes are sent before this time
+
+	cold coldState
 }
 
 // FailureRate returns the smoothed share of failed requests, 0 to 1, which decays with
@@ -93,10 +95,11 @@
 	Draining  Barred = "target drains"
 	Leaving   Barred = "target is shutting down"
 	Quiet     Barred = "target asked for quiet"
+	Cold      Barred = "target is cold"
 )
 
 // Barred returns why the target must get nothing now, NotBarred if it may get requests.
-// All ways to a target ask it last before the first byte.
+// All ways to a target ask it, BarredToSend or BarredToProbe last before the first byte.
 func (t *Target) Barred(now time.Time) Barred {
 	switch {
 	case !t.DrainingSince.IsZero():
@@ -105,6 +108,8 @@
 		return Leaving
 	case now.Before(t.quietUntil):
 		return Quiet
+	case t.barredAsCold(now): // the last one, see BarredToProbe
+		return Cold
 	}
 	return NotBarred
 }
@@ -135,14 +140,22 @@
 // binds until its next start.
 func (t *Target) Succeed(old *Target) {
 	t.LeavingSince, t.quietUntil = old.LeavingSince, old.quietUntil
+	if old.cold.list != nil {
+		t.ColdUntil = old.ColdUntil
+	}
+	t.cold.succeed(&old.cold, true)
 }
 
+// SucceedRestarted takes over from the record of an earlier start how often this host may
+// send to the target while it is cold.
+func (t *Target) SucceedRestarted(old *Target) { t.cold.succeed(&old.cold, false) }
+
 // QuietEnd returns when the first of the targets may get requests again, if all of them
 // are barred and at least one of them only for a time.
 func QuietEnd(list []*Target, now time.Time) (end time.Time, ok bool) {
 	for _, t := range list {
 		switch t.Barred(now) {
-		case NotBarred:
+		case NotBarred, Cold: // a cold target may have a token soon
 			return time.Time{}, false
 		case Quiet:
 			if !ok || t.quietUntil.Before(end) {
@@ -192,7 +205,7 @@
 // failures. Lower is better.
 func (t *Target) Score(now time.Time, domain string) float64 {
 	expected := t.LastLoad.ExpectedTime(now, t.Slots, t.InFlight, t.Saturation.Slowdown())
-	if now.Before(t.ColdUntil) {
+	if now.Before(t.ColdUntil) || t.IsCold(now) {
 		expected *= coldPenalty
 	}
 	if t.Domain != domain {
@@ -212,7 +225,7 @@
 func Candidates(list []*Target, n int, domain string, now time.Time, rng *rand.Rand) []*Target {
 	var good, full, bad []*Target // full: all slots busy with requests from this host, or probe deferred
 	for tier := range tiers {
-		group := inTier(list, tier, domain)
+		group := inTier(list, tier, domain, now)
 		rng.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
 		for _, t := range group {
 			switch {
@@ -237,10 +250,10 @@
 }
 
 // inTier returns the targets of the list in the tier.
-func inTier(list []*Target, tier int, domain string) []*Target {
+func inTier(list []*Target, tier int, domain string, now time.Time) []*Target {
 	var group []*Target
 	for _, t := range list {
-		if t.tier(domain) == tier {
+		if t.tier(domain, now) == tier {
 			group = append(group, t)
 		}
 	}
@@ -250,10 +263,11 @@
 // tiers is the number of results of tier.
 const tiers = 3
 
-// tier returns the rank of the group of targets in which this one is a candidate.
-func (t *Target) tier(domain string) int {
+// tier returns the rank of the group of targets in which this one is a candidate. Only a few
+// hosts may send to a cold target, so one with a token is in the first group.
+func (t *Target) tier(domain string, now time.Time) int {
 	switch {
-	case t.Preferred:
+	case t.Preferred, t.IsCold(now) && !t.barredAsCold(now):
 		return 0
 	case t.Domain == domain:
 		return 1
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -13,6 +13,7 @@
 	"kumquatglade/internal/host/kqdisk"
 	"kumquatglade/internal/host/kqsettings"
 	"kumquatglade/internal/peer/kqlink"
+	"kumquatglade/internal/route/kqselection"
 	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqcontrol"
 	"kumquatglade/internal/state/kqfeed"
@@ -121,7 +122,9 @@
 		Limits: kqproxy.Limits{
 			RetryRatio: shared.RetryRatio, RetrySlack: shared.RetrySlack,
 			RetryWindow: shared.RetryWindow.Or(defaultRetryWindow), ProbeRate: shared.ProbesPerSecond,
+			Cold: kqselection.ColdLimits{Overrun: shared.ColdOverrun, Slack: shared.ColdSlack},
 		},
+		Entries: d.entries,
 	})
 	ready := false
 	d.follower = kqfeed.NewFollower(kqfeed.FollowerConfig{
@@ -137,6 +140,11 @@
 	})
 }
 
+// entries returns the list of entry hosts that this host was last told.
+func (d *Daemon) entries() kqproxy.Entries {
+	return kqproxy.Entries{Self: d.settings.Listen.Calls, List: d.follower.Listeners(), HeardAt: d.follower.HeardAt()}
+}
+
 func (d *Daemon) self() kqcontract.EntryHost {
 	return kqcontract.EntryHost{
 		Name: d.settings.Host, Domain: d.settings.Domain, Region: d.settings.Region,
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -60,6 +60,7 @@
 	delay  metrics.Timer // from the proposal of a change to its effect on this host, by the clocks of two hosts
 
 	listeners atomic.Pointer[[]EntryListener]
+	heardAt   atomic.Pointer[time.Time] // lastHeard, to be read without the lock
 
 	mu               sync.Mutex
 	hub              string // control host that this host subscribes to
@@ -116,6 +117,21 @@
 	return nil
 }
 
+// HeardAt returns when a control host last confirmed this host's state, the zero time if
+// none did. It does not wait for the follower's lock.
+func (f *Follower) HeardAt() time.Time {
+	if p := f.heardAt.Load(); p != nil {
+		return *p
+	}
+	return time.Time{}
+}
+
+// setHeard records the time of a confirmation. The lock is held.
+func (f *Follower) setHeard(at time.Time) {
+	f.lastHeard = at
+	f.heardAt.Store(&at)
+}
+
 // updateListeners applies the listeners that a control host reports as opened and closed.
 func (f *Follower) updateListeners(peer string, change listenerChanges) {
 	f.mu.Lock()
@@ -351,13 +367,13 @@
 		return
 	}
 	if f.awaitedRevision != nil {
-		f.lastHeard = f.cfg.Clock.Now()
+		f.setHeard(f.cfg.Clock.Now())
 		return
 	}
 	if m.Revision > f.revision() {
 		f.resubscribe()
 		return
 	}
-	f.lastHeard = f.cfg.Clock.Now()
+	f.setHeard(f.cfg.Clock.Now())
 	f.lease.confirm(f.lastHeard)
 }
--- a/internal/state/kqfeed/subscribe.go
+++ b/internal/state/kqfeed/subscribe.go
@@ -25,7 +25,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lease.confirm(startedAt)
-	f.lastHeard = f.cfg.Clock.Now()
+	f.setHeard(f.cfg.Clock.Now())
 	f.subscribed = true
 	if len(reply.Listeners) > 0 {
 		f.listeners.Store(&reply.Listeners) // a hub that knows none yet sends them later
--- a/internal/state/kqtargets/cold.go
+++ b/internal/state/kqtargets/cold.go
@@ -22,8 +22,9 @@
 	minColdInterval = 5 * time.Second
 )
 
-// coldFrom returns when the remaining warm-up time was announced.
-func (t *Target) coldFrom() time.Time {
+// ColdFrom returns when the remaining warm-up time was announced, by the clocks of the
+// control hosts.
+func (t *Target) ColdFrom() time.Time {
 	if t.ColdAt != 0 {
 		return time.UnixMilli(t.ColdAt)
 	}
@@ -36,7 +37,7 @@
 	if t.ColdRemaining <= 0 {
 		return time.Time{}
 	}
-	return t.coldFrom().Add(t.ColdRemaining)
+	return t.ColdFrom().Add(t.ColdRemaining)
 }
 
 // isColder reports whether the renewal a, made at the given time, says that the target
@@ -49,7 +50,7 @@
 	if end.IsZero() {
 		return a.ColdRemaining > coldMargin
 	}
-	return at.Add(a.ColdRemaining).Sub(end) > coldMargin && end.Sub(at) < coldRenewLead && at.Sub(t.coldFrom()) >= minColdInterval
+	return at.Add(a.ColdRemaining).Sub(end) > coldMargin && end.Sub(at) < coldRenewLead && at.Sub(t.ColdFrom()) >= minColdInterval
 }
 
 // setColdAt records when the announcement was made if it names a warm-up time and the
