--- a/internal/call/kqproxy/evacuation.go
+++ b/internal/call/kqproxy/evacuation.go
@@ -23,8 +23,14 @@
 	end      time.Time // when this host learnt that it had ended
 }
 
-// applyEvacuations records and logs which failure domains are evacuated; e.mu must be held.
-func (e *Engine) applyEvacuations(list []kqcontract.Evacuation, targets []kqtargets.Target, now time.Time) {
+// recentEnd is how long after the end of an evacuation a host that starts still takes the
+// targets of the failure domain for cold: longer than targets stay cold, plus the difference
+// between the clocks of two hosts.
+const recentEnd = 30 * time.Second
+
+// applyEvacuations records and logs which failure domains are evacuated, and returns those
+// whose evacuation has just ended; e.mu must be held.
+func (e *Engine) applyEvacuations(list []kqcontract.Evacuation, targets []kqtargets.Target, now time.Time) (ended []string) {
 	for _, c := range list {
 		old := e.evacuations[c.Domain]
 		if old.revision == c.Revision {
@@ -38,6 +44,9 @@
 			}
 		}
 		e.evacuations[c.Domain] = next
+		if !c.On && now.Sub(next.end) < recentEnd {
+			ended = append(ended, c.Domain)
+		}
 		if !c.On && e.routing.Load() == nil {
 			continue
 		}
@@ -56,6 +65,7 @@
 		}
 		e.cfg.Log.Info().Str("domain", c.Domain).Uint64("revision", c.Revision).Int("targets", n).Int("inflight", inFlight).Msg(text)
 	}
+	return ended
 }
 
 // recordEvacuation records on the target whether its failure domain is evacuated; e.mu must
@@ -83,4 +93,5 @@
 // barredCounters are the names of the counters of sends given up for each reason.
 var barredCounters = map[kqselection.Barred]string{
 	kqselection.Draining: "draining", kqselection.Leaving: "leaving", kqselection.Quiet: "quiet", kqselection.Evacuated: "evacuated",
+	kqselection.Cold: "cold",
 }
--- a/internal/call/kqproxy/routing.go
+++ b/internal/call/kqproxy/routing.go
@@ -36,7 +36,8 @@
 		e.cfg.Log.Info().Uint64("revision", revision).Uint64("routes", doc.Version).Msg("routes: in force")
 	}
 	e.doc = doc
-	e.applyEvacuations(evacuations, targets, now)
+	ended := e.applyEvacuations(evacuations, targets, now)
+	e.setColdServices(doc, now)
 	targetsByID := map[string]*kqselection.Target{}
 	for _, t := range targets {
 		k := e.knownTargets[t.ID]
@@ -47,8 +48,11 @@
 			}
 			if old != nil && old.Boot == t.Boot {
 				k.Succeed(old)
+			} else if old != nil {
+				k.SucceedRestarted(old)
 			}
 		}
+		e.applyCold(k, &t, now)
 		e.recordDraining(k, t.State != kqtargets.Ready, revision, now)
 		e.recordEvacuation(k)
 		k.Saturation = e.chooser(t.Service).Saturation
@@ -65,6 +69,9 @@
 	if e.routing.Swap(next) == nil {
 		close(e.firstRoutes)
 	}
+	for _, domain := range ended {
+		e.assumeCold(domain, e.evacuations[domain].end)
+	}
 }
 
 // recordDraining records and logs whether the target drains; e.mu must be held.
