Requests: keys of owners, withdrawal and region restrictions

Callers of a document with owners must present a key: the new stage authorize finds the owner by the key's digest, sets its priority and the name field for the target, and refuses with 401, or 503 if the last confirmation by a control host is more than 2 s old. Queued requests whose key is withdrawn leave the queue when the document takes effect; the key and the regions are checked again before the first byte.

The age counts from the subscription or a confirmation. A confirmation is at most 500 ms newer than the one before, as a host that was frozen receives those of the freeze at once, before the changes behind them.

--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -72,17 +72,25 @@
 var errBarred = errors.New("target is barred")
 
 // checkBarred returns errBarred if this host knows that the target must get nothing now,
-// if the host began to shut down meanwhile and might not answer the request any more, or if
-// the caller closed its side.
+// if the request's key was withdrawn, if its regions exclude the target, if the host began to
+// shut down meanwhile and might not answer the request any more, or if the caller closed its
+// side.
 func (p *proxiedRequest) checkBarred(t *kqselection.Target) error {
 	e := p.engine
 	if !e.shutdown.Takes(p.deadline) {
 		return errors.Wrap(errBarred, causeShutdown)
 	}
+	if p.withdrawn(e.routing.Load().table) {
+		return errors.Wrap(errBarred, causeKeyWithdrawn)
+	}
+	allows := p.allows()
 	now := e.cfg.Clock.Now()
 	e.mu.Lock()
 	reason, since := t.Barred(now), t.DrainingSince
 	e.mu.Unlock()
+	if reason == kqselection.NotBarred && allows != nil && !allows(t) {
+		reason = wrongRegion
+	}
 	if reason == kqselection.NotBarred {
 		if !p.caller.passOn(p.route.Kind.Repeatable()) {
 			return errors.Wrap(errBarred, causeCallerClosed)
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -31,6 +31,11 @@
 	Limits      Limits
 	LinkRate    float64 // bytes a second that the host's link carries; 0: unknown
 	Memory      int64   // bytes that the process may use; 0: unknown
+
+	// StateAge returns the time since a control host last confirmed that the routes in force
+	// here are the newest; nil: they always are.
+	StateAge func() time.Duration
+	Domains  map[string]string // region of each failure domain
 }
 
 // Limits are the limits that all entry hosts share.
@@ -66,6 +71,7 @@
 	serviceTimes    map[string]*kqselection.ServiceTime // by route name
 	shortestProbes  map[string]time.Duration            // by failure domain: the shortest time to the answer of a probe
 	longestTimeouts map[string]time.Duration            // by route name: the longest timeout of a caller so far
+	queued          map[*proxiedRequest]queuedRequest   // that a new document may end
 
 	runningMu sync.Mutex
 	running   map[*proxiedRequest]struct{} // requests in flight
@@ -74,11 +80,12 @@
 // engineMetrics are the engine's published metrics.
 type engineMetrics struct {
 	requests, answered, refused, failed, retries, probes, failedProbes metrics.Counter
-	cut                                                                metrics.Counter // requests in flight when the host ended
-	barred                                                             metrics.Counter // sends given up because the target was barred after it was chosen
-	uninformed                                                         metrics.Counter // sends without a load report in time
-	foreign                                                            metrics.Counter // responses to other requests that were skipped
-	leaving, quiet, oddQuiet                                           metrics.Counter // targets that said they shut down, or asked for quiet, or for a time not understood
+	cut                                                                metrics.Counter            // requests in flight when the host ended
+	barred                                                             metrics.Counter            // sends given up because the target was barred after it was chosen
+	uninformed                                                         metrics.Counter            // sends without a load report in time
+	foreign                                                            metrics.Counter            // responses to other requests that were skipped
+	leaving, quiet, oddQuiet                                           metrics.Counter            // targets that said they shut down, or asked for quiet, or for a time not understood
+	key                                                                map[string]metrics.Counter // requests refused for their key, by cause
 	latency, probeTime                                                 metrics.Timer
 	firstByte                                                          metrics.Timer // from the choice of a target to the first byte
 }
@@ -91,13 +98,14 @@
 		cfg: cfg, pacer: pacer, pool: kqtransport.NewPool(kqtransport.Config{Pacer: pacer}), shortestProbes: map[string]time.Duration{}, readAheads: newReadAheadPool(), bodies: kqbody.NewMemory(kqbody.Share(cfg.Memory)), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{},
 		retryBudgets: map[string]*kqselection.RetryBudget{},
 		choosers:     map[string]*chooser{}, serviceTimes: map[string]*kqselection.ServiceTime{}, longestTimeouts: map[string]time.Duration{},
-		running: map[*proxiedRequest]struct{}{},
+		running: map[*proxiedRequest]struct{}{}, queued: map[*proxiedRequest]queuedRequest{},
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("routes."+name, cfg.Metrics) }
 	e.metrics = engineMetrics{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"), failed: counter("failed"),
 		retries: counter("second"), probes: counter("questions"), failedProbes: counter("unanswered"),
 		cut: counter("cut"), barred: counter("barred"), foreign: counter("foreign"), uninformed: counter("uninformed"), leaving: counter("leaving"), quiet: counter("quiet"), oddQuiet: counter("oddquiet"),
+		key:       newKeyCounters(counter),
 		latency:   metrics.GetOrRegisterTimer("routes.latency", cfg.Metrics),
 		firstByte: metrics.GetOrRegisterTimer("routes.firstbyte", cfg.Metrics),
 		probeTime: metrics.GetOrRegisterTimer("routes.asking", cfg.Metrics),
--- a/internal/call/kqproxy/probe.go
+++ b/internal/call/kqproxy/probe.go
@@ -36,15 +36,15 @@
 	return e.probeAllowance.Take()
 }
 
-// probeCandidates probes up to n of the targets that are ready now and were not tried.
+// probeCandidates probes up to n of the targets that are ready now, allowed and not tried.
 // It returns the targets worth a send, and which of them reported their load just now.
 // If none answers within probeWait, it waits for the first answer, up to firstReplyWait
 // in all.
-func (e *Engine) probeCandidates(ctx context.Context, table *kqroutes.Table, service string, tried []*kqselection.Target, n int, firstReplyWait time.Duration) (list []*kqselection.Target, result probeResult) {
+func (e *Engine) probeCandidates(ctx context.Context, table *kqroutes.Table, service string, tried []*kqselection.Target, allows func(*kqselection.Target) bool, n int, firstReplyWait time.Duration) (list []*kqselection.Target, result probeResult) {
 	started := e.cfg.Clock.Now()
 	var toProbe []*kqselection.Target
 	e.mu.Lock()
-	list, toProbe, result.fresh = e.chooser(service).PlanProbes(e.routing.Load().untried(service, tried), n, started, func() bool { return e.takeProbe(started) })
+	list, toProbe, result.fresh = e.chooser(service).PlanProbes(e.routing.Load().untried(service, tried, allows), n, started, func() bool { return e.takeProbe(started) })
 	e.mu.Unlock()
 	result.probed = len(toProbe)
 	for _, t := range e.probeAll(ctx, table, service, toProbe, firstReplyWait) {
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -44,7 +44,12 @@
 func (p *proxiedRequest) choose(ctx context.Context, tried []*kqselection.Target) (c choice, cause string) {
 	e := p.engine
 	started := e.cfg.Clock.Now()
-	if p.quietUntil = e.quietEnd(p.service, started); !p.quietUntil.IsZero() {
+	allows := p.allows()
+	list := e.routing.Load().untried(p.service, nil, allows)
+	if allows != nil && len(list) == 0 {
+		return c, causeNoRegion
+	}
+	if p.quietUntil = e.quietEnd(list, started); !p.quietUntil.IsZero() {
 		return c, causeQuiet
 	}
 	e.mu.Lock()
@@ -53,7 +58,7 @@
 	maxProbes := kqselection.ProbeCount(e.probeAllowance.Level())
 	e.mu.Unlock()
 	if c.queueLen == 0 {
-		list, result := e.probeCandidates(ctx, p.routing.table, p.service, tried, maxProbes, p.route.Objective/firstReplyDivisor)
+		list, result := e.probeCandidates(ctx, p.routing.table, p.service, tried, allows, maxProbes, p.route.Objective/firstReplyDivisor)
 		c.probeResult = result
 		if len(list) == 0 {
 			return c, "no target"
@@ -68,11 +73,11 @@
 			return c, ""
 		}
 	}
-	t, cause := p.waitInQueue(ctx, ch)
+	t, cause := p.waitInQueue(ctx, ch, allows)
 	now := e.cfg.Clock.Now()
 	c.waited = now.Sub(started)
 	if t == nil {
-		p.quietUntil = e.quietEnd(p.service, now)
+		p.quietUntil = e.quietEnd(e.routing.Load().untried(p.service, nil, allows), now)
 	}
 	if t != nil {
 		e.mu.Lock()
@@ -85,12 +90,12 @@
 // causeQuiet says why a request is refused while all targets of its service ask for quiet.
 const causeQuiet = "all targets asked for quiet"
 
-// quietEnd returns when the first target of the service may get requests again if all of
-// them are barred for a time that is not worth waiting for, and otherwise the zero time.
-func (e *Engine) quietEnd(service string, now time.Time) time.Time {
+// quietEnd returns when the first of the targets may get requests again if all of them are
+// barred for a time that is not worth waiting for, and otherwise the zero time.
+func (e *Engine) quietEnd(list []*kqselection.Target, now time.Time) time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	end, ok := kqselection.QuietEnd(e.routing.Load().targets[service], now)
+	end, ok := kqselection.QuietEnd(list, now)
 	if !ok || end.Sub(now) < minRetryDelay {
 		return time.Time{}
 	}
@@ -105,48 +110,73 @@
 
 // waitInQueue queues the request and returns the target that it was assigned, or nil
 // and the cause.
-func (p *proxiedRequest) waitInQueue(ctx context.Context, ch *chooser) (*kqselection.Target, string) {
+func (p *proxiedRequest) waitInQueue(ctx context.Context, ch *chooser, allows func(*kqselection.Target) bool) (*kqselection.Target, string) {
 	e := p.engine
 	now := e.cfg.Clock.Now()
 	assigned := make(chan *kqselection.Target, 1)
-	w := &kqselection.Waiter{Priority: p.priority, Assign: func(t *kqselection.Target) { assigned <- t }}
+	w := &kqselection.Waiter{Priority: p.priority, Allows: allows, Assign: func(t *kqselection.Target) { assigned <- t }}
 	e.mu.Lock()
 	w.StartBy, w.GiveUpAt = p.waitLimits(now)
+	if p.withdrawn(e.routing.Load().table) {
+		e.mu.Unlock()
+		return nil, causeKeyWithdrawn
+	}
 	if !ch.Queue.Enqueue(w, now) {
 		e.mu.Unlock()
 		return nil, "no room in time"
 	}
+	var ended chan string // nil: no new document ends the wait
+	if p.owner != nil || allows != nil {
+		ended = make(chan string, 1)
+		e.queued[p] = queuedRequest{ch, w, ended}
+	}
 	if !ch.searching {
 		ch.searching = true
 		go e.serveQueue(p.service, ch)
 	}
 	e.mu.Unlock()
+	if ended != nil {
+		defer func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			delete(e.queued, p)
+		}()
+	}
 	timer := time.NewTimer(w.GiveUpAt.Sub(now))
 	defer timer.Stop()
 	select {
 	case t := <-assigned:
 		return assignment(t)
+	case cause := <-ended:
+		return nil, cause
 	case <-ctx.Done():
 	case <-timer.C:
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	if ch.Queue.Remove(w) {
-		return p.pickUninformed(ctx, ch)
+	removed := ch.Queue.Remove(w)
+	if removed {
+		defer e.mu.Unlock()
+		return p.pickUninformed(ctx, ch, allows)
+	}
+	e.mu.Unlock()
+	select { // what happened just before the request could leave the queue
+	case t := <-assigned:
+		return assignment(t)
+	case cause := <-ended:
+		return nil, cause
 	}
-	return assignment(<-assigned) // assigned just before the request could leave the queue
 }
 
 // pickUninformed returns a target for a request that has waited as long as it can, if that
 // was only because no probe was answered in time, as when the host's link is busy. e.mu
 // must be held.
-func (p *proxiedRequest) pickUninformed(ctx context.Context, ch *chooser) (*kqselection.Target, string) {
+func (p *proxiedRequest) pickUninformed(ctx context.Context, ch *chooser, allows func(*kqselection.Target) bool) (*kqselection.Target, string) {
 	e := p.engine
 	now := e.cfg.Clock.Now()
 	if ctx.Err() != nil || now.Sub(ch.informedAt) <= maxUninformed {
 		return nil, "no room in time"
 	}
-	t := ch.PickUninformed(e.routing.Load().targets[p.service], now)
+	t := ch.PickUninformed(e.routing.Load().untried(p.service, nil, allows), now)
 	if t == nil {
 		return nil, "no room in time"
 	}
@@ -193,14 +223,15 @@
 			e.mu.Unlock()
 			return
 		}
+		wanted := ch.Queue.Wanted()
 		e.mu.Unlock()
-		if !e.quietEnd(service, e.cfg.Clock.Now()).IsZero() {
+		if !e.quietEnd(e.routing.Load().targets[service], e.cfg.Clock.Now()).IsZero() {
 			e.mu.Lock()
 			ch.Queue.Clear()
 			e.mu.Unlock()
 			continue
 		}
-		list, result := e.probeCandidates(ctx, e.routing.Load().table, service, nil, kqselection.QueueProbeCount(n), 0)
+		list, result := e.probeCandidates(ctx, e.routing.Load().table, service, nil, wanted, kqselection.QueueProbeCount(n), 0)
 		e.mu.Lock()
 		ch.AssignQueued(list, result.fresh, e.cfg.Clock.Now())
 		e.mu.Unlock()
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -25,14 +25,16 @@
 	requestProgress
 }
 
-// requestSpec says what the request is. It is set once, by classify.
+// requestSpec says what the request is. It is set once, by classify and authorize.
 type requestSpec struct {
 	id       string
 	started  time.Time
 	routing  *routingState // in force when the request arrived; targets are chosen from the current one
 	route    *kqroutes.Route
 	service  string
-	priority int         // 0 is the highest
+	priority int             // 0 is the highest
+	owner    *kqroutes.Owner // that has the key, nil if the request needs none
+	key      kqroutes.KeyDigest
 	deadline time.Time   // when the caller's or the route's timeout ends, whichever is earlier
 	firstTry time.Time   // estimated time of the caller's first try
 	header   http.Header // fields that the target gets
@@ -66,6 +68,10 @@
 		p.refuse(r.status, r.cause, r.retryAfter)
 		return
 	}
+	if r := p.authorize(); r != nil {
+		p.refuse(r.status, r.cause, r.retryAfter)
+		return
+	}
 	if !p.engine.shutdown.Takes(p.deadline) {
 		p.refuseForShutdown()
 		return
--- a/internal/call/kqproxy/response.go
+++ b/internal/call/kqproxy/response.go
@@ -155,6 +155,9 @@
 	if p.routing != nil {
 		l.Uint64("revision", p.routing.revision).Uint64("routes", p.routing.table.Version)
 	}
+	if p.owner != nil {
+		l.Str("owner", p.owner.Name)
+	}
 	if p.route != nil {
 		c := &p.chosen
 		l.Str("route", p.route.Name).Str("service", p.service).Int64("left", p.deadline.Sub(now).Milliseconds()).
--- a/internal/call/kqproxy/routing.go
+++ b/internal/call/kqproxy/routing.go
@@ -62,6 +62,7 @@
 	if e.routing.Swap(next) == nil {
 		close(e.firstRoutes)
 	}
+	e.endQueued(next)
 }
 
 // recordDraining records and logs whether the target drains; e.mu must be held.
@@ -88,13 +89,16 @@
 	}
 }
 
-// untried returns the ready targets of the service that are not in tried.
-func (s *routingState) untried(name string, tried []*kqselection.Target) []*kqselection.Target {
+// untried returns the ready targets of the service that are allowed and not in tried. A
+// nil allows allows all.
+func (s *routingState) untried(name string, tried []*kqselection.Target, allows func(*kqselection.Target) bool) []*kqselection.Target {
 	list := s.targets[name]
-	if len(tried) == 0 {
+	if len(tried) == 0 && allows == nil {
 		return list
 	}
-	return slices.DeleteFunc(slices.Clone(list), func(t *kqselection.Target) bool { return slices.Contains(tried, t) })
+	return slices.DeleteFunc(slices.Clone(list), func(t *kqselection.Target) bool {
+		return slices.Contains(tried, t) || allows != nil && !allows(t)
+	})
 }
 
 // maxConns returns how many connections this host may open to one target of the
--- a/internal/call/kqproxy/send.go
+++ b/internal/call/kqproxy/send.go
@@ -32,6 +32,10 @@
 	mayHaveRun, unreachable := false, 0
 	last := outcome{cause: "no target"}
 	for {
+		if p.withdrawn(p.engine.routing.Load().table) {
+			last.cause = causeKeyWithdrawn
+			break
+		}
 		if p.sends > 0 && !p.beginRetry(mayHaveRun) {
 			break
 		}
@@ -46,7 +50,7 @@
 		p.chosen, cause = p.choose(ctx, tried)
 		t := p.chosen.Target
 		if t == nil {
-			if p.sends == 0 && unreachable == 0 || cause == causeQuiet {
+			if p.sends == 0 && unreachable == 0 || cause == causeQuiet || cause == causeNoRegion {
 				last.cause = cause
 			}
 			break
@@ -91,6 +95,11 @@
 		p.answerClosed(mayHaveRun, last.cause)
 		return
 	}
+	if !mayHaveRun && p.withdrawn(p.engine.routing.Load().table) {
+		r := p.refuseKey(causeKeyWithdrawn)
+		p.refuse(r.status, r.cause, r.retryAfter)
+		return
+	}
 	timedOut := ctx.Err() != nil || time.Until(p.deadline) < minTimeLeft
 	switch {
 	case !mayHaveRun:
--- /dev/null
+++ b/internal/route/kqselection/allow.go
@@ -0,0 +1,46 @@
+package kqselection
+
+import (
+	"slices"
+	"time"
+)
+
+// allows reports whether the request may be sent to the target.
+func (w *Waiter) allows(t *Target) bool { return w.Allows == nil || w.Allows(t) }
+
+// Wanted returns a function that reports whether a queued request may be sent to a target,
+// nil if one of them may be sent to all. The lock that guards the queue must be held when
+// it is called.
+func (q *Queue) Wanted() func(*Target) bool {
+	if len(q.waiters) == 0 || slices.ContainsFunc(q.waiters, func(w *Waiter) bool { return w.Allows == nil }) {
+		return nil
+	}
+	return func(t *Target) bool {
+		return slices.ContainsFunc(q.waiters, func(w *Waiter) bool { return w.allows(t) })
+	}
+}
+
+// wantedOf returns the targets of the list that a queued request may be sent to.
+func (q *Queue) wantedOf(list []*Target) []*Target {
+	wanted := q.Wanted()
+	if wanted == nil {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(t *Target) bool { return !wanted(t) })
+}
+
+// DequeueFor removes and returns the request that starts next on the target, nil if none
+// may be sent to it.
+func (q *Queue) DequeueFor(t *Target, now time.Time) *Waiter {
+	if !slices.ContainsFunc(q.waiters, func(w *Waiter) bool { return w.Allows != nil }) {
+		return q.Dequeue(now)
+	}
+	all := q.waiters
+	q.waiters = slices.DeleteFunc(slices.Clone(all), func(w *Waiter) bool { return !w.allows(t) })
+	w := q.Dequeue(now)
+	q.waiters = all
+	if w != nil {
+		q.Remove(w)
+	}
+	return w
+}
--- a/internal/route/kqselection/queue.go
+++ b/internal/route/kqselection/queue.go
@@ -69,10 +69,11 @@
 
 // Waiter is one queued request.
 type Waiter struct {
-	Priority int           // 0 is the most urgent
-	StartBy  time.Time     // latest start for an answer in time
-	GiveUpAt time.Time     // when it leaves the queue without a target
-	Assign   func(*Target) // called once with the target, or with nil to give up
+	Priority int                // 0 is the most urgent
+	StartBy  time.Time          // latest start for an answer in time
+	GiveUpAt time.Time          // when it leaves the queue without a target
+	Assign   func(*Target)      // called once with the target, or with nil to give up
+	Allows   func(*Target) bool // reports whether it may be sent to the target; nil: to all
 	seq      uint64
 }
 
--- a/internal/route/kqselection/selector.go
+++ b/internal/route/kqselection/selector.go
@@ -111,11 +111,11 @@
 // headroom.
 func (s *Selector) AssignQueued(list []*Target, fresh map[*Target]bool, now time.Time) {
 	for s.Queue.Len() > 0 {
-		t := s.Pick(list, fresh, now)
+		t := s.Pick(s.Queue.wantedOf(list), fresh, now)
 		if t == nil {
 			return
 		}
-		s.Queue.Dequeue(now).Assign(t)
+		s.Queue.DequeueFor(t, now).Assign(t)
 	}
 }
 
@@ -123,8 +123,12 @@
 // until its headroom is used up.
 func (s *Selector) AssignHeadroom(t *Target, now time.Time) {
 	for s.Queue.Len() > 0 && t.Headroom(now, true) > 0 {
+		w := s.Queue.DequeueFor(t, now)
+		if w == nil {
+			return
+		}
 		s.recordSend(t, now)
-		s.Queue.Dequeue(now).Assign(t)
+		w.Assign(t)
 	}
 }
 
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -117,6 +117,7 @@
 	shared := d.settings.Shared
 	d.proxy = kqproxy.New(kqproxy.Config{
 		HeaderNames: d.opts.API.HeaderNames, Host: d.settings.Host, Domain: d.settings.Domain, Clock: kqclock.System{}, Rand: newRand(), Log: d.log.Component("request"),
+		StateAge: func() time.Duration { return d.follower.StateAge() }, Domains: d.settings.Domains,
 		Metrics: d.metrics, LinkRate: d.settings.LinkRate(), Memory: int64(d.settings.Memory), Hosts: func() int { return max(len(d.follower.Listeners()), 1) },
 		Limits: kqproxy.Limits{
 			RetryRatio: shared.RetryRatio, RetrySlack: shared.RetrySlack,
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -73,6 +73,8 @@
 	newHost          bool // this host's name was in no host list before
 	leaseExpired     bool // whether the lease had expired when its state was last logged
 	lastHeard        time.Time
+	subscribedAt     time.Time // when the last subscription that was answered began
+	currentAt        time.Time // when the view in force was known to be the newest one, zero: never
 }
 
 // NewFollower returns a Follower; Run starts it.
@@ -360,4 +362,5 @@
 	}
 	f.lastHeard = f.cfg.Clock.Now()
 	f.lease.confirm(f.lastHeard)
+	f.recordCurrent(f.lastHeard)
 }
--- a/internal/state/kqfeed/subscribe.go
+++ b/internal/state/kqfeed/subscribe.go
@@ -26,7 +26,7 @@
 	defer f.mu.Unlock()
 	f.lease.confirm(startedAt)
 	f.lastHeard = f.cfg.Clock.Now()
-	f.subscribed = true
+	f.subscribed, f.subscribedAt = true, startedAt
 	if len(reply.Listeners) > 0 {
 		f.listeners.Store(&reply.Listeners) // a hub that knows none yet sends them later
 	}
@@ -36,6 +36,7 @@
 	}
 	f.newHost = f.newHost || reply.New
 	f.applyReply(reply)
+	f.recordSubscribed()
 	return true
 }
 
@@ -111,6 +112,7 @@
 	case peer != f.hub:
 	case f.awaitedRevision != nil && v.Revision >= *f.awaitedRevision:
 		f.startFrom(v)
+		f.recordSubscribed()
 	case !f.subscribed:
 		f.earlyView = v
 	}
