Operators: kumquat owners lists owners, limits and usage, without keys

An entry host counts the requests of each owner that were answered, failed or refused, by cause, and those refused for their key. A delta that removes the last owner gives a document equal to one without owners.

--- a/internal/admin/kqadmin/server.go
+++ b/internal/admin/kqadmin/server.go
@@ -10,6 +10,7 @@
 	kq "kumquatglade"
 	"kumquatglade/internal/call/kqaccount"
 	"kumquatglade/internal/call/kqbody"
+	"kumquatglade/internal/call/kqproxy"
 	"kumquatglade/internal/host/kqevent"
 	"kumquatglade/internal/route/kqdirectory"
 	"kumquatglade/internal/state/kqcontract"
@@ -37,6 +38,7 @@
 	Status      func() Status
 	Targets     func() []kqdirectory.Record  // nil on a host without the role entry
 	Account     func(string) []kqaccount.Row // nil on a host without the role entry
+	Owners      func() kqproxy.OwnersUsage   // nil on a host that serves no routes
 	Health      func() bool                  // whether callers and targets may use this host
 	Hosts       func() []string              // all hosts to gather from
 }
@@ -84,6 +86,7 @@
 	g.PUT("/routes", s.putRoutes, bodies.Middleware(kqroutes.MaxDocument, bodyTimeout))
 	g.GET("/routes", s.getRoutes)
 	g.GET("/routes/history", s.routesHistory)
+	g.GET("/owners", s.owners)
 	g.GET("/hosts", s.getHosts)
 	g.PUT("/hosts", s.putHosts, small)
 	g.GET("/status", s.status)
--- a/internal/admin/kqcommand/command.go
+++ b/internal/admin/kqcommand/command.go
@@ -58,6 +58,7 @@
 	p.Bool(&a.json, "j", "json", "print the answer as JSON")
 	a.addContract()
 	a.addRoutes()
+	a.addOwners()
 	a.addHosts()
 	a.addInspect()
 	return a
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -73,6 +73,9 @@
 	longestTimeouts map[string]time.Duration            // by route name: the longest timeout of a caller so far
 	queued          map[*proxiedRequest]queuedRequest   // that a new document may end
 
+	usageMu sync.Mutex
+	usage   map[string]*ownerCounts // by owner
+
 	runningMu sync.Mutex
 	running   map[*proxiedRequest]struct{} // requests in flight
 }
@@ -98,7 +101,7 @@
 		cfg: cfg, pacer: pacer, pool: kqtransport.NewPool(kqtransport.Config{Pacer: pacer}), shortestProbes: map[string]time.Duration{}, readAheads: newReadAheadPool(), bodies: kqbody.NewMemory(kqbody.Share(cfg.Memory)), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{},
 		retryBudgets: map[string]*kqselection.RetryBudget{},
 		choosers:     map[string]*chooser{}, serviceTimes: map[string]*kqselection.ServiceTime{}, longestTimeouts: map[string]time.Duration{},
-		running: map[*proxiedRequest]struct{}{}, queued: map[*proxiedRequest]queuedRequest{},
+		running: map[*proxiedRequest]struct{}{}, queued: map[*proxiedRequest]queuedRequest{}, usage: map[string]*ownerCounts{},
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("routes."+name, cfg.Metrics) }
 	e.metrics = engineMetrics{
--- a/internal/call/kqproxy/response.go
+++ b/internal/call/kqproxy/response.go
@@ -144,8 +144,9 @@
 	_, _ = p.w.Write([]byte(body)) // the caller may have disconnected
 }
 
-// logOutcome logs how the request ended and why.
+// logOutcome logs and counts how the request ended and why.
 func (p *proxiedRequest) logOutcome(outcome string, status int, cause string) {
+	p.recordUsage(outcome, status, cause)
 	l := p.engine.cfg.Log.Info()
 	if l == nil {
 		return
--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -257,6 +257,9 @@
 		cfg.Targets = d.targets.All
 		cfg.Account = d.engine.Accounts().Rows
 	}
+	if d.proxy != nil {
+		cfg.Owners = d.proxy.Owners
+	}
 	d.admin = kqadmin.NewServer(cfg)
 }
 
--- a/internal/state/kqroutes/delta.go
+++ b/internal/state/kqroutes/delta.go
@@ -110,6 +110,9 @@
 	}
 	list := slices.DeleteFunc(slices.Clone(old), func(o Owner) bool { return replaced[o.Name] })
 	list = append(list, d.SetOwners...)
+	if len(list) == 0 {
+		return nil // as in a document that never had owners
+	}
 	slices.SortFunc(list, func(a, b Owner) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
