Routes document: tests of owners in both interfaces; an error never shows a key

The validation that owner names are unique printed the owners with their keys in its error. Document.Validate refuses the same document without them.

--- a/internal/call/kqproxy/usage_test.go
+++ b/internal/call/kqproxy/usage_test.go
@@ -32,7 +32,8 @@
 	want := OwnersUsage{
 		Host: "h1", Version: 2, Refused: map[string]uint64{"missing": 0, "malformed": 1, "unknown": 1, "withdrawn": 0, "stale": 0},
 		Owners: []OwnerUsage{
-			{Name: "a", Keys: 1, Answered: 2, Refused: map[string]uint64{}}, {Name: "b", Keys: 1},
+			{Name: "a", Keys: 1, Answered: 2, Refused: map[string]uint64{}},
+			{Name: "b", Keys: 1},
 			{Name: "c", Keys: 1, Regions: []string{"nowhere"}, Refused: map[string]uint64{"region": 1}},
 		},
 	}
--- a/internal/state/kqroutes/parse.go
+++ b/internal/state/kqroutes/parse.go
@@ -14,7 +14,7 @@
 	Services []service `json:"services" validate:"required,min=1,unique=Name,dive"`
 	Limits   limits    `json:"limits"`
 	Hosts    []host    `json:"hosts" validate:"unique=Name,dive"`
-	Owners   []owner   `json:"owners" validate:"unique=Name,dive"`
+	Owners   []owner   `json:"owners" validate:"dive"` // not unique=Name: its error would show the keys; Validate checks the names
 }
 
 type owner struct {
