--- a/internal/admin/kqcommand/command.go
+++ b/internal/admin/kqcommand/command.go
@@ -18,6 +18,10 @@
 	ExitRefused = 1
 	ExitUsage   = 2
 	ExitUnknown = 3 // outcome unknown: safe to repeat the same command
+
+	// ExitWarnings is the code of a check that finds a document valid and has warnings. A
+	// check changes nothing, so that its outcome is never unknown.
+	ExitWarnings = 3
 )
 
 // Environment variables that give the defaults of flags.
@@ -44,6 +48,7 @@
 	version     uint64
 	wait        string
 	filter      eventFilter
+	against     checkFlags
 }
 
 // New returns the App that prints to out.
@@ -113,6 +118,8 @@
 		return ExitUsage
 	case errors.Is(err, kqclient.ErrUnknown):
 		return ExitUnknown
+	case errors.Is(err, errWarnings):
+		return ExitWarnings
 	}
 	return ExitRefused
 }
--- a/internal/admin/kqcommand/routes.go
+++ b/internal/admin/kqcommand/routes.go
@@ -25,8 +25,7 @@
 	apply.AddPositionalValue(&a.file, "file", 1, true, "routes document")
 	a.addCommand(g, "get", "print the routes in force", a.getRoutes)
 	a.addCommand(g, "history", "list the versions that were in force", a.routesHistory)
-	check := a.addCommand(g, "check", "validate a routes file, without a server", a.checkRoutes)
-	check.AddPositionalValue(&a.file, "file", 1, true, "routes document")
+	a.addCheck(g)
 }
 
 func (a *App) readRoutes() ([]byte, *kqroutes.Document, error) {
@@ -80,12 +79,3 @@
 	}
 	return t.flush()
 }
-
-func (a *App) checkRoutes(context.Context) error {
-	_, doc, err := a.readRoutes()
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(a.out, "%s: version %d is valid\n", a.file, doc.Version)
-	return nil
-}
--- a/internal/call/kqproxy/usage.go
+++ b/internal/call/kqproxy/usage.go
@@ -19,8 +19,8 @@
 	Keys     int               `json:"keys"`               // number of keys
 	Regions  []string          `json:"regions,omitempty"`
 	Answered uint64            `json:"answered"`          // requests with a target's response
-	Failed   uint64            `json:"failed"`            // requests that may have run, without a response
-	Refused  map[string]uint64 `json:"refused,omitempty"` // requests that did not run, by cause
+	Failed   uint64            `json:"failed"`            // requests without a response, or with one that broke off
+	Refused  map[string]uint64 `json:"refused,omitempty"` // requests that were refused and did not run, by cause
 }
 
 // OwnersUsage is the usage of all owners on one host.
--- a/internal/state/kqcheck/check.go
+++ b/internal/state/kqcheck/check.go
@@ -146,11 +146,21 @@
 	}
 	var typeErr *json.UnmarshalTypeError
 	if errors.As(err, &typeErr) {
-		return errors.Newf("key %s: value is a %s: allowed: %s", typeErr.Field, typeErr.Value, typeErr.Type)
+		return &typeError{typeErr}
 	}
 	return err
 }
 
+// typeError is a decoding error in the words of this package. It wraps the original, which
+// has the offset.
+type typeError struct{ cause *json.UnmarshalTypeError }
+
+func (e *typeError) Error() string {
+	return fmt.Sprintf("key %s: value is a %s: allowed: %s", e.cause.Field, e.cause.Value, e.cause.Type)
+}
+
+func (e *typeError) Unwrap() error { return e.cause }
+
 // Struct validates v by its struct tags. The error names the first key with an invalid
 // value.
 func Struct(v any) error {
