--- a/internal/call/kqproxy/cold.go
+++ b/internal/call/kqproxy/cold.go
@@ -171,22 +171,22 @@
 	}
 }
 
-// allCold reports whether all targets of the service that were not tried are barred, and at
-// least one of them as cold.
-func (e *Engine) allCold(service string, tried []*kqselection.Target, now time.Time) bool {
+// allCold reports whether all targets of the service that are allowed and were not tried are
+// barred, and at least one of them as cold.
+func (e *Engine) allCold(service string, tried []*kqselection.Target, allows func(*kqselection.Target) bool, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if _, ok := e.cold.paces[service]; !ok {
 		return false
 	}
-	_, ok := kqselection.ColdEnd(e.routing.Load().untried(service, tried), now)
+	_, ok := kqselection.ColdEnd(e.routing.Load().untried(service, tried, allows), now)
 	return ok
 }
 
-// coldForTooLong reports, and counts, whether all targets that were not tried are barred, at
-// least one of them as cold, and this host may send to none of them before the request must
+// coldForTooLong reports, and counts, whether all targets that are allowed and were not tried
+// are barred, at least one of them as cold, and this host may send to none of them before the request must
 // start.
-func (p *proxiedRequest) coldForTooLong(tried []*kqselection.Target, now time.Time) bool {
+func (p *proxiedRequest) coldForTooLong(tried []*kqselection.Target, allows func(*kqselection.Target) bool, now time.Time) bool {
 	e := p.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -194,7 +194,7 @@
 		return false
 	}
 	e.refreshEntries(now)
-	end, ok := kqselection.ColdEnd(e.routing.Load().untried(p.service, tried), now)
+	end, ok := kqselection.ColdEnd(e.routing.Load().untried(p.service, tried, allows), now)
 	if !ok {
 		return false
 	}
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -34,6 +34,10 @@
 
 	// Entries returns the list of entry hosts; nil if this is the only one.
 	Entries func() Entries
+	// StateAge returns the time since a control host last confirmed that the routes in force
+	// here are the newest; nil: they always are.
+	StateAge func() time.Duration
+	Domains  map[string]string // region of each failure domain
 }
 
 // Limits are the limits that all entry hosts share.
@@ -73,6 +77,10 @@
 	shortestProbes  map[string]time.Duration            // by failure domain: the shortest time to the answer of a probe
 	longestTimeouts map[string]time.Duration            // by route name: the longest timeout of a caller so far
 	cold            coldTargets
+	queued          map[*proxiedRequest]queuedRequest // that a new document may end
+
+	usageMu sync.Mutex
+	usage   map[string]*ownerCounts // by owner
 
 	runningMu sync.Mutex
 	running   map[*proxiedRequest]struct{} // requests in flight
@@ -92,6 +100,7 @@
 
 	barredBy  map[kqselection.Barred]metrics.Counter // sends given up by reason
 	evacuated metrics.Counter                        // requests refused because all targets are evacuated
+	key       map[string]metrics.Counter             // requests refused for their key, by cause
 }
 
 // New returns an Engine that refuses all requests until Apply is called.
@@ -102,7 +111,7 @@
 		cfg: cfg, pacer: pacer, pool: kqtransport.NewPool(kqtransport.Config{Pacer: pacer}), shortestProbes: map[string]time.Duration{}, readAheads: newReadAheadPool(), bodies: kqbody.NewMemory(kqbody.Share(cfg.Memory)), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{}, evacuations: map[string]evacuation{},
 		retryBudgets: map[string]*kqselection.RetryBudget{},
 		choosers:     map[string]*chooser{}, serviceTimes: map[string]*kqselection.ServiceTime{}, longestTimeouts: map[string]time.Duration{},
-		running: map[*proxiedRequest]struct{}{},
+		running: map[*proxiedRequest]struct{}{}, queued: map[*proxiedRequest]queuedRequest{}, usage: map[string]*ownerCounts{},
 	}
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("routes."+name, cfg.Metrics) }
 	e.metrics = engineMetrics{
@@ -110,6 +119,7 @@
 		retries: counter("second"), probes: counter("questions"), failedProbes: counter("unanswered"),
 		cut: counter("cut"), barred: counter("barred"), foreign: counter("foreign"), uninformed: counter("uninformed"), leaving: counter("leaving"), quiet: counter("quiet"), oddQuiet: counter("oddquiet"),
 		coldRefused: counter("coldrefused"), turnedCold: counter("turnedcold"), turnedWarm: counter("turnedwarm"), oddCold: counter("oddcold"),
+		key:       newKeyCounters(counter),
 		latency:   metrics.GetOrRegisterTimer("routes.latency", cfg.Metrics),
 		firstByte: metrics.GetOrRegisterTimer("routes.firstbyte", cfg.Metrics),
 		probeTime: metrics.GetOrRegisterTimer("routes.asking", cfg.Metrics),
--- a/internal/call/kqproxy/evacuation.go
+++ b/internal/call/kqproxy/evacuation.go
@@ -76,15 +76,15 @@
 	}
 }
 
-// allBarred returns why requests to the service are refused at once, and until when if that
-// is known, or an empty cause if they are not.
-func (e *Engine) allBarred(service string, now time.Time) (cause string, until time.Time) {
-	if until = e.quietEnd(service, now); !until.IsZero() {
+// allBarred returns why requests that may be sent only to the targets of the list are refused
+// at once, and until when if that is known, or an empty cause if they are not.
+func (e *Engine) allBarred(list []*kqselection.Target, now time.Time) (cause string, until time.Time) {
+	if until = e.quietEnd(list, now); !until.IsZero() {
 		return causeQuiet, until
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if kqselection.AllEvacuated(e.routing.Load().targets[service], now) {
+	if kqselection.AllEvacuated(list, now) {
 		return causeEvacuated, now.Add(evacuatedRetryAfter)
 	}
 	return "", until
@@ -93,5 +93,5 @@
 // barredCounters are the names of the counters of sends given up for each reason.
 var barredCounters = map[kqselection.Barred]string{
 	kqselection.Draining: "draining", kqselection.Leaving: "leaving", kqselection.Quiet: "quiet", kqselection.Evacuated: "evacuated",
-	kqselection.Cold: "cold",
+	kqselection.Cold: "cold", wrongRegion: "region",
 }
--- a/internal/call/kqproxy/response.go
+++ b/internal/call/kqproxy/response.go
@@ -144,8 +144,9 @@
 	_, _ = p.w.Write([]byte(body)) // the caller may have disconnected
 }
 
-// logOutcome logs how the request ended and why.
+// logOutcome logs and counts how the request ended and why.
 func (p *proxiedRequest) logOutcome(outcome string, status int, cause string) {
+	p.recordUsage(outcome, status, cause)
 	l := p.engine.cfg.Log.Info()
 	if l == nil {
 		return
@@ -155,6 +156,9 @@
 	if p.routing != nil {
 		l.Uint64("revision", p.routing.revision).Uint64("routes", p.routing.table.Version)
 	}
+	if p.owner != nil {
+		l.Str("owner", p.owner.Name)
+	}
 	if p.route != nil {
 		c := &p.chosen
 		l.Str("route", p.route.Name).Str("service", p.service).Int64("left", p.deadline.Sub(now).Milliseconds()).
--- a/internal/call/kqproxy/routing.go
+++ b/internal/call/kqproxy/routing.go
@@ -33,6 +33,7 @@
 		next.table = e.routing.Load().table
 	} else {
 		next.table = kqroutes.NewTable(doc)
+		e.dropUsage(next.table)
 		e.cfg.Log.Info().Uint64("revision", revision).Uint64("routes", doc.Version).Msg("routes: in force")
 	}
 	e.doc = doc
@@ -72,6 +73,7 @@
 	for _, domain := range ended {
 		e.assumeCold(domain, e.evacuations[domain].end)
 	}
+	e.endQueued(next)
 }
 
 // recordDraining records and logs whether the target drains; e.mu must be held.
@@ -98,13 +100,16 @@
 	}
 }
 
-// untried returns the ready targets of the service that are not in tried.
-func (s *routingState) untried(name string, tried []*kqselection.Target) []*kqselection.Target {
+// untried returns the ready targets of the service that are allowed and not in tried. A
+// nil allows allows all.
+func (s *routingState) untried(name string, tried []*kqselection.Target, allows func(*kqselection.Target) bool) []*kqselection.Target {
 	list := s.targets[name]
-	if len(tried) == 0 {
+	if len(tried) == 0 && allows == nil {
 		return list
 	}
-	return slices.DeleteFunc(slices.Clone(list), func(t *kqselection.Target) bool { return slices.Contains(tried, t) })
+	return slices.DeleteFunc(slices.Clone(list), func(t *kqselection.Target) bool {
+		return slices.Contains(tried, t) || allows != nil && !allows(t)
+	})
 }
 
 // maxConns returns how many connections this host may open to one target of the
--- a/internal/route/kqselection/coldchoice.go
+++ b/internal/route/kqselection/coldchoice.go
@@ -38,17 +38,3 @@
 func (q *Queue) toleratesCold(now time.Time) bool {
 	return slices.ContainsFunc(q.waiters, func(w *Waiter) bool { return w.toleratesCold(now) })
 }
-
-// dequeueFor removes and returns the request that starts next on the target, nil if there is
-// none for it. While other targets are warm, a cold one gets only requests that tolerate it.
-func (q *Queue) dequeueFor(t *Target, warm bool, now time.Time) *Waiter {
-	if !warm || !t.IsCold(now) {
-		return q.Dequeue(now)
-	}
-	tolerant := Queue{waiters: slices.DeleteFunc(slices.Clone(q.waiters), func(w *Waiter) bool { return !w.toleratesCold(now) })}
-	w := tolerant.Dequeue(now)
-	if w != nil {
-		q.Remove(w)
-	}
-	return w
-}
--- a/internal/route/kqselection/selector.go
+++ b/internal/route/kqselection/selector.go
@@ -117,15 +117,27 @@
 	s.Queue.RecordStart(now)
 }
 
+// undoSend takes back a send that no request uses.
+func (s *Selector) undoSend(t *Target) {
+	t.InFlight--
+	t.LastLoad.Sent--
+	t.ReleaseCold()
+}
+
 // AssignQueued assigns targets of the list to queued requests until no target has
 // headroom.
 func (s *Selector) AssignQueued(list []*Target, fresh map[*Target]bool, now time.Time) {
 	for s.Queue.Len() > 0 {
-		t := s.PickFor(list, fresh, now, s.Queue.toleratesCold(now))
+		t := s.PickFor(s.Queue.wantedOf(list), fresh, now, s.Queue.toleratesCold(now))
 		if t == nil {
 			return
 		}
-		s.Queue.dequeueFor(t, hasWarm(list, now), now).Assign(t)
+		w := s.Queue.DequeueFor(t, hasWarm(list, now), now)
+		if w == nil { // those that allow the target and those that tolerate a cold one differ
+			s.undoSend(t)
+			return
+		}
+		w.Assign(t)
 	}
 }
 
@@ -133,7 +145,7 @@
 // until its headroom is used up.
 func (s *Selector) AssignHeadroom(t *Target, now time.Time) {
 	for s.Queue.Len() > 0 && t.Headroom(now, true) > 0 {
-		w := s.Queue.dequeueFor(t, true, now)
+		w := s.Queue.DequeueFor(t, true, now)
 		if w == nil {
 			return
 		}
