--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -92,7 +92,7 @@
 	pacer := kqtransport.NewPacer(cfg.LinkRate)
 	e := &Engine{
 		started: cfg.Clock.Now(), firstRoutes: make(chan struct{}),
-		cfg: cfg, pacer: pacer, pool: kqtransport.NewPool(kqtransport.Config{Pacer: pacer}), shortestProbes: map[string]time.Duration{}, readAheads: newReadAheadPool(), bodies: kqbody.NewMemory(kqbody.Share(cfg.Memory)), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{}, evacuations: map[string]evacuation{},
+		cfg: cfg, pacer: pacer, pool: kqtransport.NewPool(kqtransport.Config{Pacer: pacer}), shortestProbes: map[string]time.Duration{}, readAheads: newReadAheadPool(), bodies: kqbody.NewMemory(kqbody.Share(cfg.Memory)), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{},
 		retryBudgets: map[string]*kqselection.RetryBudget{},
 		choosers:     map[string]*chooser{}, serviceTimes: map[string]*kqselection.ServiceTime{}, longestTimeouts: map[string]time.Duration{},
 		running: map[*proxiedRequest]struct{}{},
--- a/internal/call/kqproxy/evacuation.go
+++ b/internal/call/kqproxy/evacuation.go
@@ -25,20 +25,23 @@
 
 // applyEvacuations records and logs which failure domains are evacuated; e.mu must be held.
 func (e *Engine) applyEvacuations(list []kqcontract.Evacuation, targets []kqtargets.Target, now time.Time) {
+	known, starting := e.evacuations, e.routing.Load() == nil
+	e.evacuations = make(map[string]evacuation, len(list))
 	for _, c := range list {
-		old := e.evacuations[c.Domain]
-		if old.revision == c.Revision {
+		if old := known[c.Domain]; old.revision == c.Revision {
+			e.evacuations[c.Domain] = old
 			continue
 		}
 		next := evacuation{on: c.On, revision: c.Revision}
-		if !c.On {
+		switch {
+		case c.On:
+		case starting && c.Time.Before(now):
+			next.end = c.Time // before this host started
+		default:
 			next.end = now
-			if e.routing.Load() == nil && c.Time.Before(now) {
-				next.end = c.Time // it ended before this host started
-			}
 		}
 		e.evacuations[c.Domain] = next
-		if !c.On && e.routing.Load() == nil {
+		if !c.On && starting {
 			continue
 		}
 		n, inFlight := 0, 0
@@ -61,9 +64,8 @@
 // recordEvacuation records on the target whether its failure domain is evacuated; e.mu must
 // be held.
 func (e *Engine) recordEvacuation(t *kqselection.Target) {
-	if v, ok := e.evacuations[t.Domain]; ok {
-		t.Evacuated, t.EvacuationEnd = v.on, v.end
-	}
+	v := e.evacuations[t.Domain]
+	t.Evacuated, t.EvacuationEnd = v.on, v.end
 }
 
 // allBarred returns why requests to the service are refused at once, and until when if that
--- a/internal/state/kqcontrol/evacuate.go
+++ b/internal/state/kqcontrol/evacuate.go
@@ -59,6 +59,9 @@
 // ended. A process that was stopped for long may run on before the timer of ctx does.
 func (l LocalStore) confirmedEvacuation(ctx context.Context, domain string) (kqcontract.Evacuation, error) {
 	entry, known := kqcontract.Evacuation{Domain: domain}, false
+	if domain == "" {
+		return entry, kqcontract.ErrUnknownDomain
+	}
 	if err := l.Confirm(ctx); err != nil {
 		return entry, err
 	}
--- a/internal/state/kqcontrol/evacuate_test.go
+++ b/internal/state/kqcontrol/evacuate_test.go
@@ -40,6 +40,7 @@
 		known    bool
 	}{
 		{"y", true, 1, false},
+		{"", true, 1, false},
 		{"y", false, 1, false},
 		{"z", false, 1, true},
 		{"z", true, 2, true},
