Limits of owners over all entry hosts: shares in token buckets at the voters, tokens asked for per send

An owner's rate and burst hold for all entry hosts together. Each voter grants its share from a bucket of its own, so that no two voters count the same tokens; an entry host takes a token before it chooses a target, and checks again before the first byte. Not tested yet beyond the existing tests of kqproxy, kqdaemon and kqreplica.

--- /dev/null
+++ b/internal/call/kqproxy/admit.go
@@ -0,0 +1,106 @@
+package kqproxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"kumquatglade/internal/route/kqselection"
+	"kumquatglade/internal/route/kqtokens"
+	"kumquatglade/internal/state/kqroutes"
+
+	"github.com/phuslu/log"
+)
+
+// Limiter applies the limits of owners, which hold over all entry hosts together.
+type Limiter interface {
+	// Take returns the decision for one send of a request of an owner with a limit.
+	Take(ctx context.Context, o *kqroutes.Owner) kqtokens.Decision
+	// Return gives back a token whose request was not sent, or was not run.
+	Return(o *kqroutes.Owner, t kqtokens.Token)
+	// Valid reports whether the token may still be used.
+	Valid(t kqtokens.Token) bool
+}
+
+// admission is what has become of the owner's limit for the request.
+type admission struct {
+	limit kqtokens.Decision // decided last; the zero value if the owner has no limit
+	held  bool              // the token of limit has not been used
+}
+
+// Causes of refusals by an owner's limit.
+const (
+	causeLimit       = "the owner's limit is used up"
+	causeNoLimiter   = "no control host answers for the owner's limit"
+	causeLimitExpiry = "the token for the owner's limit has expired"
+)
+
+func (p *proxiedRequest) limited() bool {
+	return p.owner != nil && p.owner.Limited() && p.engine.cfg.Limiter != nil
+}
+
+// admit takes a token for the next send, if the owner has a limit and the request holds none
+// that may still be used.
+func (p *proxiedRequest) admit(ctx context.Context) *refusal {
+	if !p.limited() || p.held && p.engine.cfg.Limiter.Valid(p.limit.Token) {
+		return nil
+	}
+	p.limit = p.engine.cfg.Limiter.Take(ctx, p.owner)
+	p.held = p.limit.Outcome == kqtokens.Granted
+	switch p.limit.Outcome {
+	case kqtokens.Granted:
+		return nil
+	case kqtokens.Refused:
+		return &refusal{http.StatusTooManyRequests, causeLimit, max(p.limit.RetryAfter, time.Millisecond)}
+	default:
+		return &refusal{http.StatusServiceUnavailable, causeNoLimiter, max(p.limit.RetryAfter, time.Millisecond)}
+	}
+}
+
+// readmit is admit for a request that may have waited for the target longer than its token may
+// be used. Without a token it uncounts the send.
+func (p *proxiedRequest) readmit(ctx context.Context, t *kqselection.Target) *refusal {
+	r := p.admit(ctx)
+	if r != nil {
+		p.engine.finishSend(t, func(time.Time) {})
+	}
+	return r
+}
+
+// useToken reports whether the request may be sent now, and marks its token as used.
+func (p *proxiedRequest) useToken() bool {
+	if !p.limited() {
+		return true
+	}
+	if !p.held || !p.engine.cfg.Limiter.Valid(p.limit.Token) {
+		return false
+	}
+	p.held = false
+	return true
+}
+
+// keepToken takes back the token of a send that no target ran, for the next send.
+func (p *proxiedRequest) keepToken() {
+	p.held = p.limit.Outcome == kqtokens.Granted
+}
+
+// returnToken gives back a token that was not used.
+func (p *proxiedRequest) returnToken() {
+	if p.held {
+		p.held = false
+		p.engine.cfg.Limiter.Return(p.owner, p.limit.Token)
+	}
+}
+
+// logLimit adds the decision on the owner's limit to a log line.
+func (p *proxiedRequest) logLimit(l *log.Entry) {
+	switch p.limit.Outcome {
+	case kqtokens.Granted:
+		l.Str("limit", "granted").Str("by", p.limit.Token.By)
+	case kqtokens.Refused:
+		l.Str("limit", "refused").Str("turn", strconv.FormatFloat(p.limit.RetryAfter.Seconds(), 'f', 3, 64))
+	case kqtokens.Unanswered:
+		l.Str("limit", "unanswered")
+	}
+}
--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -87,6 +87,9 @@
 		if !p.caller.passOn(p.route.Kind.Repeatable()) {
 			return errors.Wrap(errBarred, causeCallerClosed)
 		}
+		if !p.useToken() {
+			return errors.Wrap(errBarred, causeLimitExpiry)
+		}
 		e.metrics.firstByte.Update(now.Sub(p.chosen.at))
 		return nil
 	}
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -31,6 +31,7 @@
 	Limits      Limits
 	LinkRate    float64 // bytes a second that the host's link carries; 0: unknown
 	Memory      int64   // bytes that the process may use; 0: unknown
+	Limiter     Limiter // of owners; nil: owners have no limits
 }
 
 // Limits are the limits that all entry hosts share.
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -23,6 +23,7 @@
 	requestSpec
 	requestBody
 	requestProgress
+	admission
 }
 
 // requestSpec says what the request is. It is set once, by classify.
@@ -32,10 +33,11 @@
 	routing  *routingState // in force when the request arrived; targets are chosen from the current one
 	route    *kqroutes.Route
 	service  string
-	priority int         // 0 is the highest
-	deadline time.Time   // when the caller's or the route's timeout ends, whichever is earlier
-	firstTry time.Time   // estimated time of the caller's first try
-	header   http.Header // fields that the target gets
+	priority int             // 0 is the highest
+	deadline time.Time       // when the caller's or the route's timeout ends, whichever is earlier
+	firstTry time.Time       // estimated time of the caller's first try
+	owner    *kqroutes.Owner // whose key the request has, nil if none
+	header   http.Header     // fields that the target gets
 }
 
 // requestBody is the body, of which only the beginning is held if it is long.
@@ -70,6 +72,11 @@
 		p.refuseForShutdown()
 		return
 	}
+	defer p.returnToken()
+	if r := p.admit(p.in.Context()); r != nil {
+		p.refuse(r.status, r.cause, r.retryAfter)
+		return
+	}
 	defer p.releaseBody()
 	if status, err := p.readBody(); err != nil {
 		p.refuseBody(status, err)
--- a/internal/call/kqproxy/response.go
+++ b/internal/call/kqproxy/response.go
@@ -168,6 +168,7 @@
 			l.Dur("age", now.Sub(s.At))
 		}
 	}
+	p.logLimit(l)
 	if cause != "" {
 		l.Str("cause", cause)
 	}
--- a/internal/call/kqproxy/send.go
+++ b/internal/call/kqproxy/send.go
@@ -30,6 +30,7 @@
 func (p *proxiedRequest) send(ctx context.Context) {
 	var tried []*kqselection.Target
 	mayHaveRun, unreachable := false, 0
+	var refused *refusal // by the owner's limit
 	last := outcome{cause: "no target"}
 	for {
 		if p.sends > 0 && !p.beginRetry(mayHaveRun) {
@@ -42,6 +43,9 @@
 			last.cause = causeShutdown
 			break
 		}
+		if refused = p.admit(ctx); refused != nil {
+			break
+		}
 		var cause string
 		p.chosen, cause = p.choose(ctx, tried)
 		t := p.chosen.Target
@@ -51,6 +55,9 @@
 			}
 			break
 		}
+		if refused = p.readmit(ctx, t); refused != nil {
+			break
+		}
 		tried = append(tried, t)
 		res, answered := p.attempt(ctx, t)
 		if answered {
@@ -59,6 +66,7 @@
 		last = res
 		if !res.mayHaveRun {
 			p.caller.takeBack()
+			p.keepToken()
 		}
 		if res.unsent {
 			if unreachable++; unreachable >= maxUnreachable {
@@ -69,6 +77,10 @@
 		p.sends++
 		mayHaveRun = mayHaveRun || res.mayHaveRun
 	}
+	if refused != nil && p.sends == 0 && !p.caller.gaveUp() {
+		p.refuse(refused.status, refused.cause, refused.retryAfter)
+		return
+	}
 	p.giveUp(ctx, mayHaveRun, last)
 }
 
--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -24,6 +24,7 @@
 	"kumquatglade/internal/route/kqdispatch"
 	"kumquatglade/internal/route/kqpolicy"
 	"kumquatglade/internal/route/kqregistry"
+	"kumquatglade/internal/route/kqtokens"
 	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqcontrol"
 	"kumquatglade/internal/state/kqfeed"
@@ -55,6 +56,9 @@
 	control    *kqcontrol.Control
 	hub        *kqfeed.Hub
 	localStore kqcontrol.LocalStore
+	voter      *kqtokens.Voter // of a host with seeds
+
+	stateChanged chan struct{} // tells the voter of a change
 
 	// Components of the entry role.
 	follower    *kqfeed.Follower
@@ -327,6 +331,9 @@
 	if d.hub != nil {
 		d.hub.Close()
 	}
+	if d.voter != nil {
+		d.voter.Close()
+	}
 	if d.control != nil {
 		d.control.Close()
 	}
--- a/internal/run/kqdaemon/receiver.go
+++ b/internal/run/kqdaemon/receiver.go
@@ -9,6 +9,7 @@
 	"kumquatglade/internal/call/kqidempotency"
 	"kumquatglade/internal/call/kqquota"
 	"kumquatglade/internal/route/kqregistry"
+	"kumquatglade/internal/route/kqtokens"
 	"kumquatglade/internal/state/kqcontrol"
 	"kumquatglade/internal/state/kqfeed"
 
@@ -88,6 +89,10 @@
 		if d.control != nil {
 			return d.localStore.HandleRequest(ctx, kind, body)
 		}
+	case kqtokens.MethodTokens:
+		if d.voter != nil {
+			return d.voter.Handle(peer, body)
+		}
 	case kqfeed.MethodSubscribe:
 		if d.hub != nil {
 			return d.hub.Answer(ctx, peer, body)
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -71,7 +71,7 @@
 	d.markReady()
 	d.dialPeers()
 	if d.control != nil {
-		d.hub.Run(d.control)
+		d.hub.Run(confirmedSource{d.control, d.voter})
 		d.wg.Go(d.publishEntryHosts)
 	}
 	if d.follower != nil {
@@ -93,7 +93,7 @@
 		return err
 	}
 	d.disk = disk
-	d.presence = map[string]entryPresence{}
+	d.presence, d.stateChanged = map[string]entryPresence{}, make(chan struct{}, 1)
 	d.hub = kqfeed.NewHub(kqfeed.HubConfig{
 		Link: d.mesh, Clock: kqclock.System{}, Log: d.log.Component("hub"), Controls: func() []string { return nil },
 		ConfirmInterval: confirmInterval, Unlisted: true,
@@ -107,17 +107,21 @@
 		Hosts: founders, Disk: disk, Link: d.mesh, Clock: kqclock.System{}, Log: d.log.Component("control"),
 		Events: d.events, Metrics: d.metrics, Rand: newRand(),
 		Tolerance: d.settings.Tolerance, OpenMembership: true, JoinOnly: !d.settings.Bootstrap,
-		Changed: d.hub.Push, Restored: d.hub.Reset, MembersChanged: d.setMembers, Fatal: d.fail,
+		Changed: d.pushChanges, Restored: d.hub.Reset, MembersChanged: d.setMembers, Fatal: d.fail,
 	})
 	d.localStore = kqcontrol.LocalStore{Control: d.control, Hub: d.hub}
-	return err
+	if err != nil {
+		return err
+	}
+	return d.startVoter()
 }
 
 func (d *Daemon) startSeededEntry() {
 	shared := d.settings.Shared
+	limiter := d.newAsker()
 	d.proxy = kqproxy.New(kqproxy.Config{
 		HeaderNames: d.opts.API.HeaderNames, Host: d.settings.Host, Domain: d.settings.Domain, Clock: kqclock.System{}, Rand: newRand(), Log: d.log.Component("request"),
-		Metrics: d.metrics, LinkRate: d.settings.LinkRate(), Memory: int64(d.settings.Memory), Hosts: func() int { return max(len(d.follower.Listeners()), 1) },
+		Metrics: d.metrics, LinkRate: d.settings.LinkRate(), Memory: int64(d.settings.Memory), Limiter: limiter, Hosts: func() int { return max(len(d.follower.Listeners()), 1) },
 		Limits: kqproxy.Limits{
 			RetryRatio: shared.RetryRatio, RetrySlack: shared.RetrySlack,
 			RetryWindow: shared.RetryWindow.Or(defaultRetryWindow), ProbeRate: shared.ProbesPerSecond,
--- a/internal/state/kqreplica/replica.go
+++ b/internal/state/kqreplica/replica.go
@@ -291,6 +291,9 @@
 	return true
 }
 
+// foundingIndex is the log index of the member list that founds a cluster.
+const foundingIndex = 1
+
 // Status is the state of a replica as shown to operators.
 type Status struct {
 	Role    Role     `json:"role"`
@@ -300,6 +303,10 @@
 	Applied uint64   `json:"applied"`
 	First   uint64   `json:"first"` // first index after the last snapshot
 	Members []Member `json:"members"`
+
+	Voter     bool `json:"-"` // Members has this host, with its data folder, as a voter
+	Committed bool `json:"-"` // Members is known to be committed
+	Founding  bool `json:"-"` // Members is the list that founded the cluster
 }
 
 // Status returns the state of the replica as shown to operators.
@@ -307,5 +314,6 @@
 	return Status{
 		Role: r.role, Term: r.meta.Term, Leader: r.leader, Commit: r.commit,
 		Applied: r.applied, First: r.log.snapshotIndex + 1, Members: r.members,
+		Voter: r.isVoter(r.cfg.Host, r.run.Incarnation), Committed: r.membersIndex <= r.commit, Founding: r.membersIndex == foundingIndex,
 	}
 }
