--- /dev/null
+++ b/internal/bench/kqlimitmodel/shares.go
@@ -0,0 +1,169 @@
+package kqlimitmodel
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"kumquatglade/internal/route/kqtokens"
+	"kumquatglade/internal/state/kqreplica"
+	"kumquatglade/internal/state/kqroutes"
+)
+
+const (
+	confirmEvery = 400 * time.Millisecond
+	slowAfter    = 15 * time.Millisecond
+)
+
+// shares is the way in use: every voter has a share of each limit (package kqtokens).
+type shares struct {
+	w        *world
+	params   kqtokens.Params
+	hosts    int
+	owners   []kqroutes.Owner
+	entries  []*entry
+	voters   map[int]*voter
+	members  []int // voters of the committed member list
+	changed  bool  // the founding member list is no longer in force
+	messages int
+	divide   func(n int) int // the number of voters by which limits are divided; tests replace it
+}
+
+type entry struct {
+	host    *kqtokens.Host
+	lastID  uint64
+	decided map[uint64]func(kqtokens.Decision)
+}
+
+type voter struct {
+	buckets  *kqtokens.Buckets
+	standing *kqtokens.Standing
+	status   kqreplica.Status // as known to this voter
+}
+
+func newShares(w *world, p kqtokens.Params, hosts, voters int, owners []kqroutes.Owner) *shares {
+	s := &shares{w: w, params: p, hosts: hosts, owners: owners, voters: map[int]*voter{}, divide: func(n int) int { return n }}
+	for h := range hosts {
+		s.entries = append(s.entries, nil)
+		s.startEntry(h)
+	}
+	for v := hosts; v < hosts+voters; v++ {
+		s.members = append(s.members, v)
+	}
+	for _, v := range s.members {
+		s.startVoter(v, kqreplica.Status{})
+	}
+	return s
+}
+
+func name(n int) string { return fmt.Sprint(n) }
+
+// startEntry starts an entry host that holds nothing.
+func (s *shares) startEntry(h int) {
+	s.entries[h] = &entry{decided: map[uint64]func(kqtokens.Decision){}, host: kqtokens.NewHost(kqtokens.HostConfig{
+		Params: s.params, Rand: s.w.rng, Fleet: func() kqtokens.Fleet { return kqtokens.Fleet{Rank: h, Size: s.hosts} },
+		Voters: func() (list []string) {
+			for _, m := range s.members {
+				list = append(list, name(m))
+			}
+			return list
+		},
+	})}
+}
+
+// startVoter starts a control host whose log holds the status.
+func (s *shares) startVoter(n int, loaded kqreplica.Status) {
+	v := &voter{buckets: kqtokens.NewBuckets(s.params), standing: kqtokens.NewStanding(s.params, loaded, s.w.now), status: loaded}
+	s.voters[n] = v
+	s.refresh(v)
+	s.confirm(n, v)
+	s.w.every(n, confirmEvery, func() { s.confirm(n, v) })
+}
+
+// statusFor returns the status of a voter that knows all that is committed.
+func (s *shares) statusFor(n int) kqreplica.Status {
+	st := kqreplica.Status{Committed: true, Founding: !s.changed, Voter: slices.Contains(s.members, n)}
+	for _, m := range s.members {
+		st.Members = append(st.Members, kqreplica.Member{Host: name(m), Voter: true})
+	}
+	return st
+}
+
+// connected reports whether the voter reaches a majority.
+func (s *shares) connected(n int) bool {
+	reached := 0
+	for _, m := range s.members {
+		if !s.w.nodes[m].down && !s.w.nodes[m].frozen.After(s.w.now) && (m == n || !s.w.cut(m, n)) {
+			reached++
+		}
+	}
+	return 2*reached > len(s.members)
+}
+
+func (s *shares) confirm(n int, v *voter) {
+	connected := s.connected(n)
+	if connected {
+		v.status = s.statusFor(n)
+	}
+	s.refresh(v)
+	if connected {
+		v.standing.Confirmed(s.w.now)
+	}
+}
+
+func (s *shares) refresh(v *voter) {
+	v.standing.Observe(v.status, s.w.now)
+	v.buckets.Set(s.owners, s.divide(v.standing.Voters(s.w.now)), s.w.now)
+}
+
+func (s *shares) take(h, o int, decided func(ok bool, wait time.Duration, t kqtokens.Token)) {
+	e := s.entries[h]
+	e.lastID++
+	e.decided[e.lastID] = func(d kqtokens.Decision) { decided(d.Outcome == kqtokens.Granted, d.RetryAfter, d.Token) }
+	s.perform(h, e, e.host.Take(&s.owners[o], e.lastID, s.w.now))
+}
+
+func (s *shares) perform(h int, e *entry, effects kqtokens.Effects) {
+	for _, d := range effects.Decisions {
+		decided := e.decided[d.ID]
+		delete(e.decided, d.ID)
+		decided(d)
+	}
+	for _, a := range effects.Asks {
+		s.messages++
+		s.ask(h, e, a)
+	}
+}
+
+func (s *shares) ask(h int, e *entry, a kqtokens.Ask) {
+	var to int
+	fmt.Sscan(a.Voter, &to) // a number, by name
+	s.w.send(h, to, func() {
+		v := s.voters[to]
+		var grants []kqtokens.Grant
+		for _, want := range a.Wants {
+			if v.standing.Grants(s.w.now) {
+				grants = append(grants, v.buckets.Take(want, s.w.now))
+			}
+		}
+		s.w.send(to, h, func() { s.perform(h, e, e.host.Answered(a.ID, grants, s.w.now)) })
+	})
+	s.w.on(h, slowAfter, func() { s.perform(h, e, e.host.Slow(a.ID, s.w.now)) })
+	timeout := kqtokens.AnswerTimeout
+	if s.w.nodes[to].down {
+		timeout = delay // the connection breaks
+	}
+	s.w.on(h, timeout, func() { s.perform(h, e, e.host.Answered(a.ID, nil, s.w.now)) })
+}
+
+func (s *shares) restart(n int, d time.Duration) {
+	s.w.restart(n, d, func() {
+		if n < s.hosts {
+			s.startEntry(n)
+			return
+		}
+		s.startVoter(n, s.voters[n].status)
+	})
+}
+
+func (s *shares) sent() int { return s.messages }
--- a/internal/route/kqtokens/buckets.go
+++ b/internal/route/kqtokens/buckets.go
@@ -13,9 +13,10 @@
 // more, and a limit that is raised meanwhile is noticed after this time.
 const maxTurn = 3 * time.Second
 
-// roundingDepth is the depth of a bucket on top of its share of the burst: without it a share
-// below one request could never be used.
-const roundingDepth = 1
+// turnShare is the time between the turns of two refused callers, as a share of the time in
+// which a token grows. Not every caller returns, and not at once, so that more turns are given
+// than tokens grow; the callers that come too early are refused again.
+const turnShare = 0.5
 
 // epsilon hides rounding errors of a refill that should give a whole token.
 const epsilon = 1e-9
@@ -23,6 +24,7 @@
 // Buckets are the shares of all owners' limits that one of n voters grants. Not safe for
 // concurrent use.
 type Buckets struct {
+	params  Params
 	n       int // voters among which limits are divided
 	byOwner map[string]*bucket
 }
@@ -36,6 +38,9 @@
 	granted, refused int64
 }
 
+// NewBuckets returns buckets without owners.
+func NewBuckets(p Params) *Buckets { return &Buckets{params: p, n: 1} }
+
 // Set replaces the owners and the number of voters. Buckets of known owners keep their tokens,
 // up to the new depth.
 func (b *Buckets) Set(owners []kqroutes.Owner, n int, now time.Time) {
@@ -44,29 +49,31 @@
 		o := &owners[i]
 		k := b.byOwner[o.Name]
 		if k == nil {
-			k = &bucket{tokens: 1, at: now}
+			k = &bucket{tokens: startTokens, at: now}
 		} else {
-			k.refill(b.n, now)
+			b.refill(k, now)
 		}
 		k.rate, k.burst = o.Rate, o.Burst
 		next[o.Name] = k
 	}
 	b.byOwner, b.n = next, n
 	for _, k := range next {
-		k.tokens = min(k.tokens, k.depth(n))
+		k.tokens = min(k.tokens, b.depth(k))
 	}
 }
 
-func (k *bucket) depth(n int) float64 { return k.burst/float64(n) + roundingDepth }
+func (b *Buckets) depth(k *bucket) float64 {
+	return k.burst/float64(b.n) + b.params.rounding(b.n)
+}
 
 // interval returns the time in which the share grows by one token.
 func (k *bucket) interval(n int) time.Duration {
 	return time.Duration(min(float64(n)/k.rate*float64(time.Second), math.MaxInt64/2))
 }
 
-func (k *bucket) refill(n int, now time.Time) {
+func (b *Buckets) refill(k *bucket, now time.Time) {
 	if d := now.Sub(k.at); d > 0 {
-		k.tokens = min(k.tokens+d.Seconds()*k.rate/float64(n), k.depth(n))
+		k.tokens = min(k.tokens+d.Seconds()*k.rate/float64(b.n), b.depth(k))
 		k.at = now
 	}
 }
@@ -100,13 +107,13 @@
 		k.granted += int64(count + more)
 		return Grant{Count: count + more}
 	}
-	k.refill(b.n, now)
+	b.refill(k, now)
 	g := Grant{Count: min(count, int(k.tokens+epsilon))}
 	k.tokens -= float64(g.Count)
 	if g.Count < count {
 		k.refused += int64(count - g.Count)
 		g.Wait = k.nextTurn(b.n, now)
-	} else if spare := int(k.tokens - k.depth(b.n)/2 + epsilon); spare > 0 {
+	} else if spare := int(k.tokens - b.depth(k)/2 + epsilon); spare > 0 {
 		spare = min(spare, more)
 		g.Count += spare
 		k.tokens -= float64(spare)
@@ -120,7 +127,7 @@
 func (k *bucket) nextTurn(n int, now time.Time) time.Duration {
 	interval := k.interval(n)
 	next := now.Add(min(time.Duration((1-k.tokens)*float64(interval)), maxTurn))
-	if later := k.lastTurn.Add(min(interval, maxTurn)); later.After(next) {
+	if later := k.lastTurn.Add(min(time.Duration(turnShare*float64(interval)), maxTurn)); later.After(next) {
 		next = later
 	}
 	if latest := now.Add(maxTurn); next.After(latest) {
@@ -147,7 +154,7 @@
 		if k.rate <= 0 {
 			continue
 		}
-		k.refill(b.n, now)
+		b.refill(k, now)
 		list = append(list, Use{name, k.rate, k.burst, k.tokens, k.granted, k.refused})
 	}
 	slices.SortFunc(list, func(a, b Use) int { return strings.Compare(a.Owner, b.Owner) })
--- a/internal/route/kqtokens/host.go
+++ b/internal/route/kqtokens/host.go
@@ -314,7 +314,7 @@
 	}
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(s.name)) // never fails
-	position, all := (f.Rank+int(hash.Sum32()))%f.Size, h.cfg.Spare(s.burst, len(h.cfg.Voters()))
+	position, all := (f.Rank+int(hash.Sum32()))%f.Size, h.cfg.spare(s.burst, len(h.cfg.Voters()))
 	part := (position+1)*all/f.Size - position*all/f.Size
 	s.spares = slices.DeleteFunc(s.spares, func(t time.Time) bool { return now.Sub(t) > h.cfg.Window+h.cfg.Life() })
 	if len(s.spares) >= part {
--- a/internal/route/kqtokens/voter.go
+++ b/internal/route/kqtokens/voter.go
@@ -55,7 +55,7 @@
 	mu       sync.Mutex
 	failing  bool // as logged last
 	standing *Standing
-	buckets  Buckets
+	buckets  *Buckets
 	routes   *kqroutes.Proposal // whose owners the buckets have
 	n        int
 	grants   bool // as logged last
@@ -71,7 +71,7 @@
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("shares."+name, cfg.Metrics) }
 	ctx, stop := context.WithCancel(context.Background())
 	v := &Voter{
-		cfg: cfg, standing: NewStanding(cfg.Params, s.Status, cfg.Clock.Now()),
+		cfg: cfg, buckets: NewBuckets(cfg.Params), standing: NewStanding(cfg.Params, s.Status, cfg.Clock.Now()),
 		granted: counter("granted"), refused: counter("refused"), answers: counter("answers"), stop: stop, ended: make(chan struct{}),
 	}
 	go v.loop(ctx)
