--- a/internal/bench/kqlimitmodel/shares.go
+++ b/internal/bench/kqlimitmodel/shares.go
@@ -26,7 +26,7 @@
 	members  []int // voters of the committed member list
 	changed  bool  // the founding member list is no longer in force
 	messages int
-	divide   func(n int) int // the number of voters by which limits are divided; tests replace it
+	fault    func(list []kqroutes.Owner, n int) ([]kqroutes.Owner, int) // what voters take limits and voters for; tests replace it
 }
 
 type entry struct {
@@ -42,7 +42,7 @@
 }
 
 func newShares(w *world, p kqtokens.Params, hosts, voters int, owners []kqroutes.Owner) *shares {
-	s := &shares{w: w, params: p, hosts: hosts, owners: owners, voters: map[int]*voter{}, divide: func(n int) int { return n }}
+	s := &shares{w: w, params: p, hosts: hosts, owners: owners, voters: map[int]*voter{}, fault: func(list []kqroutes.Owner, n int) ([]kqroutes.Owner, int) { return list, n }}
 	for h := range hosts {
 		s.entries = append(s.entries, nil)
 		s.startEntry(h)
@@ -113,7 +113,8 @@
 
 func (s *shares) refresh(v *voter) {
 	v.standing.Observe(v.status, s.w.now)
-	v.buckets.Set(s.owners, s.divide(v.standing.Voters(s.w.now)), s.w.now)
+	owners, n := s.fault(s.owners, v.standing.Voters(s.w.now))
+	v.buckets.Set(owners, n, s.w.now)
 }
 
 func (s *shares) take(h, o int, decided func(ok bool, wait time.Duration, t kqtokens.Token)) {
--- a/internal/route/kqtokens/host.go
+++ b/internal/route/kqtokens/host.go
@@ -23,6 +23,11 @@
 	absentTime = 500 * time.Millisecond // for which a voter that did not answer is not asked
 	demandTime = 2 * time.Second        // over which an owner's requests on this host are averaged
 	maxMore    = 4                      // tokens asked for beyond the waiting requests
+
+	// moreRounding is added to the requests expected within Life before rounding down. In the
+	// model 0.7 gives 0.96 messages for each request, and 0.5 gives 0.99.
+	moreRounding = 0.7
+
 	sweepTime  = 5 * time.Second        // between two searches for owners without a state
 )
 
@@ -388,7 +393,7 @@
 // more returns how many further requests are likely within life.
 func (s *ownerState) more(life time.Duration, now time.Time) int {
 	s.decay(now)
-	return min(int(math.Round(s.demand*life.Seconds()/demandTime.Seconds())), maxMore)
+	return min(int(s.demand*life.Seconds()/demandTime.Seconds()+moreRounding), maxMore)
 }
 
 // sweep forgets owners about which nothing is known.
