--- a/internal/bench/kqlimitmodel/bound_test.go
+++ b/internal/bench/kqlimitmodel/bound_test.go
@@ -202,7 +202,8 @@
 		"rate of one voter fewer": func(p *boundPlay) {
 			p.s.fault = func(list []kqroutes.Owner, n int) ([]kqroutes.Owner, int) { return list, max(n-1, 1) }
 		},
-		"tokens used late": func(p *boundPlay) { p.ignoreExpiry = true },
+		"removed voters go on": func(p *boundPlay) { p.s.lasting = true },
+		"tokens used late":     func(p *boundPlay) { p.ignoreExpiry = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(20) {
--- a/internal/bench/kqlimitmodel/shares.go
+++ b/internal/bench/kqlimitmodel/shares.go
@@ -24,6 +24,7 @@
 	entries  []*entry
 	voters   map[int]*voter
 	members  []int // voters of the committed member list
+	lasting  bool  // a fault: a voter goes on without confirmations
 	changed  bool  // the founding member list is no longer in force
 	messages int
 	fault    func(list []kqroutes.Owner, n int) ([]kqroutes.Owner, int) // what voters take limits and voters for; tests replace it
@@ -143,7 +144,7 @@
 		v := s.voters[to]
 		var grants []kqtokens.Grant
 		for _, want := range a.Wants {
-			if v.standing.Grants(s.w.now) {
+			if v.standing.Grants(s.w.now) || s.lasting {
 				grants = append(grants, v.buckets.Take(want, s.w.now))
 			}
 		}
--- a/internal/route/kqtokens/host.go
+++ b/internal/route/kqtokens/host.go
@@ -28,7 +28,7 @@
 	// model 0.7 gives 0.96 messages for each request, and 0.5 gives 0.99.
 	moreRounding = 0.7
 
-	sweepTime  = 5 * time.Second        // between two searches for owners without a state
+	sweepTime = 5 * time.Second // between two searches for owners without a state
 )
 
 // Fleet is this host's place among the entry hosts.
