--- a/internal/admin/kqadmin/server.go
+++ b/internal/admin/kqadmin/server.go
@@ -52,6 +52,7 @@
 	Hub      string          `json:"hub,omitempty"`
 	Calls    int64           `json:"calls"`
 	Replica  any             `json:"replica,omitempty"`
+	Shares   any             `json:"shares,omitempty"` // what this host granted owners with a limit
 	Peers    map[string]bool `json:"peers,omitempty"` // linked or not
 }
 
--- a/internal/call/kqproxy/admit.go
+++ b/internal/call/kqproxy/admit.go
@@ -25,14 +25,16 @@
 
 // admission is what has become of the owner's limit for the request.
 type admission struct {
-	limit kqtokens.Decision // decided last; the zero value if the owner has no limit
-	held  bool              // the token of limit has not been used
+	limit   kqtokens.Decision // decided last; the zero value if the owner has no limit
+	limitOf *kqroutes.Owner   // whose limit that is
+	held    bool              // the token of limit has not been used
 }
 
 // Causes of refusals by an owner's limit.
 const (
 	causeLimit       = "the owner's limit is used up"
 	causeNoLimiter   = "no control host answers for the owner's limit"
+	causeLimitGaveUp = "the caller or its deadline ended before the owner's limit was decided"
 	causeLimitExpiry = "the token for the owner's limit has expired"
 )
 
@@ -46,15 +48,18 @@
 	if !p.limited() || p.held && p.engine.cfg.Limiter.Valid(p.limit.Token) {
 		return nil
 	}
-	p.limit = p.engine.cfg.Limiter.Take(ctx, p.owner)
+	p.limit, p.limitOf = p.engine.cfg.Limiter.Take(ctx, p.owner), p.owner
 	p.held = p.limit.Outcome == kqtokens.Granted
-	switch p.limit.Outcome {
-	case kqtokens.Granted:
+	wait := max(p.limit.RetryAfter, time.Millisecond)
+	switch {
+	case p.held:
 		return nil
-	case kqtokens.Refused:
-		return &refusal{http.StatusTooManyRequests, causeLimit, max(p.limit.RetryAfter, time.Millisecond)}
+	case p.limit.Outcome == kqtokens.Refused:
+		return &refusal{http.StatusTooManyRequests, causeLimit, wait}
+	case ctx.Err() != nil:
+		return &refusal{http.StatusServiceUnavailable, causeLimitGaveUp, wait}
 	default:
-		return &refusal{http.StatusServiceUnavailable, causeNoLimiter, max(p.limit.RetryAfter, time.Millisecond)}
+		return &refusal{http.StatusServiceUnavailable, causeNoLimiter, wait}
 	}
 }
 
@@ -89,7 +94,7 @@
 func (p *proxiedRequest) returnToken() {
 	if p.held {
 		p.held = false
-		p.engine.cfg.Limiter.Return(p.owner, p.limit.Token)
+		p.engine.cfg.Limiter.Return(p.limitOf, p.limit.Token)
 	}
 }
 
--- a/internal/route/kqtokens/params.go
+++ b/internal/route/kqtokens/params.go
@@ -9,7 +9,7 @@
 //     add up to the rate and the burst, and each bucket is deeper than its share by rounding(n).
 //   - A voter that starts has startTokens in each bucket: n more if all start within a window.
 //   - A token is used within Life of the message that asked for it, so the requests of a window
-//     were granted within Window + Life: rate x Window x Overrun more.
+//     were granted within Window + Life: at most rate x Window x Overrun more.
 //   - Hosts that no voter answers send spare(burst, n) requests together in a window, which is
 //     at most Slack - n x (rounding(n) + startTokens) + Overrun x burst.
 //
@@ -41,9 +41,13 @@
 // rate times the difference.
 const minLife = 40 * time.Millisecond
 
+// lifeShare is the part of Overrun that Life takes. The rest covers requests that take long from
+// the first byte to the target, as bodies on a slow link do.
+const lifeShare = 0.8
+
 // Life returns how long after a message the tokens that it asked for may be used.
 func (p Params) Life() time.Duration {
-	return max(time.Duration(p.Overrun*float64(p.Window)), minLife)
+	return max(time.Duration(lifeShare*p.Overrun*float64(p.Window)), minLife)
 }
 
 const (
--- a/internal/run/kqdaemon/peers.go
+++ b/internal/run/kqdaemon/peers.go
@@ -158,6 +158,11 @@
 		if st, err := d.control.Status(); err == nil {
 			s.Replica = st
 		}
+		if d.voter != nil {
+			if uses := d.voter.Uses(); len(uses) > 0 {
+				s.Shares = uses
+			}
+		}
 	}
 	return s
 }
