--- a/internal/bench/kqbench/main.go
+++ b/internal/bench/kqbench/main.go
@@ -57,5 +57,5 @@
 }
 
 func commands() []command {
-	return []command{newTargetCommand(), newCallCommand(), newAddedCommand(), newSettingsCommand(), newContractsCommand(), newHeadlineCommand(), newPoliciesCommand(), newKeyedCommand(), newLimitsCommand(), newStopsCommand(), newSoakCommand()}
+	return []command{newTargetCommand(), newCallCommand(), newAddedCommand(), newSettingsCommand(), newContractsCommand(), newHeadlineCommand(), newPoliciesCommand(), newKeyedCommand(), newLimitsCommand(), newQuotasCommand(), newStopsCommand(), newSoakCommand()}
 }
--- a/internal/route/kqtokens/host.go
+++ b/internal/route/kqtokens/host.go
@@ -143,6 +143,9 @@
 		s = &ownerState{name: o.Name, refused: map[string]time.Time{}}
 		h.owners[o.Name] = s
 	}
+	if s.rate != o.Rate || s.burst != o.Burst {
+		clear(s.refused) // by another limit
+	}
 	s.rate, s.burst = o.Rate, o.Burst
 	s.count(now)
 	s.waiting = append(s.waiting, id)
--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -65,6 +65,7 @@
 	targets     *kqregistry.TargetRegistry
 	engine      *kqcall.Engine
 	proxy       *kqproxy.Engine // of a host with seeds, which has no engine
+	asker       *kqtokens.Asker // of a host with seeds
 	coordinator *kqidempotency.Coordinator
 	quota       *kqquota.Agent
 
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -118,10 +118,10 @@
 
 func (d *Daemon) startSeededEntry() {
 	shared := d.settings.Shared
-	limiter := d.newAsker()
+	d.asker = d.newAsker()
 	d.proxy = kqproxy.New(kqproxy.Config{
 		HeaderNames: d.opts.API.HeaderNames, Host: d.settings.Host, Domain: d.settings.Domain, Clock: kqclock.System{}, Rand: newRand(), Log: d.log.Component("request"),
-		Metrics: d.metrics, LinkRate: d.settings.LinkRate(), Memory: int64(d.settings.Memory), Limiter: limiter, Hosts: func() int { return max(len(d.follower.Listeners()), 1) },
+		Metrics: d.metrics, LinkRate: d.settings.LinkRate(), Memory: int64(d.settings.Memory), Limiter: d.asker, Hosts: func() int { return max(len(d.follower.Listeners()), 1) },
 		Limits: kqproxy.Limits{
 			RetryRatio: shared.RetryRatio, RetrySlack: shared.RetrySlack,
 			RetryWindow: shared.RetryWindow.Or(defaultRetryWindow), ProbeRate: shared.ProbesPerSecond,
