--- a/internal/admin/kqadmin/server.go
+++ b/internal/admin/kqadmin/server.go
@@ -54,6 +54,7 @@
 	Hub      string          `json:"hub,omitempty"`
 	Calls    int64           `json:"calls"`
 	Replica  any             `json:"replica,omitempty"`
+	Shares   any             `json:"shares,omitempty"` // what this host granted owners with a limit
 	Peers    map[string]bool `json:"peers,omitempty"` // linked or not
 
 	Evacuated []string `json:"evacuated,omitempty"` // failure domains, as this host knows
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -31,6 +31,7 @@
 	Limits      Limits
 	LinkRate    float64 // bytes a second that the host's link carries; 0: unknown
 	Memory      int64   // bytes that the process may use; 0: unknown
+	Limiter     Limiter // of owners; nil: owners have no limits
 
 	// Entries returns the list of entry hosts; nil if this is the only one.
 	Entries func() Entries
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -23,6 +23,7 @@
 	requestSpec
 	requestBody
 	requestProgress
+	admission
 }
 
 // requestSpec says what the request is. It is set once, by classify and authorize.
@@ -76,6 +77,11 @@
 		p.refuseForShutdown()
 		return
 	}
+	defer p.returnToken()
+	if r := p.admit(p.in.Context()); r != nil {
+		p.refuse(r.status, r.cause, r.retryAfter)
+		return
+	}
 	defer p.releaseBody()
 	if status, err := p.readBody(); err != nil {
 		p.refuseBody(status, err)
--- a/internal/run/kqdaemon/peers.go
+++ b/internal/run/kqdaemon/peers.go
@@ -161,6 +161,11 @@
 		if d.follower == nil {
 			s.Evacuated = d.localStore.EvacuatedDomains()
 		}
+		if d.voter != nil {
+			if uses := d.voter.Uses(); len(uses) > 0 {
+				s.Shares = uses
+			}
+		}
 	}
 	return s
 }
