--- a/internal/admin/kqadmin/server.go
+++ b/internal/admin/kqadmin/server.go
@@ -53,7 +53,7 @@
 	Calls    int64           `json:"calls"`
 	Replica  any             `json:"replica,omitempty"`
 	Shares   any             `json:"shares,omitempty"` // what this host granted owners with a limit
-	Peers    map[string]bool `json:"peers,omitempty"` // linked or not
+	Peers    map[string]bool `json:"peers,omitempty"`  // linked or not
 }
 
 // Server answers operators.
--- a/internal/bench/kqlimitmodel/other.go
+++ b/internal/bench/kqlimitmodel/other.go
@@ -26,6 +26,10 @@
 	return true
 }
 
+// extraDepth is the depth of a counter on top of the burst: the sum of what the buckets of
+// shares have.
+const extraDepth = 11
+
 type ownerHost struct{ owner, host int }
 
 // counters has one control host count each owner's requests. Another one takes over leaseTime
@@ -79,14 +83,23 @@
 		}
 	}
 	c.w.send(h, to, func() {
-		ok := c.buckets[o].take(c.owners[o].Rate, c.owners[o].Burst+1, c.w.now)
+		ok := c.buckets[o].take(c.owners[o].Rate, c.owners[o].Burst+extraDepth, c.w.now)
 		c.w.send(to, h, func() { finish(ok) })
 	})
 	c.w.on(h, kqtokens.AnswerTimeout, func() { finish(false) })
 }
 
-func (c *counters) restart(n int, d time.Duration) { c.w.restart(n, d, func() {}) }
-func (c *counters) sent() int                      { return c.messages }
+func (c *counters) restart(n int, d time.Duration) {
+	c.w.restart(n, d, func() {
+		for o, holder := range c.holder {
+			if holder == n {
+				c.buckets[o] = bucket{1, c.w.now}
+			}
+		}
+	})
+}
+
+func (c *counters) sent() int { return c.messages }
 
 // fractions gives each entry host a part of every limit, by its demand in the last seconds.
 type fractions struct {
@@ -160,6 +173,9 @@
 func (f *fractions) restart(n int, d time.Duration) {
 	f.w.restart(n, d, func() {
 		for o := range f.owners {
+			if n == f.hosts {
+				clear(f.demand[o])
+			}
 			delete(f.buckets, ownerHost{o, n})
 		}
 	})
@@ -237,6 +253,9 @@
 
 func (r *reports) restart(n int, d time.Duration) {
 	r.w.restart(n, d, func() {
+		if n == r.hosts {
+			r.window = nil
+		}
 		if n >= r.hosts {
 			return
 		}
