--- a/internal/bench/kqlimitmodel/shares.go
+++ b/internal/bench/kqlimitmodel/shares.go
@@ -109,6 +109,24 @@
 	s.refresh(v)
 	if connected {
 		v.standing.Confirmed(s.w.now)
+		s.hearOthers(n, v)
+	}
+}
+
+// hearOthers has the other voters end the wait of a new one.
+func (s *shares) hearOthers(n int, v *voter) {
+	var list []kqtokens.Opinion
+	for _, other := range v.standing.Others(name(n), s.w.now) {
+		var m int
+		fmt.Sscan(other, &m) // a number, by name
+		if h := &s.w.nodes[m]; h.down || h.frozen.After(s.w.now) || s.w.cut(m, n) {
+			return
+		}
+		list = append(list, s.voters[m].standing.Opinion(name(n), s.w.now))
+	}
+	if v.standing.Hear(list) {
+		v.buckets = kqtokens.NewBuckets(s.params)
+		s.refresh(v)
 	}
 }
 
--- a/internal/route/kqtokens/asker.go
+++ b/internal/route/kqtokens/asker.go
@@ -23,8 +23,9 @@
 // tokensAnswer has the grants in the order of the wants. A host that may not grant any, as it
 // is not a confirmed voter, says so.
 type tokensAnswer struct {
-	Voter  bool    `json:"voter"`
-	Grants []Grant `json:"grants"`
+	Voter   bool    `json:"voter"`
+	Grants  []Grant `json:"grants"`
+	Opinion Opinion `json:"opinion,omitempty"` // of the sender, if it is a control host
 }
 
 // AskerConfig constructs an Asker.
--- a/internal/route/kqtokens/buckets_test.go
+++ b/internal/route/kqtokens/buckets_test.go
@@ -157,3 +157,44 @@
 		}
 	}
 }
+
+// TestOpinions guards against a new voter that grants at once although another one may have been
+// removed, or although a voter does not count it; and against one that waits for nothing.
+func TestOpinions(t *testing.T) {
+	founded := status(true, true, true, "a", "b", "c")
+	joined := status(true, true, false, "a", "b", "c", "d")
+	replaced := status(true, true, false, "a", "b", "d")
+	voter := func(loaded kqreplica.Status, seen ...kqreplica.Status) *Standing {
+		s := NewStanding(testParams, loaded, testStart)
+		for _, st := range seen {
+			s.Observe(st, testStart)
+			s.Confirmed(testStart)
+		}
+		return s
+	}
+	none := kqreplica.Status{}
+	for _, c := range []struct {
+		name   string
+		others []*Standing
+		want   bool
+	}{
+		{"founders count it", []*Standing{voter(none, founded, joined), voter(none, founded, joined)}, true},
+		{"and another new one", []*Standing{voter(none, founded, joined), voter(none, joined)}, true},
+		{"only new ones", []*Standing{voter(none, joined), voter(none, joined)}, false},
+		{"one does not know of it", []*Standing{voter(none, founded, joined), voter(none, founded)}, false},
+		{"one was removed", []*Standing{voter(none, founded, replaced), voter(none, founded, replaced)}, false},
+		{"one restarted", []*Standing{voter(none, founded, joined), voter(joined, joined)}, false},
+	} {
+		d := voter(none, joined)
+		if n := len(d.Others("d", testStart)); n != 3 {
+			t.Fatalf("%d others", n)
+		}
+		var list []Opinion
+		for _, o := range c.others {
+			list = append(list, o.Opinion("d", testStart))
+		}
+		if got := d.Hear(list); got != c.want || d.Grants(testStart) != c.want {
+			t.Errorf("%s: opinions %q: wait ended %v, want %v", c.name, list, got, c.want)
+		}
+	}
+}
--- a/internal/route/kqtokens/standing.go
+++ b/internal/route/kqtokens/standing.go
@@ -1,6 +1,7 @@
 package kqtokens
 
 import (
+	"slices"
 	"time"
 
 	"kumquatglade/internal/state/kqreplica"
@@ -23,7 +24,9 @@
 //     confirmation, which began before its removal was committed. The others count it for
 //     hold after they know that the removal is committed, which is longer.
 //   - A voter that is added grants once it has known for hold that this is committed. Any
-//     other voter that grants then has been confirmed since, and counts it.
+//     other voter that grants then has been confirmed since, and counts it. It need not wait if
+//     all other voters say that they count it and those that grant know of no recent removal,
+//     as when a cluster is founded by a part of its hosts.
 //   - A voter that has restarted does not know of a removal just before, and counts one more
 //     voter for hold. A voter of the loaded log was one before its start and grants once
 //     confirmed, without a wait; so does one of the founding list, which no other precedes.
@@ -100,6 +103,54 @@
 	return max(n, 1)
 }
 
+// Opinion is what one voter says about another one that waits.
+type Opinion string
+
+// Opinions.
+const (
+	Counted Opinion = "counted" // limits are divided by a number that includes the other
+	Sure    Opinion = "sure"    // and the sender grants, and knows that nobody was removed within hold
+	Unsure  Opinion = "unsure"  // and the sender grants, and somebody may have been removed
+)
+
+// Opinion returns what this voter says about the other one, empty if it does not count it.
+func (t *Standing) Opinion(other string, now time.Time) Opinion {
+	switch _, counted := t.lastSeen[other]; {
+	case !counted:
+		return ""
+	case !t.Grants(now):
+		return Counted
+	case t.restarted && age(now, t.started) < t.hold, len(t.lastSeen) > len(t.committed):
+		return Unsure
+	}
+	return Sure
+}
+
+// Others returns the other voters if this one is confirmed and waits, whose opinions may end
+// the wait.
+func (t *Standing) Others(self string, now time.Time) (list []string) {
+	if !t.voter || t.Grants(now) || age(now, t.confirmedAt) > confirmationLife {
+		return nil
+	}
+	for _, h := range t.committed {
+		if h != self {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// Hear ends the wait of this voter if the opinions of all others allow it, and reports whether
+// it did. The voter must then begin with new buckets, as the others granted the whole burst
+// until they counted it.
+func (t *Standing) Hear(list []Opinion) bool {
+	if !t.voter || t.established || !slices.Contains(list, Sure) || slices.Contains(list, Unsure) || slices.Contains(list, "") {
+		return false
+	}
+	t.established = true
+	return true
+}
+
 // Grants reports whether this host may grant tokens now.
 func (t *Standing) Grants(now time.Time) bool {
 	if !t.voter || t.confirmedAt.IsZero() || age(now, t.confirmedAt) > confirmationLife {
--- a/internal/route/kqtokens/voter.go
+++ b/internal/route/kqtokens/voter.go
@@ -39,6 +39,7 @@
 type VoterConfig struct {
 	Params
 	Source  Source
+	Link    kq.Link
 	Changed <-chan struct{} // receives after a change of the replicated state
 	Clock   kq.Clock
 	Log     *kqlog.Log
@@ -59,6 +60,7 @@
 	routes   *kqroutes.Proposal // whose owners the buckets have
 	n        int
 	grants   bool // as logged last
+	limited  bool // an owner has a limit
 }
 
 // NewVoter returns a Voter and keeps it up to date until Close. It must be called before the
@@ -98,6 +100,34 @@
 		if v.observe(time.Time{}) {
 			v.confirm(ctx)
 		}
+		v.askOthers(ctx)
+	}
+}
+
+// askOthers asks the other voters for their opinions if this one waits for them.
+func (v *Voter) askOthers(ctx context.Context) {
+	v.mu.Lock()
+	others := v.standing.Others(v.cfg.Link.Host(), v.cfg.Clock.Now())
+	limited := v.limited
+	v.mu.Unlock()
+	if len(others) == 0 || !limited {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, AnswerTimeout)
+	defer cancel()
+	list := make([]Opinion, len(others))
+	for i, h := range others {
+		var answer tokensAnswer
+		if v.cfg.Link.Call(ctx, h, MethodTokens, tokensRequest{}, &answer) != nil {
+			return // the wait ends by itself
+		}
+		list[i] = answer.Opinion
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.standing.Hear(list) && v.routes != nil {
+		v.buckets = NewBuckets(v.cfg.Params)
+		v.buckets.Set(v.routes.Document.Owners, v.n, v.cfg.Clock.Now())
 	}
 }
 
@@ -147,15 +177,15 @@
 		v.buckets.Set(routes.Document.Owners, n, now)
 		v.routes, v.n = routes, n
 	}
-	limited := routes != nil && slices.ContainsFunc(routes.Document.Owners, func(o kqroutes.Owner) bool { return o.Limited() })
+	v.limited = routes != nil && slices.ContainsFunc(routes.Document.Owners, func(o kqroutes.Owner) bool { return o.Limited() })
 	if !confirmed.IsZero() {
 		v.standing.Confirmed(confirmed)
 	}
-	if grants := v.standing.Grants(now); limited && grants != v.grants {
+	if grants := v.standing.Grants(now); v.limited && grants != v.grants {
 		v.grants = grants
 		v.cfg.Log.Info().Bool("grants", grants).Int("voters", v.n).Uint64("routes", routes.Document.Version).Msg("limits: voter")
 	}
-	return limited && age(now, v.standing.confirmedAt) > confirmAfter
+	return v.limited && age(now, v.standing.confirmedAt) > confirmAfter
 }
 
 // Handle answers a request for tokens.
@@ -168,7 +198,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.cfg.Clock.Now()
-	answer := tokensAnswer{Voter: v.standing.Grants(now)}
+	answer := tokensAnswer{Voter: v.standing.Grants(now), Opinion: v.standing.Opinion(peer, now)}
 	if !answer.Voter {
 		return answer, nil
 	}
--- a/internal/run/kqdaemon/limits.go
+++ b/internal/run/kqdaemon/limits.go
@@ -20,7 +20,7 @@
 // handled before.
 func (d *Daemon) startVoter() (err error) {
 	d.voter, err = kqtokens.NewVoter(kqtokens.VoterConfig{
-		Params: d.limitParams(), Source: d.control, Changed: d.stateChanged, Clock: kqclock.System{}, Log: d.log.Component("limits"), Metrics: d.metrics,
+		Params: d.limitParams(), Source: d.control, Link: d.mesh, Changed: d.stateChanged, Clock: kqclock.System{}, Log: d.log.Component("limits"), Metrics: d.metrics,
 	})
 	return err
 }
