--- a/internal/admin/kqadmin/server.go
+++ b/internal/admin/kqadmin/server.go
@@ -45,19 +45,19 @@
 
 // Status is what operators see of one host.
 type Status struct {
-	Host     string          `json:"host"`
-	Domain   string          `json:"domain"`
-	Region   string          `json:"region"`
-	Roles    []string        `json:"roles"`
-	Revision uint64          `json:"revision"` // contracts in force here
-	Serving  bool            `json:"serving"`  // false: cut off, not ready, or stopping
-	Hub      string          `json:"hub,omitempty"`
-	Calls    int64           `json:"calls"`
-	Replica  any             `json:"replica,omitempty"`
-	Shares   any             `json:"shares,omitempty"` // what this host granted owners with a limit
-	Peers    map[string]bool `json:"peers,omitempty"` // linked or not
-
-	Evacuated []string `json:"evacuated,omitempty"` // failure domains, as this host knows
+	Host     string   `json:"host"`
+	Domain   string   `json:"domain"`
+	Region   string   `json:"region"`
+	Roles    []string `json:"roles"`
+	Revision uint64   `json:"revision"` // contracts in force here
+	Serving  bool     `json:"serving"`  // false: cut off, not ready, or stopping
+	Hub      string   `json:"hub,omitempty"`
+	Calls    int64    `json:"calls"`
+	Replica  any      `json:"replica,omitempty"`
+	Shares   any      `json:"shares,omitempty"` // what this host granted owners with a limit
+
+	Evacuated []string        `json:"evacuated,omitempty"` // failure domains, as this host knows
+	Peers     map[string]bool `json:"peers,omitempty"`     // linked or not
 }
 
 // Server answers operators.
