Limits: voters are asked again after tokens that came too late to be used

Behind a body on the host's own link, answers come after the life of their tokens. The request was refused, or used a spare one, although voters had room.

--- a/internal/route/kqtokens/conclude.go
+++ b/internal/route/kqtokens/conclude.go
@@ -9,6 +9,11 @@
 // conclude decides the waiting requests without a token.
 func (h *Host) conclude(s *ownerState, now time.Time) {
 	turn, refused := s.turn(now)
+	if s.expired && !refused { // tokens came too late, behind a body on a slow link
+		s.expired, s.order = false, h.order()
+		h.next(s, now)
+		return
+	}
 	for _, id := range s.waiting {
 		switch {
 		case refused:
--- a/internal/route/kqtokens/host_test.go
+++ b/internal/route/kqtokens/host_test.go
@@ -190,12 +190,35 @@
 		}
 		asks = append(asks, e.Asks...)
 	}
-	now := testStart.Add(AnswerTimeout - 1)
+	now := testStart.Add(testParams.Life() - 1)
 	if e := h.Answered(asks[1].ID, []Grant{{Count: 1}}, now); len(e.Decisions) != 1 || e.Decisions[0].Outcome != Granted {
 		t.Errorf("%+v", e)
 	}
 }
 
+// TestAsksAgainAfterExpiredTokens guards against a refusal because the only tokens came after
+// the time within which they may be used.
+func TestAsksAgainAfterExpiredTokens(t *testing.T) {
+	h, o := newTestHost(Fleet{0, 1}), owner("a", 10, 0)
+	asks := h.Take(&o, 1, testStart).Asks
+	for i := range len(testVoters) - 1 {
+		asks = append(asks, h.Slow(asks[i].ID, testStart.Add(slowAfter)).Asks...)
+	}
+	now := testStart.Add(testParams.Life() + slowAfter)
+	var e Effects
+	for _, a := range asks {
+		if e = h.Answered(a.ID, []Grant{{Count: 1}}, now); len(e.Decisions) != 0 {
+			t.Fatalf("%+v", e)
+		}
+	}
+	if len(e.Asks) != 1 {
+		t.Fatalf("no voter is asked again: %+v", e)
+	}
+	if e := h.Answered(e.Asks[0].ID, []Grant{{Count: 1}}, now); len(e.Decisions) != 1 || e.Decisions[0].Outcome != Granted {
+		t.Errorf("%+v", e)
+	}
+}
+
 // TestCancel guards against a decision for a caller that is gone, and a token that is lost.
 func TestCancel(t *testing.T) {
 	h, o := newTestHost(Fleet{0, 1}), owner("a", 10, 0)
