Admin: the history of the routes is read without their source

The source holds the keys of owners; a host that serves the history to an operator got it over the link. The region of a host's own failure domain is known without an entry in domains.

--- a/internal/admin/kqadmin/routes.go
+++ b/internal/admin/kqadmin/routes.go
@@ -53,7 +53,7 @@
 }
 
 func (s *Server) routesHistory(c echo.Context) error {
-	doc, err := s.read(c, kqcontrol.Query{Routes: true})
+	doc, err := s.read(c, kqcontrol.Query{RouteLog: true})
 	if err != nil {
 		return respondUnconfirmed(c, err)
 	}
--- a/internal/run/kqdaemon/owners_test.go
+++ b/internal/run/kqdaemon/owners_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"kumquatglade/internal/call/kqproxy"
+	"kumquatglade/internal/state/kqcontrol"
 )
 
 // TestKeysOverAllHosts guards against entry hosts that learn late of a new or withdrawn key,
@@ -82,6 +83,9 @@
 			t.Errorf("the view of %s contains a key: %v", name, err)
 		}
 	}
+	if doc, err := f.hosts[control(0)].localStore.Read(t.Context(), kqcontrol.Query{RouteLog: true}); err != nil || doc.Routes != nil || len(doc.RouteLog) != 2 {
+		t.Errorf("the history that an entry host reads holds the routes or lacks a version: %v %+v", err, doc)
+	}
 	if _, text := f.send("GET", f.at(entry(0), 1), "/v1/owners", ""); !strings.Contains(text, `"name":"acme","rate":10`) || strings.Contains(text, `"unknown":0`) {
 		t.Errorf("owners of an entry host: %s", text)
 	}
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"runtime/debug"
 	"slices"
@@ -117,7 +118,7 @@
 	shared := d.settings.Shared
 	d.proxy = kqproxy.New(kqproxy.Config{
 		HeaderNames: d.opts.API.HeaderNames, Host: d.settings.Host, Domain: d.settings.Domain, Clock: kqclock.System{}, Rand: newRand(), Log: d.log.Component("request"),
-		StateAge: func() time.Duration { return d.follower.StateAge() }, Domains: d.settings.Domains,
+		StateAge: func() time.Duration { return d.follower.StateAge() }, Domains: d.regions(),
 		Metrics: d.metrics, LinkRate: d.settings.LinkRate(), Memory: int64(d.settings.Memory), Hosts: func() int { return max(len(d.follower.Listeners()), 1) },
 		Limits: kqproxy.Limits{
 			RetryRatio: shared.RetryRatio, RetrySlack: shared.RetrySlack,
@@ -138,6 +139,14 @@
 	})
 }
 
+// regions returns the region of each failure domain. That of this host's own is known without
+// an entry in the list.
+func (d *Daemon) regions() map[string]string {
+	m := map[string]string{d.settings.Domain: d.settings.Region}
+	maps.Copy(m, d.settings.Domains)
+	return m
+}
+
 func (d *Daemon) self() kqcontract.EntryHost {
 	return kqcontract.EntryHost{
 		Name: d.settings.Host, Domain: d.settings.Domain, Region: d.settings.Region,
--- a/internal/state/kqcontrol/store.go
+++ b/internal/state/kqcontrol/store.go
@@ -26,6 +26,10 @@
 	Owner   string `json:"owner,omitempty"` // empty: all owners
 	History bool   `json:"history,omitempty"`
 	Routes  bool   `json:"routes,omitempty"` // include the routes and their history
+
+	// RouteLog includes the history of the routes without the routes, whose source has the
+	// keys of owners: it may go to a host that needs none.
+	RouteLog bool `json:"routeLog,omitempty"`
 }
 
 // Document is the result of a Query, confirmed by a quorum.
@@ -86,7 +90,10 @@
 			}
 		}
 		if q.Routes {
-			doc.Routes, doc.RouteLog = s.Routes.Current, slices.Clone(s.Routes.History)
+			doc.Routes = s.Routes.Current
+		}
+		if q.Routes || q.RouteLog {
+			doc.RouteLog = slices.Clone(s.Routes.History)
 		}
 		if q.History {
 			doc.History = s.History(q.Owner)
