Feed: a control host that confirms slowly keeps the state's age small

Counting each confirmation as at most 500 ms newer than the one before let the age grow without bound where confirmations are further apart. Only those that a host may have found in its receive buffer are now counted so.

--- a/internal/state/kqfeed/age.go
+++ b/internal/state/kqfeed/age.go
@@ -2,9 +2,17 @@
 
 import "time"
 
-// confirmationStep is how much newer than the confirmation before a confirmation may be: a
-// little more than the time between two of them.
-const confirmationStep = 500 * time.Millisecond
+const (
+	// confirmationStep is how much newer than the one before a confirmation may be that was
+	// possibly received late: a little more than the time between two of them.
+	confirmationStep = 500 * time.Millisecond
+
+	// minLiveGap and maxLiveGap are the times since the confirmation before within which a
+	// confirmation was received as it came. Behind a longer silence, this host may have been
+	// frozen; those behind each other at once may have waited in its receive buffer.
+	minLiveGap = 200 * time.Millisecond
+	maxLiveGap = time.Second
+)
 
 // StateAge returns how long ago a control host confirmed that the view in force on this host
 // was the newest one. It is larger than any other time if none did.
@@ -14,11 +22,13 @@
 	return f.cfg.Clock.Now().Sub(f.currentAt)
 }
 
-// recordCurrent records a confirmation of the view in force that has just arrived. A host
-// that was frozen receives the confirmations of that time at once, before the changes behind
-// them: each counts only as confirmationStep newer than the one before. The lock is held.
-func (f *Follower) recordCurrent(now time.Time) {
-	if f.currentAt = f.currentAt.Add(confirmationStep); f.currentAt.After(now) {
+// recordCurrent records a confirmation of the view in force that has just arrived, with the
+// time since the one before. A host that was frozen receives the confirmations of that time
+// at once, before the changes behind them: each counts only as confirmationStep newer than
+// the one before. The lock is held.
+func (f *Follower) recordCurrent(now time.Time, gap time.Duration) {
+	isLive := gap >= minLiveGap && gap <= maxLiveGap
+	if f.currentAt = f.currentAt.Add(confirmationStep); isLive || f.currentAt.After(now) {
 		f.currentAt = now
 	}
 }
--- a/internal/state/kqfeed/age_test.go
+++ b/internal/state/kqfeed/age_test.go
@@ -26,7 +26,7 @@
 		clock.Advance(100 * time.Millisecond)
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.subscribed, f.subscribedAt = true, startedAt
+		f.subscribed, f.subscribedAt, f.lastHeard = true, startedAt, clock.Now()
 		f.applyReply(reply)
 		f.recordSubscribed()
 	}
@@ -55,6 +55,15 @@
 		clock.Advance(time.Second)
 		check(t, f, time.Second)
 	})
+	t.Run("the control host confirms slowly", func(t *testing.T) {
+		f, clock := start()
+		subscribe(f, clock, subscribeReply{View: &View{Revision: 7}})
+		for range 20 {
+			clock.Advance(2 * interval)
+			f.ReceiveConfirmation("c1", confirmation{7})
+			check(t, f, 0)
+		}
+	})
 	t.Run("the announced view has not arrived", func(t *testing.T) {
 		f, clock := start()
 		subscribe(f, clock, subscribeReply{View: &View{Revision: 6}})
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -360,7 +360,8 @@
 		f.resubscribe()
 		return
 	}
-	f.lastHeard = f.cfg.Clock.Now()
-	f.lease.confirm(f.lastHeard)
-	f.recordCurrent(f.lastHeard)
+	now := f.cfg.Clock.Now()
+	f.recordCurrent(now, now.Sub(f.lastHeard))
+	f.lastHeard = now
+	f.lease.confirm(now)
 }
