--- a/internal/call/kqproxy/owner.go
+++ b/internal/call/kqproxy/owner.go
@@ -145,6 +145,15 @@
 	}
 }
 
+// without returns a function that reports whether a target is allowed and not wanted by the
+// queued requests. A nil allows allows all, and a nil wanted wants none.
+func without(allows, wanted func(*kqselection.Target) bool) func(*kqselection.Target) bool {
+	if wanted == nil {
+		return allows
+	}
+	return func(t *kqselection.Target) bool { return (allows == nil || allows(t)) && !wanted(t) }
+}
+
 // queuedRequest is a request in a queue that a new document may end.
 type queuedRequest struct {
 	chooser *chooser
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -55,12 +55,13 @@
 	e.mu.Lock()
 	ch := e.chooser(p.service)
 	c.queueLen = ch.Queue.Len()
+	wanted := ch.Queue.Wanted()
 	maxProbes := kqselection.ProbeCount(e.probeAllowance.Level())
 	e.mu.Unlock()
-	if c.queueLen == 0 {
-		list, result := e.probeCandidates(ctx, p.routing.table, p.service, tried, allows, maxProbes, p.route.Objective/firstReplyDivisor)
+	if c.queueLen == 0 || wanted != nil {
+		list, result := e.probeCandidates(ctx, p.routing.table, p.service, tried, without(allows, wanted), maxProbes, p.route.Objective/firstReplyDivisor)
 		c.probeResult = result
-		if len(list) == 0 {
+		if len(list) == 0 && c.queueLen == 0 {
 			return c, "no target"
 		}
 		now := e.cfg.Clock.Now()
--- a/internal/call/kqproxy/regions_test.go
+++ b/internal/call/kqproxy/regions_test.go
@@ -80,6 +80,30 @@
 			t.Errorf("status %d, %d arrivals, want 503 at once as the only allowed target is gone", got, f.arrivals())
 		}
 	})
+	t.Run("others pass by", func(t *testing.T) {
+		f := start(t)
+		f.change(func(d *kqroutes.Document) {
+			d.Owners = owners("a", "b")
+			d.Owners[0].Regions = []string{"west"}
+		})
+		f.fakeTargets[1].setLoad("4,0,4,100")
+		waiting := make(chan struct{})
+		go func() {
+			defer close(waiting)
+			f.call("/filings/1", "filing", "Authorization", "Bearer a-key")
+		}()
+		waitFor(t, "the request is queued", func() bool { return f.queueLen("kekhai") == 1 })
+		p := f.authorized(t, "b-key")
+		c, cause := p.choose(t.Context(), nil)
+		if c.Target == nil || c.Target.ID != "t0" || c.waited != 0 || c.queueLen != 1 {
+			t.Errorf("chosen %+v, %s, want the target that the queued request does not allow, without a wait", c, cause)
+		}
+		f.fakeTargets[1].setLoad("0,0,4,100")
+		<-waiting
+		if n := f.fakeTargets[1].arrivals.Load(); n != 1 {
+			t.Errorf("%d arrivals at the only target of the queued request", n)
+		}
+	})
 	t.Run("restricted before the first byte", func(t *testing.T) {
 		f := start(t)
 		restrict(f, []string{"east"}, nil)
