--- a/internal/state/kqcontrol/store.go
+++ b/internal/state/kqcontrol/store.go
@@ -30,6 +30,9 @@
 	Routes  bool   `json:"routes,omitempty"` // include the routes and their history
 
 	Evacuations bool `json:"evacuations,omitempty"` // include the entries of failure domains
+	// RouteLog includes the history of the routes without the routes, whose source has the
+	// keys of owners: it may go to a host that needs none.
+	RouteLog bool `json:"routeLog,omitempty"`
 }
 
 // Document is the result of a Query, confirmed by a quorum.
@@ -96,7 +99,10 @@
 			}
 		}
 		if q.Routes {
-			doc.Routes, doc.RouteLog = s.Routes.Current, slices.Clone(s.Routes.History)
+			doc.Routes = s.Routes.Current
+		}
+		if q.Routes || q.RouteLog {
+			doc.RouteLog = slices.Clone(s.Routes.History)
 		}
 		if q.Evacuations {
 			doc.Evacuations = s.Evacuations
--- a/internal/state/kqfeed/follower.go
+++ b/internal/state/kqfeed/follower.go
@@ -376,7 +376,8 @@
 		f.resubscribe()
 		return
 	}
-	f.setHeard(f.cfg.Clock.Now())
-	f.lease.confirm(f.lastHeard)
-	f.recordCurrent(f.lastHeard)
+	now := f.cfg.Clock.Now()
+	f.recordCurrent(now, now.Sub(f.lastHeard))
+	f.setHeard(now)
+	f.lease.confirm(now)
 }
