--- a/internal/scenario/kqscenario/scenario_test.go
+++ b/internal/scenario/kqscenario/scenario_test.go
@@ -128,7 +128,7 @@
 }
 
 // seededNet is the beginning of the addresses of the control hosts with seeds.
-const seededNet = "127.0.74."
+const seededNet = "127.0.75."
 
 // findLeader waits until a control host with seeds leads, and sets the variable LEADER to
 // its name:
