--- a/internal/bench/kqmodel/config.go
+++ b/internal/bench/kqmodel/config.go
@@ -33,6 +33,8 @@
 	Once     bool          // requests run at most once: they take no connection that was idle for over OnceIdle
 	OnceIdle time.Duration
 
+	ColdRate float64 // requests per second that a target handles after the restart of Fault.Cold, 0: no limit
+
 	Preferred int // targets that a host prefers, 0: those of its failure domain
 
 	Fault    Fault
@@ -117,3 +119,13 @@
 	c.Once = true
 	return c
 }
+
+// Crowded is the reading service of a deployment of 128 small hosts, with targets of two
+// slots that are nearly all in use.
+func Crowded() Config {
+	c := base()
+	c.Domains, c.Hosts, c.Targets, c.Slots, c.Queue = []string{"a", "b", "c"}, 128, 60, 2, 4
+	c.Rate, c.Work, c.Objective, c.Patience, c.Timeout = 280, 200*time.Millisecond, time.Second, 8*time.Second, 4*time.Second
+	c.NoiseShare, c.Client, c.Far = 0.3, 8*time.Millisecond, 900*time.Microsecond
+	return c
+}
--- a/internal/bench/kqmodel/fresh.go
+++ b/internal/bench/kqmodel/fresh.go
@@ -16,7 +16,7 @@
 	}
 	list := h.untried(p)
 	h.look(list, kqselection.ProbeCount(h.asks.Level()), func(worth []*kqselection.Target, told map[*kqselection.Target]bool) {
-		if t := h.chooser.Pick(worth, told, h.s.now); t != nil {
+		if t := h.chooser.PickFor(worth, told, h.s.now, p.toleratesCold()); t != nil {
 			p.send(h.number(t), h.chooser.ChoiceFor(t, h.s.now))
 			return
 		}
@@ -76,7 +76,8 @@
 		given = true
 		p.send(h.number(t), h.chooser.ChoiceFor(t, h.s.now))
 	}}
-	w.StartBy, w.GiveUpAt = kqselection.WaitLimits(now, r.born, p.until, h.s.cfg.Objective, h.unit.OrDefault(h.s.cfg.Objective/3))
+	w.ServiceTime = h.unit.OrDefault(h.s.cfg.Objective / 3)
+	w.StartBy, w.GiveUpAt = kqselection.WaitLimits(now, r.born, p.until, h.s.cfg.Objective, w.ServiceTime)
 	if !h.chooser.Queue.Enqueue(w, now) {
 		p.refused(false)
 		return
--- a/internal/bench/kqmodel/policy.go
+++ b/internal/bench/kqmodel/policy.go
@@ -63,6 +63,11 @@
 	if c.Target == nil {
 		k.InFlight++
 	}
+	if p.barred(k) {
+		p.refused(true)
+		return
+	}
+	h.s.recordSent(i)
 	if p.tried == nil {
 		p.tried = map[int]bool{}
 	}
--- a/internal/bench/kqmodel/sim.go
+++ b/internal/bench/kqmodel/sim.go
@@ -22,6 +22,8 @@
 	Dials    int // new connections to targets
 	Far      int // sends and questions to another failure domain
 	Latency  *hdrhistogram.Histogram
+	Sent     [][]time.Duration // by target: when requests were sent to it
+	Shed     []int             // by target: requests that found its queue full
 }
 
 // sim is one play.
@@ -47,6 +49,7 @@
 	budget  kqselection.RetryBudget
 	seeking bool
 	used    []time.Time // when the connection to a target was last used, by target
+	list    *kqselection.EntryList
 }
 
 // request is one caller's wish over all its tries.
@@ -88,6 +91,9 @@
 			}
 		})
 	}
+	if cfg.Fault.Cold > 0 && cfg.ColdRate > 0 {
+		s.after(cfg.From, s.announceCold)
+	}
 	s.run(s.began.Add(cfg.Duration + drained))
 	s.report.Refused = s.report.Requests - s.report.InTime - s.report.Late
 	return &s.report, nil
@@ -96,6 +102,7 @@
 func newSim(cfg Config) *sim {
 	s := &sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 5)), began: time.Unix(0, 0)}
 	s.now = s.began
+	s.report.Sent, s.report.Shed = make([][]time.Duration, cfg.Targets), make([]int, cfg.Targets)
 	s.report.Latency = hdrhistogram.New(1, highest, digits)
 	for i := range cfg.Targets {
 		t := &target{s: s, n: i, domain: cfg.Domains[i%len(cfg.Domains)]}
@@ -119,6 +126,9 @@
 	for _, t := range s.targets {
 		h.known = append(h.known, &kqselection.Target{Rank: kqselection.Rank(strconv.Itoa(len(s.hosts)), strconv.Itoa(t.n)), Domain: t.domain, Slots: s.cfg.Slots, Saturation: knee})
 	}
+	if s.cfg.ColdRate > 0 {
+		h.limitCold(len(s.hosts))
+	}
 	if s.cfg.Preferred > 0 {
 		kqselection.Prefer(h.known, domain, s.cfg.Preferred)
 	}
--- a/internal/bench/kqmodel/target.go
+++ b/internal/bench/kqmodel/target.go
@@ -39,6 +39,7 @@
 	case len(t.line) < t.s.cfg.Queue:
 		t.line = append(t.line, j)
 	default:
+		t.s.report.Shed[t.n]++
 		j.end(false)
 	}
 }
--- a/internal/call/kqproxy/engine_test.go
+++ b/internal/call/kqproxy/engine_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	kq "kumquatglade"
 	"kumquatglade/internal/host/kqclock"
 	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/route/kqselection"
@@ -107,9 +108,14 @@
 }
 
 func newFixtureWithObjective(t *testing.T, kind kqroutes.Kind, timeout, objective time.Duration, targets ...responder) *fixture {
+	t.Helper()
+	return newFixtureWithClock(t, kqclock.System{}, kind, timeout, objective, targets...)
+}
+
+func newFixtureWithClock(t *testing.T, clock kq.Clock, kind kqroutes.Kind, timeout, objective time.Duration, targets ...responder) *fixture {
 	t.Helper()
 	f := &fixture{engine: New(Config{
-		HeaderNames: DefaultHeaderNames, Clock: kqclock.System{}, Rand: rand.New(rand.NewPCG(1, 1)), Log: kqlog.Discard(),
+		HeaderNames: DefaultHeaderNames, Clock: clock, Rand: rand.New(rand.NewPCG(1, 1)), Log: kqlog.Discard(),
 		Metrics: metrics.NewRegistry(), Hosts: func() int { return 1 },
 		Limits: Limits{RetryRatio: 1, RetryWindow: 10 * time.Second},
 	})}
--- a/internal/call/kqproxy/target_test.go
+++ b/internal/call/kqproxy/target_test.go
@@ -21,14 +21,18 @@
 	probes      atomic.Int64
 	load        func(n int64) string // load reported at the n-th probe; nil reports nextLoad
 	nextLoad    atomic.Pointer[string]
-	probeDelay  atomic.Int64 // delay of the answer to a probe, in nanoseconds
-	refuses     atomic.Bool  // probes are refused, as by a full target
+	probeDelay  atomic.Int64           // delay of the answer to a probe, in nanoseconds
+	refuses     atomic.Bool            // probes are refused, as by a full target
+	cold        atomic.Pointer[string] // cold field of the answers to probes, nil: none
 	lastBody    atomic.Pointer[string]
 }
 
 // setLoad sets the load that the target reports at its next probes.
 func (f *fakeTarget) setLoad(load string) { f.nextLoad.Store(&load) }
 
+// setCold sets the cold field of the answers to probes.
+func (f *fakeTarget) setCold(cold string) { f.cold.Store(&cold) }
+
 // responder writes a raw response to c. If it returns false, the connection serves no
 // further request.
 type responder func(c net.Conn, r *http.Request) bool
@@ -72,7 +76,11 @@
 				replyNotExecuted(c, req)
 				continue
 			}
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", DefaultHeaderNames.Load, load)
+			cold := ""
+			if p := f.cold.Load(); p != nil {
+				cold = DefaultHeaderNames.Cold + ": " + *p + "\r\n"
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", DefaultHeaderNames.Load, load, cold)
 			continue
 		}
 		f.arrivals.Add(1)
--- a/internal/route/kqselection/coldlimit_test.go
+++ b/internal/route/kqselection/coldlimit_test.go
@@ -242,4 +242,3 @@
 		t.Errorf("%d requests in one second", n)
 	}
 }
-
--- a/internal/route/kqselection/queue.go
+++ b/internal/route/kqselection/queue.go
@@ -69,14 +69,14 @@
 
 // Waiter is one queued request.
 type Waiter struct {
-	Priority int           // 0 is the most urgent
-	StartBy  time.Time     // latest start for an answer in time
-	GiveUpAt time.Time     // when it leaves the queue without a target
+	Priority int       // 0 is the most urgent
+	StartBy  time.Time // latest start for an answer in time
+	GiveUpAt time.Time // when it leaves the queue without a target
 
 	ServiceTime time.Duration // usual one on an idle target
 
-	Assign   func(*Target) // called once with the target, or with nil to give up
-	seq      uint64
+	Assign func(*Target) // called once with the target, or with nil to give up
+	seq    uint64
 }
 
 // Queue holds the requests of one service that wait for a target with headroom on this
