--- a/internal/route/kqapi/routes.go
+++ b/internal/route/kqapi/routes.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kumquatglade/internal/call/kqbody"
+	"kumquatglade/internal/host/kqsettings"
 	"kumquatglade/internal/state/kqcheck"
 	"kumquatglade/internal/state/kqtargets"
 
@@ -39,6 +40,8 @@
 	State   kqtargets.State `json:"state" validate:"oneof=ready draining gone"`
 	Boot    int64           `json:"boot" validate:"min=1"` // start time of the target, ms since 1970
 	Seq     uint64          `json:"seq" validate:"min=1"`  // sequence number of the announcement since that start
+
+	Cold kqsettings.Duration `json:"cold"` // for which the target stays cold
 }
 
 type renewal struct {
@@ -87,6 +90,7 @@
 	}
 	return kqtargets.Target{
 		ID: a.ID, Boot: a.Boot, Seq: a.Seq, Service: a.Service, Addr: a.Addr, Domain: a.Domain, Slots: a.Slots, State: a.State,
+		ColdRemaining: time.Duration(a.Cold),
 	}, nil
 }
 
--- /dev/null
+++ b/internal/route/kqapi/routes_test.go
@@ -0,0 +1,30 @@
+package kqapi
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestAnnouncedColdTime guards against announcements whose cold time is lost, or accepted
+// although it is none.
+func TestAnnouncedColdTime(t *testing.T) {
+	const body = `{"service":"kekhai","id":"k1","addr":"10.0.0.1:80","domain":"a","slots":4,"state":"ready","boot":1,"seq":1`
+	for _, c := range []struct {
+		field string
+		want  time.Duration
+		ok    bool
+	}{
+		{"", 0, true},
+		{`,"cold":"20s"`, 20 * time.Second, true},
+		{`,"cold":"0s"`, 0, true},
+		{`,"cold":"-1s"`, 0, false},
+		{`,"cold":"soon"`, 0, false},
+		{`,"cold":20}`, 0, false},
+	} {
+		got, err := decode(strings.NewReader(body + c.field + "}"))
+		if got.ColdRemaining != c.want || (err == nil) != c.ok {
+			t.Errorf("%s: %v %v", c.field, got.ColdRemaining, err)
+		}
+	}
+}
--- a/internal/route/kqselection/cold.go
+++ b/internal/route/kqselection/cold.go
@@ -32,6 +32,9 @@
 		t.cold = coldState{}
 		return
 	}
+	if t.cold.list == list && t.cold.pace == pace {
+		return
+	}
 	isNew := t.cold.list == nil
 	t.cold.list, t.cold.pace, t.cold.hash = list, pace, xxhash.Sum64String(t.ID)
 	if isNew {
