--- a/internal/state/kqcontract/state.go
+++ b/internal/state/kqcontract/state.go
@@ -284,7 +284,9 @@
 	if c.Target == nil {
 		return Result{Refused: ReasonUnknown}, nil
 	}
-	changed := s.Targets.Apply(*c.Target, c.Time)
+	t := *c.Target
+	t.ColdLimited = s.Routes.Current != nil && s.Routes.Current.Document.HasColdRate(t.Service)
+	changed := s.Targets.Apply(t, c.Time)
 	if len(changed) == 0 {
 		return Result{Accepted: Accepted{Revision: s.Revision}, Repeat: true}, nil
 	}
--- a/internal/state/kqcontrol/store.go
+++ b/internal/state/kqcontrol/store.go
@@ -117,6 +117,7 @@
 	}
 	known, serviceKnown, hasRoom := false, true, true
 	err := l.View(func(s *kqcontract.State) {
+		t.ColdLimited = s.Routes.Current != nil && s.Routes.Current.Document.HasColdRate(t.Service)
 		if t.State == kqtargets.Ready {
 			known = !s.Targets.IsChange(t, l.cfg.Clock.Now())
 		} else {
--- a/internal/state/kqroutes/routes.go
+++ b/internal/state/kqroutes/routes.go
@@ -92,6 +92,11 @@
 	return slices.ContainsFunc(d.Services, func(s Service) bool { return s.Name == service })
 }
 
+// HasColdRate reports whether the document limits what cold targets of the service get.
+func (d *Document) HasColdRate(service string) bool {
+	return slices.ContainsFunc(d.Services, func(s Service) bool { return s.Name == service && s.ColdRate > 0 })
+}
+
 // Validate returns the first error in the document, with the host and route that it is in.
 func (d *Document) Validate() error {
 	known := map[string]bool{}
--- a/internal/state/kqtargets/cold.go
+++ b/internal/state/kqtargets/cold.go
@@ -53,11 +53,13 @@
 	return at.Add(a.ColdRemaining).Sub(end) > coldMargin && end.Sub(at) < coldRenewLead && at.Sub(t.ColdFrom()) >= minColdInterval
 }
 
-// setColdAt records when the announcement was made if it names a warm-up time and the
-// start of the target does not tell.
+// setColdAt records when the announcement was made if it names a warm-up time that limits
+// what the target gets, and the start of the target does not tell.
 func (t *Target) setColdAt(at time.Time) {
+	fromStart := t.Boot != 0 && at.Sub(time.UnixMilli(t.Boot)).Abs() <= coldAtTolerance
 	t.ColdAt = 0
-	if t.ColdRemaining > 0 && t.State == Ready && (t.Boot == 0 || at.Sub(time.UnixMilli(t.Boot)).Abs() > coldAtTolerance) {
+	if t.ColdLimited && t.ColdRemaining > 0 && t.State == Ready && !fromStart {
 		t.ColdAt = at.UnixMilli()
 	}
+	t.ColdLimited = false
 }
--- a/internal/state/kqtargets/cold_test.go
+++ b/internal/state/kqtargets/cold_test.go
@@ -10,7 +10,7 @@
 // coldRenewal is the seq-th announcement of target a, which names the remaining cold time.
 func coldRenewal(seq uint64, cold time.Duration) Target {
 	a := announcement("a", now.UnixMilli(), seq, Ready, "10.0.0.1:80")
-	a.ColdRemaining = cold
+	a.ColdRemaining, a.ColdLimited = cold, true
 	return a
 }
 
@@ -54,6 +54,19 @@
 	}
 }
 
+// TestColdAgainWithoutRate guards against log entries and stored bytes for services that have
+// no cold rate.
+func TestColdAgainWithoutRate(t *testing.T) {
+	s := NewSet()
+	a, b := coldRenewal(1, 20*time.Second), coldRenewal(60, 20*time.Second)
+	a.ColdLimited, b.ColdLimited = false, false
+	s.Apply(a, now.Add(3*time.Second))
+	p, err := json.Marshal(s.Targets["a"])
+	if err != nil || strings.Contains(string(p), "coldAt") || s.IsChange(b, now.Add(time.Minute)) {
+		t.Errorf("%s %v", p, err)
+	}
+}
+
 // TestColdRenewalsAreBounded guards against a target that adds an entry to the log with
 // each heartbeat because the cold time that it names does not fall.
 func TestColdRenewalsAreBounded(t *testing.T) {
--- a/internal/state/kqtargets/targets.go
+++ b/internal/state/kqtargets/targets.go
@@ -37,6 +37,7 @@
 	State         State         `json:"state"`
 	ColdRemaining time.Duration `json:"cold,omitempty"`   // remaining warm-up time, during which it is slow, at its first announcement or at ColdAt
 	ColdAt        int64         `json:"coldAt,omitempty"` // Unix milliseconds at which ColdRemaining was announced, 0 if at the start
+	ColdLimited   bool          `json:"-"`                // of an announcement that is about to be applied: its service has a cold rate
 	LeftAt        int64         `json:"leftAt,omitempty"` // Unix milliseconds at which a ready or unknown target left without naming its start
 }
 
@@ -75,7 +76,7 @@
 	case a.Seq <= old.Seq:
 		return false
 	}
-	return a.State == Draining && old.State != Draining || old.isColder(a, at) || a.Addr != old.Addr || a.Service != old.Service || a.Slots != old.Slots
+	return a.State == Draining && old.State != Draining || a.ColdLimited && old.isColder(a, at) || a.Addr != old.Addr || a.Service != old.Service || a.Slots != old.Slots
 }
 
 // mayReturn reports whether a target that left without naming its start is back: it
