--- a/internal/route/kqtokens/voter.go
+++ b/internal/route/kqtokens/voter.go
@@ -53,6 +53,8 @@
 	stop                      context.CancelFunc
 	ended                     chan struct{}
 
+	observing sync.Mutex // held from reading the state until it is taken over, so that no older one follows
+
 	mu       sync.Mutex
 	failing  bool // as logged last
 	standing *Standing
@@ -161,6 +163,8 @@
 // observe takes over the routes and the members, which a quorum confirmed if confirmed is not
 // zero. It reports whether there are limits and the last confirmation is old.
 func (v *Voter) observe(confirmed time.Time) (unconfirmed bool) {
+	v.observing.Lock()
+	defer v.observing.Unlock()
 	var routes *kqroutes.Proposal
 	s, err := v.cfg.Source.Status()
 	if err == nil {
