--- a/internal/call/kqproxy/admit.go
+++ b/internal/call/kqproxy/admit.go
@@ -15,8 +15,9 @@
 
 // Limiter applies the limits of owners, which hold over all entry hosts together.
 type Limiter interface {
-	// Take returns the decision for one send of a request of an owner with a limit.
-	Take(ctx context.Context, o *kqroutes.Owner) kqtokens.Decision
+	// Take returns the decision for one send of a request of an owner with a limit; late says
+	// that its answer cannot be in time.
+	Take(ctx context.Context, o *kqroutes.Owner, late bool) kqtokens.Decision
 	// Return gives back a token whose request was not sent, or was not run.
 	Return(o *kqroutes.Owner, t kqtokens.Token)
 	// Valid reports whether the token may still be used.
@@ -48,7 +49,7 @@
 	if !p.limited() || p.held && p.engine.cfg.Limiter.Valid(p.limit.Token) {
 		return nil
 	}
-	p.limit, p.limitOf = p.engine.cfg.Limiter.Take(ctx, p.owner), p.owner
+	p.limit, p.limitOf = p.engine.cfg.Limiter.Take(ctx, p.owner, p.late()), p.owner
 	p.held = p.limit.Outcome == kqtokens.Granted
 	wait := max(p.limit.RetryAfter, time.Millisecond)
 	switch {
@@ -63,6 +64,18 @@
 	}
 }
 
+// late reports whether the request was tried before and its answer can no longer be in time.
+func (p *proxiedRequest) late() bool {
+	now := p.engine.cfg.Clock.Now()
+	if p.route.Objective <= 0 || !p.firstTry.Before(p.started) {
+		return false
+	}
+	p.engine.mu.Lock()
+	defer p.engine.mu.Unlock()
+	startBy, _ := p.waitLimits(now)
+	return now.After(startBy)
+}
+
 // readmit is admit for a request that may have waited for the target longer than its token may
 // be used. Without a token it uncounts the send.
 func (p *proxiedRequest) readmit(ctx context.Context, t *kqselection.Target) *refusal {
--- a/internal/call/kqproxy/admit_test.go
+++ b/internal/call/kqproxy/admit_test.go
@@ -22,7 +22,7 @@
 	returned int
 }
 
-func (l *fakeLimiter) Take(context.Context, *kqroutes.Owner) kqtokens.Decision {
+func (l *fakeLimiter) Take(context.Context, *kqroutes.Owner, bool) kqtokens.Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.tokens == 0 {
--- a/internal/route/kqtokens/asker.go
+++ b/internal/route/kqtokens/asker.go
@@ -67,16 +67,20 @@
 	}
 }
 
-// Take returns the decision for one request of an owner with a limit. If ctx ends before, the
-// request is Unanswered.
-func (a *Asker) Take(ctx context.Context, o *kqroutes.Owner) Decision {
+// Take returns the decision for one request of an owner with a limit; late says that its answer
+// cannot be in time. If ctx ends before, the request is Unanswered.
+func (a *Asker) Take(ctx context.Context, o *kqroutes.Owner, late bool) Decision {
 	began := a.cfg.Clock.Now()
 	decided := make(chan Decision, 1)
 	a.mu.Lock()
 	a.lastID++
 	id := a.lastID
 	a.waiting[id] = decided
-	a.perform(a.host.Take(o, id, began))
+	if late {
+		a.perform(a.host.TakeLate(o, id, began))
+	} else {
+		a.perform(a.host.Take(o, id, began))
+	}
 	a.mu.Unlock()
 	var d Decision
 	select {
--- a/internal/route/kqtokens/host.go
+++ b/internal/route/kqtokens/host.go
@@ -83,7 +83,8 @@
 	voter string
 	sent  time.Time
 	wants []Want
-	late  bool // the next voter has been asked meanwhile
+	late  bool   // the next voter has been asked meanwhile
+	spare uint64 // request of TakeLate that the message is for, 0: none
 }
 
 // Token allows one request to be sent.
@@ -139,6 +140,19 @@
 
 // Take asks for a token for the request id of an owner with a limit.
 func (h *Host) Take(o *kqroutes.Owner, id uint64, now time.Time) Effects {
+	s := h.owner(o, now)
+	s.waiting = append(s.waiting, id)
+	h.serve(s, now)
+	if len(s.waiting) == 1 {
+		s.order = h.order()
+		h.next(s, now)
+	}
+	h.flush(now, false)
+	return h.take()
+}
+
+// owner returns the state of the owner, whose request it counts.
+func (h *Host) owner(o *kqroutes.Owner, now time.Time) *ownerState {
 	h.sweep(now)
 	s := h.owners[o.Name]
 	if s == nil {
@@ -150,14 +164,7 @@
 	}
 	s.rate, s.burst = o.Rate, o.Burst
 	s.count(now)
-	s.waiting = append(s.waiting, id)
-	h.serve(s, now)
-	if len(s.waiting) == 1 {
-		s.order = h.order()
-		h.next(s, now)
-	}
-	h.flush(now, false)
-	return h.take()
+	return s
 }
 
 // Cancel forgets a request that waits. A token granted for it is held for others.
@@ -190,6 +197,11 @@
 	if grants == nil {
 		h.absent[a.voter] = now.Add(absentTime)
 	}
+	if a.spare != 0 {
+		h.answeredLate(a, grants, now)
+		h.flush(now, false)
+		return h.take()
+	}
 	for i, w := range a.wants {
 		s := h.owners[w.Owner]
 		s.open--
--- a/internal/run/kqdaemon/limits_test.go
+++ b/internal/run/kqdaemon/limits_test.go
@@ -49,7 +49,7 @@
 	take := func(o kqroutes.Owner) (granted []kqtokens.Decision, d kqtokens.Decision, waits []time.Duration) {
 		for i := 0; ; i++ {
 			began := time.Now()
-			d = f.hosts[entry(i%3)].asker.Take(t.Context(), &o)
+			d = f.hosts[entry(i%3)].asker.Take(t.Context(), &o, false)
 			waits = append(waits, time.Since(began))
 			if d.Outcome != kqtokens.Granted || i > 1000 {
 				slices.Sort(waits)
