--- a/internal/bench/kqlimitmodel/bound_test.go
+++ b/internal/bench/kqlimitmodel/bound_test.go
@@ -29,6 +29,7 @@
 	changed      time.Time         // last change of members
 	started      map[int]time.Time // last start of each voter
 	sends        [][]time.Time
+	steady       bool // callers are never silent
 	ignoreExpiry bool // a fault: tokens are used after their time
 }
 
@@ -58,7 +59,7 @@
 	const cycle, loaded = 20 * time.Second, 10 * time.Second
 	k := &p.s.owners[o]
 	p.w.after(time.Duration(p.rng.ExpFloat64()/(4*k.Rate+k.Burst)*float64(time.Second)), func() {
-		if time.Duration(p.w.now.UnixNano())%cycle < loaded {
+		if p.steady || time.Duration(p.w.now.UnixNano())%cycle < loaded {
 			h := p.rng.IntN(boundHosts)
 			p.w.on(h, 0, func() { p.request(h, o) })
 		}
@@ -187,6 +188,34 @@
 	}
 }
 
+// TestLoweredLimitBinds guards against a limit that voters which are cut off from their peers go
+// on granting after it was lowered.
+func TestLoweredLimitBinds(t *testing.T) {
+	const window = 5 * time.Second
+	for seed := range uint64(20) {
+		p := newBoundPlay(seed, []kqroutes.Owner{{Name: "o", Rate: 300, Burst: 300}})
+		p.steady = true
+		p.arrive(0)
+		p.w.after(window, func() {
+			for v := boundHosts; v < boundHosts+2; v++ {
+				for other := boundHosts; other < len(p.w.nodes); other++ {
+					p.cutLink(v, other, boundTime)
+				}
+			}
+		})
+		var binds time.Time
+		p.w.after(window+time.Second, func() {
+			p.s.owners, binds = []kqroutes.Owner{{Name: "o", Rate: 10, Burst: 10}}, p.w.now.Add(window)
+			p.s.version++
+		})
+		p.w.run(p.w.now.Add(boundTime / 2))
+		p.sends[0] = slices.DeleteFunc(p.sends[0], func(at time.Time) bool { return at.Before(binds) })
+		if n := p.excess(); n > 0 || len(p.sends[0]) == 0 {
+			t.Errorf("seed %d: %d requests above the bound", seed, n)
+		}
+	}
+}
+
 // TestBoundNeedsItsParts checks that TestBoundInEveryWindow notices what it guards against.
 func TestBoundNeedsItsParts(t *testing.T) {
 	for name, fault := range map[string]func(p *boundPlay){
--- a/internal/bench/kqlimitmodel/shares.go
+++ b/internal/bench/kqlimitmodel/shares.go
@@ -20,7 +20,8 @@
 	w        *world
 	params   kqtokens.Params
 	hosts    int
-	owners   []kqroutes.Owner
+	owners   []kqroutes.Owner // as known to the entry hosts
+	version  uint64           // of owners
 	entries  []*entry
 	voters   map[int]*voter
 	members  []int // voters of the committed member list
@@ -40,6 +41,8 @@
 	buckets  *kqtokens.Buckets
 	standing *kqtokens.Standing
 	status   kqreplica.Status // as known to this voter
+	owners   []kqroutes.Owner // as known to this voter
+	version  uint64           // of owners
 }
 
 func newShares(w *world, p kqtokens.Params, hosts, voters int, owners []kqroutes.Owner) *shares {
@@ -74,7 +77,7 @@
 
 // startVoter starts a control host whose log holds the status.
 func (s *shares) startVoter(n int, loaded kqreplica.Status) {
-	v := &voter{buckets: kqtokens.NewBuckets(s.params), standing: kqtokens.NewStanding(s.params, loaded, s.w.now), status: loaded}
+	v := &voter{buckets: kqtokens.NewBuckets(s.params), standing: kqtokens.NewStanding(s.params, loaded, s.w.now), status: loaded, owners: s.owners, version: s.version}
 	s.voters[n] = v
 	s.refresh(v)
 	s.confirm(n, v)
@@ -104,7 +107,7 @@
 func (s *shares) confirm(n int, v *voter) {
 	connected := s.connected(n)
 	if connected {
-		v.status = s.statusFor(n)
+		v.status, v.owners, v.version = s.statusFor(n), s.owners, s.version
 	}
 	s.refresh(v)
 	if connected {
@@ -132,8 +135,8 @@
 
 func (s *shares) refresh(v *voter) {
 	v.standing.Observe(v.status, s.w.now)
-	owners, n := s.fault(s.owners, v.standing.Voters(s.w.now))
-	v.buckets.Set(owners, n, s.w.now)
+	owners, n := s.fault(v.owners, v.standing.Voters(s.w.now))
+	v.buckets.Set(v.version, owners, n, s.w.now)
 }
 
 func (s *shares) take(h, o int, decided func(ok bool, wait time.Duration, t kqtokens.Token)) {
@@ -162,6 +165,9 @@
 		v := s.voters[to]
 		var grants []kqtokens.Grant
 		for _, want := range a.Wants {
+			if v.version < s.version {
+				v.buckets.Lower(s.version, want, s.w.now)
+			}
 			if v.standing.Grants(s.w.now) || s.lasting {
 				grants = append(grants, v.buckets.Take(want, s.w.now))
 			}
--- a/internal/route/kqtokens/asker.go
+++ b/internal/route/kqtokens/asker.go
@@ -17,7 +17,8 @@
 const MethodTokens = "tokens"
 
 type tokensRequest struct {
-	Wants []Want `json:"wants"`
+	Wants   []Want `json:"wants"`
+	Version uint64 `json:"version,omitempty"` // of the sender's routes document
 }
 
 // tokensAnswer has the grants in the order of the wants. A host that may not grant any, as it
@@ -31,6 +32,7 @@
 // AskerConfig constructs an Asker.
 type AskerConfig struct {
 	HostConfig
+	Version func() uint64 // of the routes document in force on this host
 	Link    kq.Link
 	Clock   kq.Clock
 	Log     *kqlog.Log
@@ -152,7 +154,7 @@
 	})
 	defer slow.Stop()
 	var answer tokensAnswer
-	err := a.cfg.Link.Call(ctx, ask.Voter, MethodTokens, tokensRequest{ask.Wants}, &answer)
+	err := a.cfg.Link.Call(ctx, ask.Voter, MethodTokens, tokensRequest{ask.Wants, a.cfg.Version()}, &answer)
 	switch {
 	case err != nil:
 		answer.Grants = nil
--- a/internal/route/kqtokens/buckets.go
+++ b/internal/route/kqtokens/buckets.go
@@ -35,15 +35,16 @@
 	tokens           float64
 	at               time.Time // of tokens
 	lastTurn         time.Time // when the caller that was refused last may return
+	loweredBy        uint64    // version of the document from which Lower has the limit
 	granted, refused int64
 }
 
 // NewBuckets returns buckets without owners.
 func NewBuckets(p Params) *Buckets { return &Buckets{params: p, n: 1} }
 
-// Set replaces the owners and the number of voters. Buckets of known owners keep their tokens,
-// up to the new depth.
-func (b *Buckets) Set(owners []kqroutes.Owner, n int, now time.Time) {
+// Set replaces the owners, which are those of a version of the routes document, and the number of
+// voters. Buckets of known owners keep their tokens, up to the new depth.
+func (b *Buckets) Set(version uint64, owners []kqroutes.Owner, n int, now time.Time) {
 	next := make(map[string]*bucket, len(owners))
 	for i := range owners {
 		o := &owners[i]
@@ -53,7 +54,9 @@
 		} else {
 			b.refill(k, now)
 		}
-		k.rate, k.burst = o.Rate, o.Burst
+		if k.loweredBy <= version {
+			k.rate, k.burst = o.Rate, o.Burst
+		}
 		next[o.Name] = k
 	}
 	b.byOwner, b.n = next, n
@@ -83,6 +86,9 @@
 	Owner string `json:"owner"`
 	Count int    `json:"count"`          // tokens for requests that wait
 	More  int    `json:"more,omitempty"` // further tokens that would save a message
+
+	Rate  float64 `json:"rate"` // limit as known to the entry host
+	Burst float64 `json:"burst,omitempty"`
 }
 
 // Grant is the answer to a Want.
@@ -92,6 +98,22 @@
 	Unknown bool          `json:"unknown,omitempty"` // the voter's routes document does not have the owner
 }
 
+// Lower lowers a limit to that of an entry host whose routes document has the version and is
+// newer than this voter's, which may be cut off from its peers.
+func (b *Buckets) Lower(version uint64, w Want, now time.Time) {
+	k := b.byOwner[w.Owner]
+	if k == nil || w.Rate <= 0 || k.rate > 0 && w.Rate >= k.rate && w.Burst >= k.burst {
+		return
+	}
+	b.refill(k, now)
+	k.loweredBy = max(k.loweredBy, version)
+	if k.rate <= 0 {
+		k.rate, k.burst, k.tokens = w.Rate, w.Burst, startTokens
+	}
+	k.rate, k.burst = min(k.rate, w.Rate), min(k.burst, max(w.Burst, 0))
+	k.tokens = min(k.tokens, b.depth(k))
+}
+
 // maxCount bounds what one message may ask for one owner; a host has fewer requests waiting.
 const maxCount = 1000
 
--- a/internal/route/kqtokens/buckets_test.go
+++ b/internal/route/kqtokens/buckets_test.go
@@ -40,24 +40,30 @@
 		{"half a second", func(*Buckets) time.Time { return testStart.Add(500 * time.Millisecond) }, startTokens + 5},
 		{"clock set back", func(*Buckets) time.Time { return testStart.Add(-time.Hour) }, startTokens},
 		{"lowered limit", func(b *Buckets) time.Time {
-			b.Set([]kqroutes.Owner{owner("a", 5, 5)}, voters, testStart.Add(time.Hour))
+			b.Set(1, []kqroutes.Owner{owner("a", 5, 5)}, voters, testStart.Add(time.Hour))
 			return testStart.Add(time.Hour)
 		}, int(1 + rounding)},
 		{"more voters", func(b *Buckets) time.Time {
-			b.Set([]kqroutes.Owner{owner("a", 50, 50)}, 10, testStart.Add(time.Hour))
+			b.Set(1, []kqroutes.Owner{owner("a", 50, 50)}, 10, testStart.Add(time.Hour))
 			return testStart.Add(time.Hour)
 		}, 5 + minRounding},
 		{"same limit in a new document", func(b *Buckets) time.Time {
-			b.Set([]kqroutes.Owner{owner("b", 1, 1), owner("a", 50, 50)}, voters, testStart)
+			b.Set(1, []kqroutes.Owner{owner("b", 1, 1), owner("a", 50, 50)}, voters, testStart)
 			return testStart
 		}, startTokens},
 		{"gone", func(b *Buckets) time.Time {
-			b.Set([]kqroutes.Owner{owner("b", 1, 1)}, voters, testStart)
+			b.Set(1, []kqroutes.Owner{owner("b", 1, 1)}, voters, testStart)
 			return testStart
 		}, 0},
+		{"lowered on an entry host", func(b *Buckets) time.Time {
+			b.Lower(2, Want{Owner: "a", Rate: 5, Burst: 5}, testStart.Add(time.Hour))
+			b.Lower(2, Want{Owner: "a", Rate: 50, Burst: 50}, testStart.Add(time.Hour))
+			b.Set(1, []kqroutes.Owner{owner("a", 50, 50)}, voters, testStart.Add(time.Hour))
+			return testStart.Add(time.Hour)
+		}, int(1 + rounding)},
 	} {
 		b := NewBuckets(testParams)
-		b.Set([]kqroutes.Owner{owner("a", 50, 50)}, voters, testStart)
+		b.Set(1, []kqroutes.Owner{owner("a", 50, 50)}, voters, testStart)
 		if got := drain(b, "a", c.do(b)); got != c.want {
 			t.Errorf("%s: %d tokens, want %d", c.name, got, c.want)
 		}
@@ -70,7 +76,7 @@
 // TestTurns guards against callers that are refused together and return together.
 func TestTurns(t *testing.T) {
 	b := NewBuckets(testParams)
-	b.Set([]kqroutes.Owner{owner("a", 10, 0), owner("free", 0, 0)}, 5, testStart)
+	b.Set(1, []kqroutes.Owner{owner("a", 10, 0), owner("free", 0, 0)}, 5, testStart)
 	drain(b, "a", testStart)
 	last := time.Duration(0)
 	for range 100 {
@@ -94,7 +100,7 @@
 // TestMore guards against tokens that expire unused while they are scarce.
 func TestMore(t *testing.T) {
 	b := NewBuckets(testParams)
-	b.Set([]kqroutes.Owner{owner("a", 50, 50)}, 5, testStart)
+	b.Set(1, []kqroutes.Owner{owner("a", 50, 50)}, 5, testStart)
 	now := testStart.Add(time.Hour) // 12.2 tokens
 	if g := b.Take(Want{Owner: "a", Count: 1, More: maxMore}, now); g.Count != 1+maxMore {
 		t.Errorf("full bucket: %+v", g)
--- a/internal/route/kqtokens/host.go
+++ b/internal/route/kqtokens/host.go
@@ -303,7 +303,7 @@
 		s.order = slices.Delete(s.order, i, i+1)
 		s.asked = h.lastID
 		s.open++
-		a.wants = append(a.wants, Want{Owner: s.name, Count: len(s.waiting), More: s.more(h.cfg.Life(), now)})
+		a.wants = append(a.wants, Want{Owner: s.name, Count: len(s.waiting), More: s.more(h.cfg.Life(), now), Rate: s.rate, Burst: s.burst})
 	}
 	h.queued = rest
 	h.asks[h.lastID] = a
--- a/internal/route/kqtokens/voter.go
+++ b/internal/route/kqtokens/voter.go
@@ -129,7 +129,7 @@
 	defer v.mu.Unlock()
 	if v.standing.Hear(list) && v.routes != nil {
 		v.buckets = NewBuckets(v.cfg.Params)
-		v.buckets.Set(v.routes.Document.Owners, v.n, v.cfg.Clock.Now())
+		v.buckets.Set(v.routes.Document.Version, v.routes.Document.Owners, v.n, v.cfg.Clock.Now())
 	}
 }
 
@@ -178,7 +178,7 @@
 	now := v.cfg.Clock.Now()
 	v.standing.Observe(s.Status, now)
 	if n := v.standing.Voters(now); routes != nil && (routes != v.routes || n != v.n) {
-		v.buckets.Set(routes.Document.Owners, n, now)
+		v.buckets.Set(routes.Document.Version, routes.Document.Owners, n, now)
 		v.routes, v.n = routes, n
 	}
 	v.limited = routes != nil && slices.ContainsFunc(routes.Document.Owners, func(o kqroutes.Owner) bool { return o.Limited() })
@@ -206,7 +206,11 @@
 	if !answer.Voter {
 		return answer, nil
 	}
+	newer := v.routes != nil && req.Version > v.routes.Document.Version
 	for _, w := range req.Wants {
+		if newer {
+			v.buckets.Lower(req.Version, w, now)
+		}
 		g := v.buckets.Take(w, now)
 		v.granted.Inc(int64(g.Count))
 		v.refused.Inc(int64(max(w.Count-g.Count, 0)))
--- a/internal/run/kqdaemon/limits.go
+++ b/internal/run/kqdaemon/limits.go
@@ -62,10 +62,18 @@
 func (d *Daemon) newAsker() *kqtokens.Asker {
 	return kqtokens.NewAsker(kqtokens.AskerConfig{
 		HostConfig: kqtokens.HostConfig{Params: d.limitParams(), Rand: newRand(), Voters: d.controlNames, Fleet: d.fleet},
-		Link:       d.mesh, Clock: kqclock.System{}, Log: d.log.Component("limits"), Metrics: d.metrics,
+		Version:    d.routesVersion, Link: d.mesh, Clock: kqclock.System{}, Log: d.log.Component("limits"), Metrics: d.metrics,
 	})
 }
 
+// routesVersion returns the version of the routes in force on this entry host.
+func (d *Daemon) routesVersion() uint64 {
+	if v := d.follower.LatestView(); v != nil && v.Routes != nil {
+		return v.Routes.Version
+	}
+	return 0
+}
+
 // fleet returns the place of this host among the entry hosts that accept requests.
 func (d *Daemon) fleet() kqtokens.Fleet {
 	list, rank, listed := d.follower.Listeners(), 0, false
