--- a/internal/route/kqtokens/host.go
+++ b/internal/route/kqtokens/host.go
@@ -225,7 +225,7 @@
 
 // learn records a voter's answer for one owner.
 func (s *ownerState) learn(a *ask, w Want, g Grant, now time.Time) {
-	for range g.Count {
+	for range min(g.Count, w.Count+w.More) {
 		s.held = append(s.held, Token{By: a.voter, Sent: a.sent})
 	}
 	switch {
