--- a/internal/bench/kqlimitmodel/run.go
+++ b/internal/bench/kqlimitmodel/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"kumquatglade/internal/route/kqtokens"
@@ -47,6 +48,8 @@
 	Excess   int     // requests sent in the worst window beyond the bound with overrun and slack, negative if fewer
 	Used     float64 // share of the limit that the owner in excess used during its surge
 	Messages float64 // per request that arrived at an entry host
+
+	Wait time.Duration // 99th percentile of the time to a decision, of requests within their limits
 }
 
 // loads returns the usual load of each owner: a power law between largestRate and totalRate.
@@ -82,6 +85,7 @@
 	began   time.Time
 	arrived int
 	sends   [][]time.Time // by owner
+	waits   []time.Duration
 	result  Result
 }
 
@@ -161,7 +165,11 @@
 		return
 	}
 	p.arrived++
+	began := p.w.now
 	p.way.take(h, o, func(ok bool, wait time.Duration, _ kqtokens.Token) {
+		if within {
+			p.waits = append(p.waits, p.w.now.Sub(began))
+		}
 		if ok {
 			p.sends[o] = append(p.sends[o], p.w.now)
 			return
@@ -190,6 +198,8 @@
 		}
 	}
 	p.result.Used = float64(used) / (p.owners[0].Rate*faultTime.Seconds() + p.owners[0].Burst)
+	slices.Sort(p.waits)
+	p.result.Wait = p.waits[len(p.waits)*99/100]
 	p.result.Messages = float64(p.way.sent()) / float64(max(p.arrived, 1))
 }
 
