--- a/internal/route/kqtokens/host.go
+++ b/internal/route/kqtokens/host.go
@@ -240,7 +240,7 @@
 
 // learn records a voter's answer for one owner.
 func (s *ownerState) learn(p Params, a *ask, w Want, g Grant, now time.Time) {
-	for range g.Count {
+	for range min(g.Count, w.Count+w.More) {
 		s.held = append(s.held, Token{By: a.voter, Sent: a.sent})
 	}
 	s.expired = s.expired || g.Count > 0 && !p.Valid(Token{Sent: a.sent}, now)
@@ -319,7 +319,7 @@
 		s.order = slices.Delete(s.order, i, i+1)
 		s.asked = h.lastID
 		s.open++
-		a.wants = append(a.wants, Want{Owner: s.name, Count: len(s.waiting), More: s.more(h.cfg.Life(), now)})
+		a.wants = append(a.wants, Want{Owner: s.name, Count: len(s.waiting), More: s.more(h.cfg.Life(), now), Rate: s.rate, Burst: s.burst})
 	}
 	h.queued = rest
 	h.asks[h.lastID] = a
--- a/internal/route/kqtokens/standing.go
+++ b/internal/route/kqtokens/standing.go
@@ -26,7 +26,9 @@
 //   - A voter that is added grants once it has known for hold that this is committed. Any
 //     other voter that grants then has been confirmed since, and counts it. It need not wait if
 //     all other voters say that they count it and those that grant know of no recent removal,
-//     as when a cluster is founded by a part of its hosts.
+//     as when a cluster is founded by a part of its hosts; or if those that grant have counted it
+//     for hold or since they started, as a voter that lost its folder and is back. It then counts
+//     one more voter for hold, as they may not know of a removal.
 //   - A voter that has restarted does not know of a removal just before, and counts one more
 //     voter for hold. A voter of the loaded log was one before its start and grants once
 //     confirmed, without a wait; so does one of the founding list, which no other precedes.
@@ -40,6 +42,7 @@
 	established bool                 // a voter of the log as loaded at the start, or of the founding list
 	committed   []string             // voters of the newest member list known to be committed
 	lastSeen    map[string]time.Time // when each host was last a voter of a list in force
+	firstSeen   map[string]time.Time // since when it has been in lastSeen; zero: since this host started
 	voter       bool
 	voterSince  time.Time
 	confirmedAt time.Time
@@ -50,9 +53,12 @@
 func NewStanding(p Params, s kqreplica.Status, now time.Time) *Standing {
 	t := &Standing{
 		hold:    confirmationLife + p.Window + p.Life() + clockMargin, // no window sees grants by both divisions
-		started: now, restarted: len(s.Members) > 0, established: s.Voter, lastSeen: map[string]time.Time{},
+		started: now, restarted: len(s.Members) > 0, established: s.Voter, lastSeen: map[string]time.Time{}, firstSeen: map[string]time.Time{},
 	}
 	t.Observe(s, now)
+	for h := range t.lastSeen {
+		t.firstSeen[h] = time.Time{}
+	}
 	return t
 }
 
@@ -69,12 +75,16 @@
 	}
 	for _, list := range [][]string{voters, t.committed} {
 		for _, h := range list {
+			if _, counted := t.lastSeen[h]; !counted {
+				t.firstSeen[h] = now
+			}
 			t.lastSeen[h] = now
 		}
 	}
 	for h, at := range t.lastSeen {
 		if age(now, at) > t.hold {
 			delete(t.lastSeen, h)
+			delete(t.firstSeen, h)
 		}
 	}
 	switch {
@@ -111,6 +121,7 @@
 	Counted Opinion = "counted" // limits are divided by a number that includes the other
 	Sure    Opinion = "sure"    // and the sender grants, and knows that nobody was removed within hold
 	Unsure  Opinion = "unsure"  // and the sender grants, and somebody may have been removed
+	Settled Opinion = "settled" // and the sender grants, and has counted the other for hold, or since it started
 )
 
 // Opinion returns what this voter says about the other one, empty if it does not count it.
@@ -120,6 +131,8 @@
 		return ""
 	case !t.Grants(now):
 		return Counted
+	case age(now, t.firstSeen[other]) >= t.hold:
+		return Settled
 	case t.restarted && age(now, t.started) < t.hold, len(t.lastSeen) > len(t.committed):
 		return Unsure
 	}
@@ -143,10 +156,17 @@
 // Hear ends the wait of this voter if the opinions of all others allow it, and reports whether
 // it did. The voter must then begin with new buckets, as the others granted the whole burst
 // until they counted it.
-func (t *Standing) Hear(list []Opinion) bool {
-	if !t.voter || t.established || !slices.Contains(list, Sure) || slices.Contains(list, Unsure) || slices.Contains(list, "") {
+func (t *Standing) Hear(list []Opinion, now time.Time) bool {
+	if !t.voter || t.established || slices.Contains(list, Unsure) || slices.Contains(list, "") {
+		return false
+	}
+	sure, settled := slices.Contains(list, Sure), slices.Contains(list, Settled)
+	if sure == settled {
 		return false
 	}
+	if settled { // a voter may have been removed that still grants: this one counts it for hold
+		t.restarted, t.started = true, now
+	}
 	t.established = true
 	return true
 }
