--- a/internal/bench/kqmodel/cold.go
+++ b/internal/bench/kqmodel/cold.go
@@ -42,6 +42,13 @@
 	return kqselection.ToleratesCold(h.s.now, startBy, unit)
 }
 
+// coldUntil reports whether all targets are cold, and this host may send to none of them before
+// the given time.
+func (h *host) coldUntil(at time.Time) bool {
+	end, ok := kqselection.ColdEnd(h.known, h.s.now)
+	return ok && (end.IsZero() || !end.Before(at))
+}
+
 // barred reports whether the target turned out to be barred right before the send, which is
 // then not counted.
 func (p *passage) barred(k *kqselection.Target) bool {
--- a/internal/bench/kqmodel/fresh.go
+++ b/internal/bench/kqmodel/fresh.go
@@ -78,6 +78,10 @@
 	}}
 	w.ServiceTime = h.unit.OrDefault(h.s.cfg.Objective / 3)
 	w.StartBy, w.GiveUpAt = kqselection.WaitLimits(now, r.born, p.until, h.s.cfg.Objective, w.ServiceTime)
+	if h.coldUntil(w.GiveUpAt) {
+		p.refused(true)
+		return
+	}
 	if !h.chooser.Queue.Enqueue(w, now) {
 		p.refused(false)
 		return
--- a/internal/call/kqproxy/cold.go
+++ b/internal/call/kqproxy/cold.go
@@ -26,9 +26,13 @@
 	verifying bool // verifyCold is running
 }
 
-// causeCold says why a request is refused while all targets of its service are cold and none
-// may get it in time from this host.
-const causeCold = "all targets are cold"
+// Causes of refusals while all targets of a service are cold: after a wait for a token, and at
+// once, as this host gets none in time. Other hosts may have tokens in the second case, so
+// that the caller may come back almost at once.
+const (
+	causeCold          = "all targets are cold"
+	causeColdElsewhere = "all targets are cold, and this host may send to none of them in time"
+)
 
 // Sources of what is known of the cold time of a target, in log lines.
 const (
--- a/internal/call/kqproxy/cold_test.go
+++ b/internal/call/kqproxy/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -90,9 +91,12 @@
 	f.engine.probe(t.Context(), f.target(1), "/health", 10, time.Second)
 	started := time.Now()
 	res, body, err := f.call("/filings/1", "")
-	if err != nil || res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" || !strings.Contains(body, causeCold) {
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, causeColdElsewhere) {
 		t.Errorf("%v %q %v", res, body, err)
 	}
+	if after, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); err != nil || after > maxRetryDelayWithRoom.Seconds() {
+		t.Errorf("Retry-After %v %v, want almost at once: other hosts may send", after, err)
+	}
 	if took := time.Since(started); took > 300*time.Millisecond || f.engine.metrics.coldRefused.Count() != 1 {
 		t.Errorf("refused after %v, counted %d", took, f.engine.metrics.coldRefused.Count())
 	}
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -48,7 +48,7 @@
 		return c, causeQuiet
 	}
 	if p.coldForTooLong(tried, started) {
-		return c, causeCold
+		return c, causeColdElsewhere
 	}
 	e.mu.Lock()
 	ch := e.chooser(p.service)
--- a/internal/call/kqproxy/send.go
+++ b/internal/call/kqproxy/send.go
@@ -94,7 +94,8 @@
 	timedOut := ctx.Err() != nil || time.Until(p.deadline) < minTimeLeft
 	switch {
 	case !mayHaveRun:
-		p.refuse(http.StatusServiceUnavailable, last.cause, p.retryAfter(p.sends > 0 || last.cause == causeShutdown))
+		elsewhere := last.cause == causeShutdown || last.cause == causeColdElsewhere
+		p.refuse(http.StatusServiceUnavailable, last.cause, p.retryAfter(p.sends > 0 || elsewhere))
 	case timedOut:
 		p.fail(http.StatusGatewayTimeout, last.cause)
 	default:
