--- a/internal/call/kqproxy/cold.go
+++ b/internal/call/kqproxy/cold.go
@@ -23,7 +23,8 @@
 	entries   *kqselection.EntryList // nil until a service has a cold rate
 	applied   []kqfeed.EntryListener // from which entries was made
 	paces     map[string]kqselection.ColdPace
-	verifying bool // verifyCold is running
+	verifying bool                    // verifyCold is running
+	verify    kqselection.TokenBucket // probes of verifyCold
 }
 
 // Causes of refusals while all targets of a service are cold: after a wait for a token, and at
@@ -48,10 +49,12 @@
 	maxProbedCold = time.Hour
 
 	// verifyColdInterval is the time between two rounds of probes of targets that are assumed
-	// to be cold, and verifyColdProbes the number of probes in one: with hundreds of entry
-	// hosts, each target gets some tens of them per second.
+	// to be cold, and verifyColdProbes the number of probes in one. verifyColdShare is the
+	// share of the allowed probes of such a target that all hosts together use for it: the
+	// others are for requests.
 	verifyColdInterval = 100 * time.Millisecond
-	verifyColdProbes   = 2
+	verifyColdProbes   = 4
+	verifyColdShare    = 0.3
 )
 
 // setColdServices takes over the cold rates of the document. e.mu must be held.
@@ -249,11 +252,9 @@
 			return
 		case <-tick.C:
 		}
-		left := 0
 		state := e.routing.Load()
-		for service, list := range state.targets {
-			probe, all := e.planVerification(list, skip, verifyColdProbes)
-			left += all
+		plan, left := e.planVerification(state, skip)
+		for service, probe := range plan {
 			skip += len(probe) - len(e.probeAll(context.Background(), state.table, service, probe, 0))
 		}
 		if left == 0 && e.endVerification() {
@@ -262,19 +263,42 @@
 	}
 }
 
-// planVerification returns up to n of the targets that are assumed to be cold, after the
-// first ones to skip, and how many there are in all.
-func (e *Engine) planVerification(list []*kqselection.Target, skip, n int) (probe []*kqselection.Target, all int) {
+// planVerification returns the targets to probe now, by service, of those that are assumed to
+// be cold, and how many these are. Of each service it leaves out the first ones to skip.
+func (e *Engine) planVerification(state *routingState, skip int) (plan map[string][]*kqselection.Target, left int) {
 	now := e.cfg.Clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	unverified := kqselection.Unverified(list)
-	for i := range min(n, len(unverified)) {
-		if t := unverified[(skip+i)%len(unverified)]; t.BarredToProbe(now) == kqselection.NotBarred && e.takeProbe(now) {
-			probe = append(probe, t)
+	unverified := map[string][]*kqselection.Target{}
+	for service, list := range state.targets {
+		if u := kqselection.Unverified(list); len(u) > 0 {
+			unverified[service] = u
+			left += len(u)
 		}
 	}
-	return probe, len(unverified)
+	e.cold.verify.Refill(e.verifyRate(left), verifyColdProbes, now)
+	plan = map[string][]*kqselection.Target{}
+	for service, list := range unverified {
+		for i := range min(verifyColdProbes, len(list)) {
+			t := list[(skip+i)%len(list)]
+			if t.BarredToProbe(now) != kqselection.NotBarred {
+				continue
+			}
+			if !e.cold.verify.Take() || !e.takeProbe(now) {
+				return plan, left
+			}
+			plan[service] = append(plan[service], t)
+		}
+	}
+	return plan, left
+}
+
+// verifyRate returns how many probes per second this host uses to verify n targets.
+func (e *Engine) verifyRate(n int) float64 {
+	if e.cfg.Limits.ProbeRate <= 0 {
+		return verifyColdProbes / verifyColdInterval.Seconds()
+	}
+	return verifyColdShare * e.cfg.Limits.ProbeRate * float64(n) / float64(max(e.cfg.Hosts(), 1))
 }
 
 // endVerification reports whether no target is assumed to be cold, and lets the next one that
