--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -53,7 +53,7 @@
 		return c, cause
 	}
 	if p.coldForTooLong(tried, allows, started) {
-		return c, causeCold
+		return c, causeColdElsewhere
 	}
 	e.mu.Lock()
 	ch := e.chooser(p.service)
--- a/internal/call/kqproxy/send.go
+++ b/internal/call/kqproxy/send.go
@@ -118,7 +118,8 @@
 	}
 	switch {
 	case !mayHaveRun:
-		p.refuse(http.StatusServiceUnavailable, last.cause, p.retryAfter(p.sends > 0 || last.cause == causeShutdown))
+		elsewhere := last.cause == causeShutdown || last.cause == causeColdElsewhere
+		p.refuse(http.StatusServiceUnavailable, last.cause, p.retryAfter(p.sends > 0 || elsewhere))
 	case timedOut:
 		p.fail(http.StatusGatewayTimeout, last.cause)
 	default:
--- a/internal/route/kqtokens/asker_test.go
+++ b/internal/route/kqtokens/asker_test.go
@@ -66,12 +66,12 @@
 		})
 		o := owner("a", 10, 0)
 		for range 5 {
-			if d := a.Take(t.Context(), &o); d.Outcome != Granted || d.Token.By != testVoters[0] {
+			if d := a.Take(t.Context(), &o, false); d.Outcome != Granted || d.Token.By != testVoters[0] {
 				t.Errorf("%s: %+v", name, d)
 			}
 		}
 		all := newTestAsker(func(_ context.Context, _ string, req tokensRequest) (tokensAnswer, error) { return bad(req) })
-		if d := all.Take(t.Context(), &o); d.Outcome != Unanswered || d.RetryAfter <= 0 {
+		if d := all.Take(t.Context(), &o, false); d.Outcome != Unanswered || d.RetryAfter <= 0 {
 			t.Errorf("%s from all: %+v", name, d)
 		}
 	}
@@ -92,14 +92,14 @@
 		<-asked
 		cancel()
 	}()
-	if d := a.Take(ctx, &o); d.Outcome != Unanswered {
+	if d := a.Take(ctx, &o, false); d.Outcome != Unanswered {
 		t.Errorf("%+v", d)
 	}
 	close(release)
 	var wg sync.WaitGroup
 	for range 20 {
 		wg.Go(func() {
-			if d := a.Take(t.Context(), &o); d.Outcome != Granted {
+			if d := a.Take(t.Context(), &o, false); d.Outcome != Granted {
 				t.Errorf("%+v", d)
 			}
 		})
