--- a/internal/route/kqtokens/late_test.go
+++ b/internal/route/kqtokens/late_test.go
@@ -12,7 +12,7 @@
 func TestLateRequests(t *testing.T) {
 	o := owner("a", 10, 10)
 	b := NewBuckets(testParams)
-	b.Set([]kqroutes.Owner{o}, 1, testStart)
+	b.Set(1, []kqroutes.Owner{o}, 1, testStart)
 	voter := func(a Ask) (list []Grant) {
 		for _, w := range a.Wants {
 			list = append(list, b.Take(w, testStart.Add(time.Hour)))
