Soak: evacuations hit the domain of a target, and targets are spread over domains

All targets of a run could be in one domain, since those that start in the same millisecond shared it; an order for another domain was refused or had no effect.

--- a/internal/bench/kqsoak/evacuate.go
+++ b/internal/bench/kqsoak/evacuate.go
@@ -31,7 +31,7 @@
 		case status == http.StatusOK:
 			return nil
 		case status == http.StatusBadRequest:
-			return errors.Newf("refused: %s", answer) // no target of the domain has announced itself yet
+			return errors.Newf("refused: %s", answer) // its target has not announced itself yet
 		}
 		time.Sleep(pollInterval)
 	}
--- a/internal/bench/kqsoak/inject.go
+++ b/internal/bench/kqsoak/inject.go
@@ -45,7 +45,10 @@
 		all := s.hosts.All()
 		return forEach(len(all), func(i int) error { return all[i].Signal(syscall.SIGKILL) })
 	case Evacuate:
-		return s.evacuate(ctx, domains[f.Pick%len(domains)], f.For)
+		s.mu.Lock()
+		domain := s.targets[f.Pick%len(s.targets)].domain()
+		s.mu.Unlock()
+		return s.evacuate(ctx, domain, f.For)
 	default:
 		s.injectTarget(ctx, f)
 		return nil
--- a/internal/bench/kqsoak/target.go
+++ b/internal/bench/kqsoak/target.go
@@ -82,7 +82,11 @@
 	return t
 }
 
-func (t *Target) domain() string { return domains[int(t.boot)%len(domains)] }
+// domain returns the target's failure domain. It depends on the ID, as targets that start at
+// the same moment would otherwise all be in one.
+func (t *Target) domain() string {
+	return domains[int(crc32.ChecksumIEEE([]byte(t.cfg.ID)))%len(domains)]
+}
 
 func (t *Target) addr() string { return strings.TrimPrefix(t.server.URL, "http://") }
 
