Limits: late callers get tokens unless a caller in time was refused within 2 s

Tokens above half of a bucket were too few for owners of 5 requests a second: all their late callers were refused though their limits were far away.

--- a/internal/route/kqtokens/buckets.go
+++ b/internal/route/kqtokens/buckets.go
@@ -35,6 +35,7 @@
 	tokens           float64
 	at               time.Time // of tokens
 	lastTurn         time.Time // when the caller that was refused last may return
+	refusedAt        time.Time // when a request that could be answered in time was last refused
 	loweredBy        uint64    // version of the document from which Lower has the limit
 	granted, refused int64
 }
@@ -86,6 +87,7 @@
 	Owner string `json:"owner"`
 	Count int    `json:"count"`          // tokens for requests that wait
 	More  int    `json:"more,omitempty"` // further tokens that would save a message
+	Late  int    `json:"late,omitempty"` // tokens for requests whose answers cannot be in time
 
 	Rate  float64 `json:"rate"` // limit as known to the entry host
 	Burst float64 `json:"burst,omitempty"`
@@ -114,6 +116,10 @@
 	k.tokens = min(k.tokens, b.depth(k))
 }
 
+// excessTime is how long after a refusal an owner counts as beyond its limit: longer than the
+// tokens of a share of one request per second take to grow.
+const excessTime = 2 * time.Second
+
 // maxCount bounds what one message may ask for one owner; a host has fewer requests waiting.
 const maxCount = 1000
 
@@ -124,15 +130,23 @@
 	if k == nil {
 		return Grant{Unknown: true}
 	}
-	count, more := min(max(w.Count, 0), maxCount), min(max(w.More, 0), maxCount)
+	count, more, late := min(max(w.Count, 0), maxCount), min(max(w.More, 0), maxCount), min(max(w.Late, 0), maxCount)
 	if k.rate <= 0 {
-		k.granted += int64(count + more)
-		return Grant{Count: count + more}
+		k.granted += int64(count + more + late)
+		return Grant{Count: count + more + late}
 	}
 	b.refill(k, now)
 	g := Grant{Count: min(count, int(k.tokens+epsilon))}
 	k.tokens -= float64(g.Count)
+	if late > 0 && now.Sub(k.refusedAt) >= excessTime {
+		n := min(late, int(k.tokens+epsilon))
+		g.Count += n
+		k.tokens -= float64(n)
+		k.granted += int64(n)
+		return g
+	}
 	if g.Count < count {
+		k.refusedAt = now
 		k.refused += int64(count - g.Count)
 		g.Wait = k.nextTurn(b.n, now)
 	} else if spare := int(k.tokens - b.depth(k)/2 + epsilon); spare > 0 {
--- a/internal/route/kqtokens/host.go
+++ b/internal/route/kqtokens/host.go
@@ -240,7 +240,7 @@
 
 // learn records a voter's answer for one owner.
 func (s *ownerState) learn(p Params, a *ask, w Want, g Grant, now time.Time) {
-	for range min(g.Count, w.Count+w.More) {
+	for range min(g.Count, w.Count+w.More+w.Late) {
 		s.held = append(s.held, Token{By: a.voter, Sent: a.sent})
 	}
 	s.expired = s.expired || g.Count > 0 && !p.Valid(Token{Sent: a.sent}, now)
--- a/internal/route/kqtokens/late.go
+++ b/internal/route/kqtokens/late.go
@@ -7,8 +7,8 @@
 )
 
 // TakeLate asks for a token for a request whose answer will be late in any case, as its caller
-// was refused before. It gets one only if its owner has tokens to spare: of an owner beyond its
-// limit, callers that can still be served in time go first, since as many are refused either way.
+// was refused before. It gets none while its owner is beyond its limit: callers that can still be
+// served in time go first then, since as many are refused either way.
 func (h *Host) TakeLate(o *kqroutes.Owner, id uint64, now time.Time) Effects {
 	s := h.owner(o, now)
 	h.serve(s, now)
@@ -26,7 +26,7 @@
 			continue
 		}
 		h.lastID++
-		a := &ask{voter: v, sent: now, wants: []Want{{Owner: s.name, More: 1}}, spare: id, late: true}
+		a := &ask{voter: v, sent: now, wants: []Want{{Owner: s.name, Late: 1}}, spare: id, late: true}
 		s.open++
 		h.asks[h.lastID] = a
 		h.out.Asks = append(h.out.Asks, Ask{ID: h.lastID, Voter: v, Wants: a.wants})
