Test of a cancelled request for a token: the fake voter has room for all messages

With more than ten messages, which depends on how requests share them, the fake blocked for ever and with it the test (once in about ten runs).

--- a/internal/route/kqtokens/asker_test.go
+++ b/internal/route/kqtokens/asker_test.go
@@ -80,7 +80,7 @@
 // TestAskerCancelled guards against a token that is lost with its caller, and against a caller
 // that is kept by a voter which does not answer.
 func TestAskerCancelled(t *testing.T) {
-	asked, release := make(chan struct{}, 10), make(chan struct{})
+	asked, release := make(chan struct{}, 100), make(chan struct{})
 	a := newTestAsker(func(_ context.Context, _ string, req tokensRequest) (tokensAnswer, error) {
 		asked <- struct{}{}
 		<-release
