Targets of two slots: both are used unless the second one doubles the time

A fifth of two slots is less than one, so that one of two was left empty until a host had learned the slowdown from several answers.

--- a/internal/route/kqselection/queue.go
+++ b/internal/route/kqselection/queue.go
@@ -33,7 +33,7 @@
 	if reportsLoad && t.LastLoad.Slots > 0 {
 		slots = t.LastLoad.Slots
 	}
-	limit := max(1, int(t.Saturation.UsableShare()*float64(slots)))
+	limit := t.Saturation.UsableSlots(slots)
 	if !reportsLoad {
 		return limit - t.InFlight
 	}
--- a/internal/route/kqselection/saturation.go
+++ b/internal/route/kqselection/saturation.go
@@ -43,6 +43,17 @@
 	return saturationThreshold
 }
 
+// UsableSlots returns how many of a target's slots to fill, at least 1. Of two slots one
+// would be left, half of the throughput, so that both are filled unless the second one
+// doubles the time of a request.
+func (s *Saturation) UsableSlots(slots int) int {
+	n := max(1, int(s.UsableShare()*float64(slots)))
+	if slots == 2 && s.Slowdown() < 2 {
+		return slots
+	}
+	return n
+}
+
 // Record adds the time that a request took on a nearly full target, as a multiple of
 // its expected time on a target with free slots.
 func (s *Saturation) Record(factor float64) {
--- a/internal/route/kqselection/saturation_test.go
+++ b/internal/route/kqselection/saturation_test.go
@@ -89,3 +89,20 @@
 		t.Fatal("a full target has headroom, a free slot or is nearly full")
 	}
 }
+
+// TestUsableSlotsOfTwo guards against targets of two slots of which only one is used until
+// the slowdown is learned: a host that sees a request every two seconds learns it late.
+func TestUsableSlotsOfTwo(t *testing.T) {
+	s := &Saturation{}
+	for slots, want := range map[int]int{1: 1, 2: 2, 4: 3, 6: 4} {
+		if got := s.UsableSlots(slots); got != want {
+			t.Errorf("%d of %d slots are used before any answer, want %d", got, slots, want)
+		}
+	}
+	for range 200 {
+		s.Record(2.5)
+	}
+	if got := s.UsableSlots(2); got != 1 {
+		t.Errorf("%d of 2 slots are used although the second one halves the throughput", got)
+	}
+}
