Selection: less urgent requests leave room to urgent ones under pressure

Under pressure, a less urgent request starts only when more than one of the targets just probed has headroom, waiting ones leave half of the probe budget to urgent ones, a body is held back while its target has no free slot, and only requests that start earlier count for the expected wait. A class that is served half as often as all no longer yields. Active only where requests of a service differ in priority.

--- a/internal/bench/kqbench/policies.go
+++ b/internal/bench/kqbench/policies.go
@@ -34,7 +34,7 @@
 }
 
 func (p *policiesCommand) flags(s *flaggy.Subcommand) {
-	s.String(&p.deployment, "", "deployment", "hoanglien or schetsbord")
+	s.String(&p.deployment, "", "deployment", "hoanglien, schetsbord, or shared for two classes of requests in an owner's burst")
 	s.Int(&p.seeds, "", "seeds", "plays that are added up for each line, from seed 1 on")
 	s.String(&p.plotFile, "", "plot", "file for a plot of latency by policy (.svg, .png, .pdf)")
 	s.String(&p.plottedFault, "", "fault", "pattern that is plotted")
@@ -48,6 +48,9 @@
 }
 
 func (p *policiesCommand) run(_ context.Context, out io.Writer) error {
+	if p.deployment == "shared" && p.seeds > 0 {
+		return p.runClasses(out)
+	}
 	models := map[string]func() kqmodel.Config{"hoanglien": kqmodel.Hoanglien, "schetsbord": kqmodel.Schetsbord}
 	model, ok := models[p.deployment]
 	if !ok || p.seeds < 1 {
@@ -80,6 +83,34 @@
 	return plotLatency(p.plotFile, p.deployment+", "+p.plottedFault, curves)
 }
 
+// runClasses prints what each class of SharedService gets in the burst of an owner, without
+// and with room left to urgent requests, and with perfect knowledge.
+func (p *policiesCommand) runClasses(out io.Writer) error {
+	fmt.Fprintf(out, "%-10s %-9s %-8s %9s %8s %9s\n", "policy", "leastcost", "class", "requests", "in time", "answered")
+	for _, k := range []struct {
+		policy    string
+		leastCost bool
+	}{{kqmodel.Fresh, false}, {kqmodel.Fresh, true}, {kqmodel.Perfect, false}} {
+		cfg := kqmodel.SharedService()
+		cfg.Fault, cfg.LeastCost = kqmodel.OwnerBurst(), k.leastCost
+		sum := make([]kqmodel.ClassReport, len(cfg.Classes))
+		for seed := range p.seeds {
+			cfg.Seed = uint64(seed + 1)
+			r, err := kqmodel.Run(cfg, k.policy)
+			if err != nil {
+				return err
+			}
+			for i, c := range r.Classes {
+				sum[i].Add(c)
+			}
+		}
+		for _, c := range sum {
+			fmt.Fprintf(out, "%-10s %-9t %-8s %9d %8.3f %9.3f\n", k.policy, k.leastCost, c.Name, c.Requests, c.ShareInTime(), c.ShareAnswered())
+		}
+	}
+	return nil
+}
+
 func (p *policiesCommand) runSeeds(cfg kqmodel.Config, f kqmodel.Fault, policy string) (policyResult, error) {
 	var l policyResult
 	for seed := range p.seeds {
--- a/internal/bench/kqmodel/config.go
+++ b/internal/bench/kqmodel/config.go
@@ -35,6 +35,9 @@
 
 	Preferred int // targets that a host prefers, 0: those of its failure domain
 
+	Classes   []Class // of requests, in place of Rate, Work, Objective, Patience and Timeout; empty: one
+	LeastCost bool    // less urgent requests leave room to urgent ones, as kqselection.Admission decides
+
 	Fault    Fault
 	From     time.Duration // when the fault begins
 	For      time.Duration
@@ -42,10 +45,32 @@
 	Seed     uint64
 }
 
+// Class is a group of requests to the service that have the same priority.
+type Class struct {
+	Name      string
+	Priority  int // 0 is the most urgent
+	Rate      float64
+	Work      time.Duration
+	Objective time.Duration
+	Patience  time.Duration
+	Timeout   time.Duration
+	Upload    time.Duration // of the body over the host's link; 0: there is none
+	Steady    bool          // Fault.Burst does not apply
+}
+
+// classes returns the classes of requests, of which there is at least one.
+func (c *Config) classes() []Class {
+	if len(c.Classes) > 0 {
+		return c.Classes
+	}
+	return []Class{{Rate: c.Rate, Work: c.Work, Objective: c.Objective, Patience: c.Patience, Timeout: c.Timeout}}
+}
+
 // Fault is what happens to a service from Config.From on.
 type Fault struct {
 	Name     string
 	Burst    float64 // times the rate, 0: as usual
+	AtOnce   bool    // refused callers repeat at once
 	Share    float64 // of the targets to which the rest happens
 	Slow     float64 // times slower, 0: as usual
 	FailFast bool    // they reject everything at once
@@ -110,6 +135,28 @@
 	return c
 }
 
+// SharedService is a service with two classes of requests, each of which a host sees once in
+// a few seconds. Most hosts have links on which a body of the less urgent class takes a
+// quarter of a second.
+func SharedService() Config {
+	c := base()
+	c.Domains, c.Hosts, c.Targets, c.Slots, c.Queue = []string{"a", "b", "c"}, 128, 32, 2, 4
+	c.NoiseShare, c.Client = 0.3, 8*time.Millisecond
+	c.Near, c.Far = 200*time.Microsecond, 900*time.Microsecond
+	c.Dial, c.KeepIdle, c.OnceIdle = time.Millisecond, 8*time.Second, 500*time.Millisecond
+	c.Preferred = 8
+	c.Classes = []Class{
+		{Name: "urgent", Priority: 0, Rate: 29, Work: 180 * time.Millisecond, Objective: 500 * time.Millisecond, Patience: 5 * time.Second, Timeout: 2500 * time.Millisecond, Steady: true},
+		{Name: "patient", Priority: 2, Rate: 27, Work: 260 * time.Millisecond, Objective: 4 * time.Second, Patience: 12 * time.Second, Timeout: 8 * time.Second, Upload: 240 * time.Millisecond},
+	}
+	c.For, c.Duration = 12*time.Second, 25*time.Second
+	return c
+}
+
+// OwnerBurst is the load in which the owner of the less urgent class of SharedService sends
+// more than its targets can run, and its callers repeat at once.
+func OwnerBurst() Fault { return Fault{Name: "owner", Burst: 5.5, AtOnce: true} }
+
 // LargeOnce is one of its small services, whose requests run at most once.
 func LargeOnce() Config {
 	c := Large()
--- a/internal/bench/kqmodel/fresh.go
+++ b/internal/bench/kqmodel/fresh.go
@@ -10,13 +10,15 @@
 // fresh asks a few targets and takes the best, or waits for room, as the
 // product's kqproxy does.
 func fresh(h *host, p *passage) {
-	if h.chooser.Queue.Len() > 0 {
+	priority := h.s.classes[p.request.class].Priority
+	h.chooser.Admission.RecordArrival(priority, h.s.now)
+	if h.chooser.MustQueue(priority, h.s.now) {
 		h.wait(p)
 		return
 	}
 	list := h.untried(p)
 	h.look(list, kqselection.ProbeCount(h.asks.Level()), func(worth []*kqselection.Target, told map[*kqselection.Target]bool) {
-		if t := h.chooser.Pick(worth, told, h.s.now); t != nil {
+		if t := h.chooser.PickFor(priority, worth, told, h.s.now); t != nil {
 			p.send(h.number(t), h.chooser.ChoiceFor(t, h.s.now))
 			return
 		}
@@ -37,9 +39,13 @@
 func (h *host) number(t *kqselection.Target) int { return slices.Index(h.known, t) }
 
 func (h *host) mayAsk() bool {
+	h.refillAsks()
+	return h.asks.Take()
+}
+
+func (h *host) refillAsks() {
 	rate := askPart * h.s.cfg.Questions * float64(len(h.known)) / float64(len(h.s.hosts))
 	h.asks.Refill(rate, rate*askSaved, h.s.now)
-	return h.asks.Take()
 }
 
 // look asks up to n of the targets and goes on once all have answered.
@@ -70,14 +76,14 @@
 
 // wait joins the line, or refuses at once.
 func (h *host) wait(p *passage) {
-	now, r := h.s.now, p.request
+	now := h.s.now
 	given := false
-	w := &kqselection.Waiter{Assign: func(t *kqselection.Target) {
+	w := &kqselection.Waiter{Priority: h.s.classes[p.request.class].Priority, Assign: func(t *kqselection.Target) {
 		given = true
 		p.send(h.number(t), h.chooser.ChoiceFor(t, h.s.now))
 	}}
-	w.StartBy, w.GiveUpAt = kqselection.WaitLimits(now, r.born, p.until, h.s.cfg.Objective, h.unit.OrDefault(h.s.cfg.Objective/3))
-	if !h.chooser.Queue.Enqueue(w, now) {
+	w.StartBy, w.GiveUpAt = h.limits(p)
+	if !h.chooser.Enqueue(w, now) {
 		p.refused(false)
 		return
 	}
@@ -92,6 +98,12 @@
 	}
 }
 
+// limits returns by when the request must start, and until when it may wait.
+func (h *host) limits(p *passage) (startBy, giveUpAt time.Time) {
+	objective := h.s.classes[p.request.class].Objective
+	return kqselection.WaitLimits(h.s.now, p.request.born, p.until, objective, h.units[p.request.class].OrDefault(objective/3))
+}
+
 // seek looks for room for those who wait, until none does.
 func (h *host) seek() {
 	n := h.chooser.Queue.Len()
@@ -99,6 +111,11 @@
 		h.seeking = false
 		return
 	}
+	h.refillAsks()
+	if !h.chooser.MayProbeQueued(h.asks.Level(), h.s.now) {
+		h.s.after(kqselection.QueueProbeInterval, h.seek)
+		return
+	}
 	h.look(h.known, kqselection.QueueProbeCount(n), func(worth []*kqselection.Target, told map[*kqselection.Target]bool) {
 		h.chooser.AssignQueued(worth, told, h.s.now)
 		h.s.after(kqselection.QueueProbeInterval, h.seek)
--- a/internal/bench/kqmodel/policy.go
+++ b/internal/bench/kqmodel/policy.go
@@ -69,7 +69,7 @@
 	p.tried[i] = true
 	p.sends++
 	way := h.s.distance(h, t)
-	h.s.after(h.reach(t, h.s.cfg.Once), func() {
+	p.deliver(i, func() {
 		t.take(job{work: p.request.work, until: p.until, end: func(ok bool) {
 			told := h.sample(t)
 			h.s.after(way, func() { p.ended(k, c, told, ok, h.s.now.Sub(began)) })
@@ -77,6 +77,51 @@
 	})
 }
 
+// deliver brings the request to a target, and its body, of which the end is held back while
+// the target is slow.
+func (p *passage) deliver(i int, arrived func()) {
+	h, t := p.host, p.host.s.targets[i]
+	upload := h.s.classes[p.request.class].Upload
+	reach := h.reach(t, h.s.cfg.Once)
+	if upload == 0 {
+		h.s.after(reach, arrived)
+		return
+	}
+	h.s.after(reach+upload, func() {
+		startBy, _ := h.limits(p)
+		p.hold(i, kqselection.BodyHoldDeadline(h.s.now, startBy), arrived)
+	})
+}
+
+// hold asks the target for its load until it may have the last byte of the body.
+func (p *passage) hold(i int, until time.Time, arrived func()) {
+	h := p.host
+	k, t := h.known[i], h.s.targets[i]
+	way := h.s.distance(h, t)
+	if !h.mayAsk() {
+		h.s.after(way, arrived)
+		return
+	}
+	h.s.report.Asked++
+	h.s.after(way, func() {
+		sample := h.sample(t)
+		h.s.after(way, func() {
+			sample.At = h.s.now
+			k.RecordLoad(sample)
+			if pause := p.holdDelay(k, until); pause > 0 {
+				h.s.after(pause, func() { p.hold(i, until, arrived) })
+				return
+			}
+			h.s.after(way, arrived)
+		})
+	})
+}
+
+// holdDelay returns how long the last byte is held back before the target is asked again.
+func (p *passage) holdDelay(k *kqselection.Target, until time.Time) time.Duration {
+	return p.host.chooser.BodyHoldDelay(k, p.host.s.now, until)
+}
+
 func (h *host) sample(t *target) kqselection.Sample {
 	return kqselection.Sample{Running: t.running, Waiting: len(t.line), Slots: h.s.cfg.Slots, Slowdown: t.slow}
 }
@@ -93,7 +138,7 @@
 	}
 	if c.Target != nil {
 		if ok {
-			h.chooser.RecordServiceTime(c, &h.unit, took)
+			h.chooser.RecordServiceTime(c, &h.units[p.request.class], took)
 		}
 		k.RecordLoad(told)
 		h.chooser.AssignHeadroom(k, h.s.now)
@@ -121,5 +166,11 @@
 	if !soon {
 		wait = backLeast + time.Duration(s.rng.Float64()*backShare*float64(max(r.end.Sub(s.now), 0)))
 	}
+	if !soon {
+		wait += p.host.chooser.ReturnDelay(s.classes[r.class].Priority, max(r.end.Sub(s.now), 0), s.now)
+	}
+	if s.cfg.Fault.AtOnce && s.inFault(s.now) {
+		wait = 0
+	}
 	s.after(s.cfg.Client+wait, func() { s.try(p.policy, r) })
 }
--- a/internal/bench/kqmodel/sim.go
+++ b/internal/bench/kqmodel/sim.go
@@ -22,12 +22,38 @@
 	Dials    int // new connections to targets
 	Far      int // sends and questions to another failure domain
 	Latency  *hdrhistogram.Histogram
+	Classes  []ClassReport
+}
+
+// ClassReport counts the requests of one class whose first try came during the fault.
+type ClassReport struct {
+	Name     string
+	Requests int
+	InTime   int
+	Late     int
+}
+
+// Add adds the counts of another play.
+func (c *ClassReport) Add(o ClassReport) {
+	c.Name = o.Name
+	c.Requests += o.Requests
+	c.InTime += o.InTime
+	c.Late += o.Late
+}
+
+// ShareInTime returns the share of requests that were answered within the objective.
+func (c *ClassReport) ShareInTime() float64 { return float64(c.InTime) / float64(max(c.Requests, 1)) }
+
+// ShareAnswered returns the share of requests that were answered.
+func (c *ClassReport) ShareAnswered() float64 {
+	return float64(c.InTime+c.Late) / float64(max(c.Requests, 1))
 }
 
 // sim is one play.
 type sim struct {
 	clock
 	cfg     Config
+	classes []Class
 	rng     *rand.Rand
 	began   time.Time
 	targets []*target
@@ -42,7 +68,7 @@
 	dark    bool
 	known   []*kqselection.Target // as this host sees them, by target
 	chooser kqselection.Selector
-	unit    kqselection.ServiceTime
+	units   []kqselection.ServiceTime // by class
 	asks    kqselection.TokenBucket
 	budget  kqselection.RetryBudget
 	seeking bool
@@ -55,6 +81,7 @@
 	end   time.Time // when the caller gives up
 	work  time.Duration
 	tries int
+	class int
 }
 
 const (
@@ -77,9 +104,11 @@
 		return nil, errors.Newf("policy %q is unknown", policy)
 	}
 	s := newSim(cfg)
-	s.arrive(p)
-	for range int(cfg.Fault.Return * cfg.Rate) { // all hosts were dark: nobody knows anything yet
-		s.after(time.Duration(s.rng.Float64()*float64(time.Second)), func() { s.request(p) })
+	for class, k := range s.classes {
+		s.arrive(p, class)
+		for range int(cfg.Fault.Return * k.Rate) { // all hosts were dark: nobody knows anything yet
+			s.after(time.Duration(s.rng.Float64()*float64(time.Second)), func() { s.request(p, class) })
+		}
 	}
 	if cfg.Fault.Dark > 0 {
 		s.after(cfg.From, func() {
@@ -94,9 +123,12 @@
 }
 
 func newSim(cfg Config) *sim {
-	s := &sim{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 5)), began: time.Unix(0, 0)}
+	s := &sim{cfg: cfg, classes: cfg.classes(), rng: rand.New(rand.NewPCG(cfg.Seed, 5)), began: time.Unix(0, 0)}
 	s.now = s.began
 	s.report.Latency = hdrhistogram.New(1, highest, digits)
+	for _, k := range s.classes {
+		s.report.Classes = append(s.report.Classes, ClassReport{Name: k.Name})
+	}
 	for i := range cfg.Targets {
 		t := &target{s: s, n: i, domain: cfg.Domains[i%len(cfg.Domains)]}
 		s.targets = append(s.targets, t)
@@ -112,9 +144,10 @@
 func (s *sim) newHost(domain string) *host {
 	knee := &kqselection.Saturation{}
 	h := &host{
-		s: s, domain: domain, chooser: kqselection.Selector{Domain: domain, Rand: s.rng, Saturation: knee},
+		s: s, domain: domain, chooser: kqselection.Selector{Domain: domain, Rand: s.rng, Saturation: knee, Admission: kqselection.Admission{Active: s.cfg.LeastCost}},
 		budget: kqselection.RetryBudget{Ratio: seconds, Slack: slack, Window: window},
 	}
+	h.units = make([]kqselection.ServiceTime, len(s.classes))
 	h.used = make([]time.Time, len(s.targets))
 	for _, t := range s.targets {
 		h.known = append(h.known, &kqselection.Target{Rank: kqselection.Rank(strconv.Itoa(len(s.hosts)), strconv.Itoa(t.n)), Domain: t.domain, Slots: s.cfg.Slots, Saturation: knee})
@@ -127,26 +160,36 @@
 
 func (s *sim) since() time.Duration { return s.now.Sub(s.began) }
 
-// arrive makes the next request come, until the end of the play.
-func (s *sim) arrive(p policy) {
-	rate := s.cfg.Rate
-	if at := s.since(); s.cfg.Fault.Burst > 0 && at >= s.cfg.From && at < s.cfg.From+s.cfg.For {
+// inFault reports whether the fault is on.
+func (s *sim) inFault(at time.Time) bool {
+	since := at.Sub(s.began)
+	return since >= s.cfg.From && since < s.cfg.From+s.cfg.For
+}
+
+// arrive makes the next request of the class come, until the end of the play.
+func (s *sim) arrive(p policy, class int) {
+	rate := s.classes[class].Rate
+	if at := s.since(); s.cfg.Fault.Burst > 0 && !s.classes[class].Steady && at >= s.cfg.From && at < s.cfg.From+s.cfg.For {
 		rate *= s.cfg.Fault.Burst
 	}
 	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
 		if s.since() > s.cfg.Duration {
 			return
 		}
-		s.request(p)
-		s.arrive(p)
+		s.request(p, class)
+		s.arrive(p, class)
 	})
 }
 
-// request makes a request come now.
-func (s *sim) request(p policy) {
+// request makes a request of the class come now.
+func (s *sim) request(p policy, class int) {
 	s.report.Requests++
-	work := time.Duration(math.Exp(s.cfg.Spread*s.rng.NormFloat64()) * float64(s.cfg.Work))
-	s.try(p, &request{born: s.now, end: s.now.Add(s.cfg.Patience), work: work})
+	if s.inFault(s.now) {
+		s.report.Classes[class].Requests++
+	}
+	k := &s.classes[class]
+	work := time.Duration(math.Exp(s.cfg.Spread*s.rng.NormFloat64()) * float64(k.Work))
+	s.try(p, &request{born: s.now, end: s.now.Add(k.Patience), work: work, class: class})
 }
 
 // try brings the request to a host that is there.
@@ -158,7 +201,7 @@
 			h = s.hosts[s.rng.IntN(len(s.hosts))]
 		}
 		h.budget.Request(s.now)
-		p(h, &passage{host: h, request: r, policy: p, until: s.now.Add(min(s.cfg.Timeout, r.end.Sub(s.now)))})
+		p(h, &passage{host: h, request: r, policy: p, until: s.now.Add(min(s.classes[r.class].Timeout, r.end.Sub(s.now)))})
 	})
 }
 
@@ -169,11 +212,19 @@
 		return
 	}
 	_ = s.report.Latency.RecordValue(min(int64(took), highest)) // within the bounds
-	if took <= s.cfg.Objective {
+	class := &s.report.Classes[r.class]
+	counted := s.inFault(r.born)
+	if took <= s.classes[r.class].Objective {
 		s.report.InTime++
+		if counted {
+			class.InTime++
+		}
 		return
 	}
 	s.report.Late++
+	if counted {
+		class.Late++
+	}
 }
 
 // reach returns how long the first byte takes to the target, over the connection that is
--- a/internal/route/kqselection/queue.go
+++ b/internal/route/kqselection/queue.go
@@ -74,6 +74,9 @@
 	GiveUpAt time.Time     // when it leaves the queue without a target
 	Assign   func(*Target) // called once with the target, or with nil to give up
 	seq      uint64
+
+	// PushedOut is set before Assign(nil) if a more urgent request took the place in the queue.
+	PushedOut bool
 }
 
 // Queue holds the requests of one service that wait for a target with headroom on this
@@ -106,10 +109,15 @@
 
 // ExpectedWait returns how long a request that is queued now is expected to wait.
 func (q *Queue) ExpectedWait(now time.Time) time.Duration {
+	return q.waitBehind(len(q.waiters), now)
+}
+
+// waitBehind returns how long a request is expected to wait behind n others.
+func (q *Queue) waitBehind(n int, now time.Time) time.Duration {
 	q.decay(now)
 	// A few starts within startDecay are assumed: a host with few requests may have seen
 	// none lately, and a queue that did not move must accept requests again.
-	return time.Duration(float64(len(q.waiters)) * float64(startDecay) / max(q.recentStarts, minRecentStarts))
+	return time.Duration(float64(n) * float64(startDecay) / max(q.recentStarts, minRecentStarts))
 }
 
 // Enqueue adds the request; it returns false if the queue is full or the expected wait
@@ -118,10 +126,14 @@
 	if len(q.waiters) >= maxQueueLength || now.Add(q.ExpectedWait(now)).After(w.GiveUpAt) {
 		return false
 	}
+	q.add(w)
+	return true
+}
+
+func (q *Queue) add(w *Waiter) {
 	q.seq++
 	w.seq = q.seq
 	q.waiters = append(q.waiters, w)
-	return true
 }
 
 // Remove removes the request; it returns false if the request has already left the
@@ -137,9 +149,16 @@
 
 // Dequeue removes and returns the request that starts next, nil if the queue is empty.
 func (q *Queue) Dequeue(now time.Time) *Waiter {
-	if len(q.waiters) == 0 {
-		return nil
+	w := q.next(now, nil)
+	if w != nil {
+		q.Remove(w)
 	}
+	return w
+}
+
+// next returns the request that starts next of those for which may returns true, or of
+// all if it is nil; it returns nil if there is none.
+func (q *Queue) next(now time.Time, may func(*Waiter) bool) *Waiter {
 	order := func(a, b *Waiter) int {
 		lateA, lateB := now.After(a.StartBy), now.After(b.StartBy)
 		if lateA != lateB {
@@ -153,9 +172,13 @@
 		}
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.StartBy.Compare(b.StartBy), cmp.Compare(a.seq, b.seq))
 	}
-	w := slices.MinFunc(q.waiters, order)
-	q.Remove(w)
-	return w
+	var first *Waiter
+	for _, w := range q.waiters {
+		if (may == nil || may(w)) && (first == nil || order(w, first) < 0) {
+			first = w
+		}
+	}
+	return first
 }
 
 // Clear removes all requests; each is assigned no target.
--- a/internal/route/kqselection/selector.go
+++ b/internal/route/kqselection/selector.go
@@ -37,6 +37,7 @@
 	Rand       *rand.Rand
 	Queue      Queue
 	Saturation *Saturation // learned slowdown of nearly full targets
+	Admission  Admission
 
 	reportsLoad bool // a target of the service has reported its load
 }
@@ -73,8 +74,7 @@
 // takes a target with a free slot, as Saturation.Explore decides. If no target of the
 // service ever reported its load, only the requests in flight from this host count.
 func (s *Selector) Pick(list []*Target, fresh map[*Target]bool, now time.Time) *Target {
-	s.reportsLoad = s.reportsLoad || slices.ContainsFunc(list, func(t *Target) bool { return !t.LastLoad.At.IsZero() })
-	reportsLoad := s.reportsLoad
+	reportsLoad := s.recordReports(list)
 	filter := func(keep func(*Target) bool) []*Target {
 		return slices.DeleteFunc(slices.Clone(list), func(t *Target) bool { return !keep(t) })
 	}
@@ -89,6 +89,12 @@
 	return t
 }
 
+// recordReports returns whether a target of the service has ever reported its load.
+func (s *Selector) recordReports(list []*Target) bool {
+	s.reportsLoad = s.reportsLoad || slices.ContainsFunc(list, func(t *Target) bool { return !t.LastLoad.At.IsZero() })
+	return s.reportsLoad
+}
+
 // PickUninformed returns the target with the lowest score by what was known earlier and
 // counts a send to it, or returns nil if there is none. It is for requests that cannot
 // wait any longer while no load report comes in time.
@@ -110,12 +116,17 @@
 // AssignQueued assigns targets of the list to queued requests until no target has
 // headroom.
 func (s *Selector) AssignQueued(list []*Target, fresh map[*Target]bool, now time.Time) {
+	s.recordProbed(list, fresh, now)
 	for s.Queue.Len() > 0 {
+		w := s.Queue.next(now, s.mayStart(s.room(list, now), now))
+		if w == nil {
+			return
+		}
 		t := s.Pick(list, fresh, now)
 		if t == nil {
 			return
 		}
-		s.Queue.Dequeue(now).Assign(t)
+		s.assign(w, t, now)
 	}
 }
 
@@ -123,8 +134,12 @@
 // until its headroom is used up.
 func (s *Selector) AssignHeadroom(t *Target, now time.Time) {
 	for s.Queue.Len() > 0 && t.Headroom(now, true) > 0 {
+		w := s.Queue.next(now, s.mayStart(t.Headroom(now, true), now))
+		if w == nil {
+			return
+		}
 		s.recordSend(t, now)
-		s.Queue.Dequeue(now).Assign(t)
+		s.assign(w, t, now)
 	}
 }
 
