Routes: requests of services with mixed priorities pass the admission

Active for services with routes of different priorities, or if the document has owners. Outcome lines name class, pressure and whether the request yields; a refused one is told when its class may find room.

--- a/internal/call/kqproxy/probe.go
+++ b/internal/call/kqproxy/probe.go
@@ -31,9 +31,17 @@
 	if e.cfg.Limits.ProbeRate <= 0 {
 		return true
 	}
+	e.refillProbes(now)
+	return e.probeAllowance.Take()
+}
+
+// refillProbes adds the probes earned since the last call; e.mu must be held.
+func (e *Engine) refillProbes(now time.Time) {
+	if e.cfg.Limits.ProbeRate <= 0 {
+		return
+	}
 	rate := probeRateShare * e.cfg.Limits.ProbeRate * float64(max(len(e.knownTargets), 1)) / float64(max(e.cfg.Hosts(), 1))
 	e.probeAllowance.Refill(rate, rate*probeSavingTime.Seconds(), now)
-	return e.probeAllowance.Take()
 }
 
 // probeCandidates probes up to n of the targets that are ready now and were not tried.
@@ -192,7 +200,7 @@
 			latest, _ := p.waitLimits(now)
 			until = kqselection.BodyHoldDeadline(now, latest)
 		}
-		pause := kqselection.BodyHoldDelay(t, now, until)
+		pause := e.chooser(p.service).BodyHoldDelay(t, now, until)
 		barred := t.Barred(now) != kqselection.NotBarred
 		e.mu.Unlock()
 		if pause == 0 || barred { // the target must not get its last byte any later
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -16,6 +16,8 @@
 	queueLen int       // number of requests that already waited for the service
 	revision uint64    // of the routing state in force when the target was chosen
 	at       time.Time // when the target was chosen
+
+	admission admissionState
 }
 
 // chooser chooses targets for one service. The engine's mutex guards it.
@@ -49,10 +51,14 @@
 	}
 	e.mu.Lock()
 	ch := e.chooser(p.service)
+	if len(tried) == 0 {
+		ch.Admission.RecordArrival(p.priority, started)
+	}
 	c.queueLen = ch.Queue.Len()
+	mustQueue := ch.MustQueue(p.priority, started)
 	maxProbes := kqselection.ProbeCount(e.probeAllowance.Level())
 	e.mu.Unlock()
-	if c.queueLen == 0 {
+	if !mustQueue {
 		list, result := e.probeCandidates(ctx, p.routing.table, p.service, tried, maxProbes, p.route.Objective/firstReplyDivisor)
 		c.probeResult = result
 		if len(list) == 0 {
@@ -60,9 +66,10 @@
 		}
 		now := e.cfg.Clock.Now()
 		e.mu.Lock()
-		if t := ch.Pick(list, result.fresh, now); t != nil {
+		if t := ch.PickFor(p.priority, list, result.fresh, now); t != nil {
 			e.recordChoice(&c, ch, t, now)
 		}
+		c.admission = ch.admissionState(p.priority, now)
 		e.mu.Unlock()
 		if c.Target != nil {
 			return c, ""
@@ -74,10 +81,11 @@
 	if t == nil {
 		p.quietUntil = e.quietEnd(p.service, now)
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c.admission = ch.admissionState(p.priority, now)
 	if t != nil {
-		e.mu.Lock()
 		e.recordChoice(&c, ch, t, now)
-		e.mu.Unlock()
 	}
 	return c, cause
 }
@@ -112,9 +120,10 @@
 	w := &kqselection.Waiter{Priority: p.priority, Assign: func(t *kqselection.Target) { assigned <- t }}
 	e.mu.Lock()
 	w.StartBy, w.GiveUpAt = p.waitLimits(now)
-	if !ch.Queue.Enqueue(w, now) {
+	if !ch.Enqueue(w, now) {
+		cause := noRoomCause(ch.admissionState(p.priority, now))
 		e.mu.Unlock()
-		return nil, "no room in time"
+		return nil, cause
 	}
 	if !ch.searching {
 		ch.searching = true
@@ -125,7 +134,7 @@
 	defer timer.Stop()
 	select {
 	case t := <-assigned:
-		return assignment(t)
+		return assignment(w, t)
 	case <-ctx.Done():
 	case <-timer.C:
 	}
@@ -134,7 +143,7 @@
 	if ch.Queue.Remove(w) {
 		return p.pickUninformed(ctx, ch)
 	}
-	return assignment(<-assigned) // assigned just before the request could leave the queue
+	return assignment(w, <-assigned) // assigned just before the request could leave the queue
 }
 
 // pickUninformed returns a target for a request that has waited as long as it can, if that
@@ -143,26 +152,20 @@
 func (p *proxiedRequest) pickUninformed(ctx context.Context, ch *chooser) (*kqselection.Target, string) {
 	e := p.engine
 	now := e.cfg.Clock.Now()
-	if ctx.Err() != nil || now.Sub(ch.informedAt) <= maxUninformed {
-		return nil, "no room in time"
+	admission := ch.admissionState(p.priority, now)
+	noRoom := noRoomCause(admission)
+	if ctx.Err() != nil || admission.yields || now.Sub(ch.informedAt) <= maxUninformed {
+		return nil, noRoom
 	}
 	t := ch.PickUninformed(e.routing.Load().targets[p.service], now)
 	if t == nil {
-		return nil, "no room in time"
+		return nil, noRoom
 	}
+	ch.Admission.RecordStart(p.priority, now)
 	e.metrics.uninformed.Inc(1)
 	return t, ""
 }
 
-// assignment returns the target that a queued request was assigned, or the cause if the
-// queue was cleared.
-func assignment(t *kqselection.Target) (*kqselection.Target, string) {
-	if t == nil {
-		return nil, causeQuiet
-	}
-	return t, ""
-}
-
 // waitLimits returns the time by which the request must start to meet the objective of
 // its route, and the time at which it leaves the queue. e.mu must be held.
 func (p *proxiedRequest) waitLimits(now time.Time) (latestStart, waitUntil time.Time) {
@@ -193,6 +196,7 @@
 			e.mu.Unlock()
 			return
 		}
+		mayProbe := e.mayProbeQueued(ch, e.cfg.Clock.Now())
 		e.mu.Unlock()
 		if !e.quietEnd(service, e.cfg.Clock.Now()).IsZero() {
 			e.mu.Lock()
@@ -200,6 +204,10 @@
 			e.mu.Unlock()
 			continue
 		}
+		if !mayProbe {
+			time.Sleep(kqselection.QueueProbeInterval)
+			continue
+		}
 		list, result := e.probeCandidates(ctx, e.routing.Load().table, service, nil, kqselection.QueueProbeCount(n), 0)
 		e.mu.Lock()
 		ch.AssignQueued(list, result.fresh, e.cfg.Clock.Now())
--- a/internal/call/kqproxy/response.go
+++ b/internal/call/kqproxy/response.go
@@ -49,7 +49,8 @@
 // retryAfter returns a random time after which a refused caller should retry, so
 // that retries are spread over a part of the time the callers have left. A caller
 // that only targets refused, while there was room, or for which there is room on another
-// host, may retry almost at once; one whose
+// host, may retry almost at once; one that left room
+// to more urgent requests when there may be some for it; one whose
 // service asked for quiet is told when the first target is back.
 func (p *proxiedRequest) retryAfter(hadRoom bool) time.Duration {
 	left := time.Until(p.deadline)
@@ -61,7 +62,9 @@
 	if hadRoom {
 		return time.Duration(p.engine.cfg.Rand.Float64() * float64(maxRetryDelayWithRoom))
 	}
-	return minRetryDelay + time.Duration(p.engine.cfg.Rand.Float64()*retrySpread*float64(max(left, 0)))
+	now := p.engine.cfg.Clock.Now()
+	room := p.engine.chooser(p.service).ReturnDelay(p.priority, left, now)
+	return minRetryDelay + room + time.Duration(p.engine.cfg.Rand.Float64()*retrySpread*float64(max(left, 0)))
 }
 
 // refuse responds to a request that was not executed and will not be. A retryAfter
@@ -160,6 +163,7 @@
 		l.Str("route", p.route.Name).Str("service", p.service).Int64("left", p.deadline.Sub(now).Milliseconds()).
 			Dur("waited", c.waited).Int("line", c.queueLen).Int("asked", c.probed).Int("told", c.answered).
 			Dur("held", time.Duration(p.heldFor.Load()))
+		c.admission.log(l, p.priority)
 	}
 	if t := p.chosen.Target; t != nil {
 		s := p.chosen.Sample
--- a/internal/call/kqproxy/routing.go
+++ b/internal/call/kqproxy/routing.go
@@ -32,6 +32,7 @@
 		next.table = e.routing.Load().table
 	} else {
 		next.table = kqroutes.NewTable(doc)
+		e.activateAdmission(doc)
 		e.cfg.Log.Info().Uint64("revision", revision).Uint64("routes", doc.Version).Msg("routes: in force")
 	}
 	e.doc = doc
