Routes: requests that a target has lost are found by probes

Some targets never answer a request that they cannot queue. A send unanswered for four times its expected time (at least 250 ms) is checked with probes on other connections, at doubling intervals within the probe budget. Two reports at least 40 ms apart that name fewer requests than this host has there show that the oldest is lost: it no longer counts as in flight; a repeatable one goes elsewhere if the retry budget allows it, others wait for their timeout, and an answer that still arrives is passed on, its connection is not used again, and no further send of the service counts as lost for ten minutes. While the host shuts down or the target is barred nothing is checked. A service that has hung gets no sends without a young report, no trials of full targets, and the end of a body only into a free slot.

--- a/internal/bench/kqmodel/policy.go
+++ b/internal/bench/kqmodel/policy.go
@@ -119,7 +119,7 @@
 
 // holdDelay returns how long the last byte is held back before the target is asked again.
 func (p *passage) holdDelay(k *kqselection.Target, until time.Time) time.Duration {
-	return p.host.chooser.BodyHoldDelay(k, p.host.s.now, until)
+	return p.host.chooser.BodyHoldDelay(k, p.host.s.now, until, p.until)
 }
 
 func (h *host) sample(t *target) kqselection.Sample {
--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -48,10 +48,14 @@
 	if len(p.body) >= minHeldBody && p.bodyRest == nil {
 		req.BeforeLastByte = func(ctx context.Context) { p.holdLastByte(ctx, t) }
 	}
+	ctx, end := p.watchSend(ctx, t, &req)
+	defer end()
 	reply, err := e.pool.Send(ctx, req)
+	p.recordAnswered(t, reply, err)
 	if err != nil {
-		e.finishSend(t, func(now time.Time) {
+		p.finishSend(t, func(now time.Time) {
 			switch {
+			case errors.Is(context.Cause(ctx), errHung):
 			case isPoolExhausted(err) || errors.Is(err, errBarred) || ctx.Err() != nil:
 			case isUnsent(err):
 				t.RecordUnreachable(now)
@@ -60,6 +64,9 @@
 			}
 		})
 		out := outcome{mayHaveRun: !isUnsent(err), unsent: isUnsent(err), cause: err.Error(), elapsed: e.cfg.Clock.Now().Sub(started)}
+		if errors.Is(context.Cause(ctx), errHung) {
+			out.cause = errHung.Error()
+		}
 		p.logFailedSend(t, out, 0)
 		return out, false
 	}
@@ -115,10 +122,11 @@
 
 // finishSend uncounts a send to the target and calls record with the lock held to
 // note its result.
-func (e *Engine) finishSend(t *kqselection.Target, record func(now time.Time)) {
+func (p *proxiedRequest) finishSend(t *kqselection.Target, record func(now time.Time)) {
+	e := p.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	t.InFlight--
+	t.EndSend(p.watched.Send)
 	record(e.cfg.Clock.Now())
 }
 
@@ -132,7 +140,7 @@
 	sample, hasLoad := parseLoad(reply.Header.Get(names.Load), e.cfg.Clock.Now())
 	e.recordTerms(t, reply.Status, reply.Header)
 	reject := func(record func(time.Time), out outcome) (outcome, bool) {
-		e.finishSend(t, func(now time.Time) {
+		p.finishSend(t, func(now time.Time) {
 			record(now)
 			if hasLoad {
 				t.RecordLoad(sample)
@@ -168,7 +176,7 @@
 	if !complete {
 		p.deliver(reply, body, e.readAheads.start(reply.Body, func(err error) {
 			reply.Close() // the caller may still receive for a while
-			e.finishSend(t, func(now time.Time) {
+			p.finishSend(t, func(now time.Time) {
 				switch {
 				case err == nil:
 					t.RecordSuccess(now)
@@ -179,7 +187,7 @@
 		}))
 		return outcome{}, true
 	}
-	e.finishSend(t, func(now time.Time) {
+	p.finishSend(t, func(now time.Time) {
 		if reply.Status/100 == 5 {
 			t.RecordFailure(now)
 		} else {
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -77,6 +77,7 @@
 	cut                                                                metrics.Counter // requests in flight when the host ended
 	barred                                                             metrics.Counter // sends given up because the target was barred after it was chosen
 	uninformed                                                         metrics.Counter // sends without a load report in time
+	hung                                                               metrics.Counter // sends that their target never answered, by its own reports
 	foreign                                                            metrics.Counter // responses to other requests that were skipped
 	leaving, quiet, oddQuiet                                           metrics.Counter // targets that said they shut down, or asked for quiet, or for a time not understood
 	latency, probeTime                                                 metrics.Timer
@@ -97,7 +98,7 @@
 	e.metrics = engineMetrics{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"), failed: counter("failed"),
 		retries: counter("second"), probes: counter("questions"), failedProbes: counter("unanswered"),
-		cut: counter("cut"), barred: counter("barred"), foreign: counter("foreign"), uninformed: counter("uninformed"), leaving: counter("leaving"), quiet: counter("quiet"), oddQuiet: counter("oddquiet"),
+		cut: counter("cut"), barred: counter("barred"), foreign: counter("foreign"), uninformed: counter("uninformed"), hung: counter("hung"), leaving: counter("leaving"), quiet: counter("quiet"), oddQuiet: counter("oddquiet"),
 		latency:   metrics.GetOrRegisterTimer("routes.latency", cfg.Metrics),
 		firstByte: metrics.GetOrRegisterTimer("routes.firstbyte", cfg.Metrics),
 		probeTime: metrics.GetOrRegisterTimer("routes.asking", cfg.Metrics),
--- a/internal/call/kqproxy/probe.go
+++ b/internal/call/kqproxy/probe.go
@@ -160,6 +160,7 @@
 	if ok {
 		sample.At = now.Add(-e.probeDelay(t.Domain, now.Sub(sentAt)))
 		t.RecordLoad(sample)
+		e.recordSends(t, sample, sentAt, now)
 	}
 	return ok && reply.Status == http.StatusOK && t.Informed(now)
 }
@@ -200,7 +201,7 @@
 			latest, _ := p.waitLimits(now)
 			until = kqselection.BodyHoldDeadline(now, latest)
 		}
-		pause := e.chooser(p.service).BodyHoldDelay(t, now, until)
+		pause := e.chooser(p.service).BodyHoldDelay(t, now, until, p.deadline)
 		barred := t.Barred(now) != kqselection.NotBarred
 		e.mu.Unlock()
 		if pause == 0 || barred { // the target must not get its last byte any later
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -49,6 +49,7 @@
 type requestProgress struct {
 	chosen     choice
 	sends      int
+	watched    watchedSend  // the send under way
 	heldFor    atomic.Int64 // time for which the last byte was held back, in nanoseconds
 	quietUntil time.Time    // when the first target of the service may get requests again, if all asked for quiet
 }
--- a/internal/call/kqproxy/routing.go
+++ b/internal/call/kqproxy/routing.go
@@ -49,7 +49,8 @@
 			}
 		}
 		e.recordDraining(k, t.State != kqtargets.Ready, revision, now)
-		k.Saturation = e.chooser(t.Service).Saturation
+		ch := e.chooser(t.Service)
+		k.Saturation, k.Hangs = ch.Saturation, &ch.Hangs
 		targetsByID[t.ID] = k
 		if t.State == kqtargets.Ready {
 			next.targets[t.Service] = append(next.targets[t.Service], k)
--- a/internal/call/kqproxy/send.go
+++ b/internal/call/kqproxy/send.go
@@ -78,7 +78,7 @@
 	if mayHaveRun && !p.route.Kind.Repeatable() || p.bodyRest != nil {
 		return false
 	}
-	if p.sends >= max(p.route.Attempts, 1) || !p.engine.takeRetry(p.service) {
+	if p.sends >= max(p.route.Attempts, 1) || !p.watched.tookRetry && !p.engine.takeRetry(p.service) {
 		return false
 	}
 	p.engine.metrics.retries.Inc(1)
--- a/internal/call/kqtransport/send.go
+++ b/internal/call/kqtransport/send.go
@@ -356,6 +356,9 @@
 	return n, err
 }
 
+// DoNotReuse makes Close close the connection.
+func (r *Reply) DoNotReuse() { r.suspect = true }
+
 // Close returns the connection to the pool if the response was read completely.
 // Otherwise it closes the connection, so that the remaining bytes cannot be taken
 // for the response to another request.
--- a/internal/route/kqselection/admission_test.go
+++ b/internal/route/kqselection/admission_test.go
@@ -171,14 +171,14 @@
 func TestBodyHoldForFreeSlot(t *testing.T) {
 	s := &Selector{Admission: Admission{Active: true}}
 	full := &Target{Slots: 4, LastLoad: loadSample(4, 0, 1)}
-	if s.BodyHoldDelay(full, epoch, epoch.Add(time.Second)) == 0 || s.BodyHoldDelay(full, epoch, epoch) != 0 {
+	if s.BodyHoldDelay(full, epoch, epoch.Add(time.Second), epoch) == 0 || s.BodyHoldDelay(full, epoch, epoch, epoch) != 0 {
 		t.Error("the body is not held back, or without a limit")
 	}
-	if s.BodyHoldDelay(&Target{Slots: 4, LastLoad: loadSample(3, 0, 1)}, epoch, epoch.Add(time.Second)) != 0 {
+	if s.BodyHoldDelay(&Target{Slots: 4, LastLoad: loadSample(3, 0, 1)}, epoch, epoch.Add(time.Second), epoch) != 0 {
 		t.Error("the body is held back although a slot is free")
 	}
 	s.Admission.Active = false
-	if s.BodyHoldDelay(full, epoch, epoch.Add(time.Second)) != 0 {
+	if s.BodyHoldDelay(full, epoch, epoch.Add(time.Second), epoch) != 0 {
 		t.Error("the body is held back although requests do not differ in priority")
 	}
 }
--- a/internal/route/kqselection/selector.go
+++ b/internal/route/kqselection/selector.go
@@ -38,6 +38,7 @@
 	Queue      Queue
 	Saturation *Saturation // learned slowdown of nearly full targets
 	Admission  Admission
+	Hangs      Hangs
 
 	reportsLoad bool // a target of the service has reported its load
 }
@@ -79,7 +80,7 @@
 		return slices.DeleteFunc(slices.Clone(list), func(t *Target) bool { return !keep(t) })
 	}
 	available := filter(func(t *Target) bool { return t.Headroom(now, reportsLoad) > 0 })
-	if len(available) == 0 && len(list) > 0 && s.Saturation.Explore() {
+	if len(available) == 0 && len(list) > 0 && !s.Hangs.Seen() && s.Saturation.Explore() {
 		available = filter(func(t *Target) bool { return t.HasFreeSlot(now) })
 	}
 	t := LowestScore(available, func(t *Target) bool { return fresh[t] || !reportsLoad }, now, s.Domain)
@@ -97,8 +98,12 @@
 
 // PickUninformed returns the target with the lowest score by what was known earlier and
 // counts a send to it, or returns nil if there is none. It is for requests that cannot
-// wait any longer while no load report comes in time.
+// wait any longer while no load report comes in time; where targets hang when full, they
+// get none.
 func (s *Selector) PickUninformed(list []*Target, now time.Time) *Target {
+	if s.Hangs.Seen() {
+		list = slices.DeleteFunc(slices.Clone(list), func(t *Target) bool { return t.Headroom(now, true) <= 0 })
+	}
 	candidates := Candidates(list, MaxProbes, s.Domain, now, s.Rand)
 	t := LowestScore(candidates, func(*Target) bool { return true }, now, s.Domain)
 	if t != nil {
--- a/internal/route/kqselection/target.go
+++ b/internal/route/kqselection/target.go
@@ -32,6 +32,7 @@
 	ColdUntil  time.Time   // end of the warm-up
 	InFlight   int         // requests in flight from this host
 	Saturation *Saturation // shared by the targets of a service; nil if not known
+	Hangs      *Hangs      // shared by the targets of a service; nil if not known
 	LastLoad   Sample
 
 	Rank      uint64 // by which Prefer orders the targets of a failure domain on this host
@@ -45,6 +46,10 @@
 	// It holds until the next start, whatever is announced.
 	LeavingSince time.Time
 
+	sends   []*Send   // without an answer
+	fewerOf *Send     // the oldest of them, if the last report named fewer requests than this host has there
+	fewerAt time.Time // when that report was asked for
+
 	quietUntil    time.Time // the target asked for no requests before this time
 	failureRate   float64
 	failureRateAt time.Time
--- a/internal/route/kqselection/yield.go
+++ b/internal/route/kqselection/yield.go
@@ -107,10 +107,14 @@
 // BodyHoldDelay returns how long to hold back the end of a body before the target is
 // probed again, or 0 to send it now. Where requests differ in priority, it also holds back
 // a body for which the target has no free slot: it would wait there ahead of urgent ones.
-func (s *Selector) BodyHoldDelay(t *Target, now, until time.Time) time.Duration {
-	if d := BodyHoldDelay(t, now, until); d > 0 || !s.Admission.Active {
+// Where targets hang when full, it does so until the deadline of the request.
+func (s *Selector) BodyHoldDelay(t *Target, now, until, deadline time.Time) time.Duration {
+	if d := BodyHoldDelay(t, now, until); d > 0 || !s.Admission.Active && !s.Hangs.Seen() {
 		return d
 	}
+	if s.Hangs.Seen() {
+		until = deadline
+	}
 	if l := &t.LastLoad; t.Informed(now) && l.Running+l.Waiting >= l.Slots && now.Before(until) {
 		return bodyHoldProbeInterval
 	}
