Return from an outage: late requests do not make others yield, unknown service times are at most 500 ms

Model: all hosts fresh after 3 s without any, twice the load of SharedService, callers back within 0.3 s.

--- a/internal/bench/kqmodel/classes_test.go
+++ b/internal/bench/kqmodel/classes_test.go
@@ -1,14 +1,16 @@
 package kqmodel
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // playClasses adds up the reports by class over some seeds.
-func playClasses(t *testing.T, f Fault, policy string, leastCost bool) []ClassReport {
+func playClasses(t *testing.T, cfg Config, policy string, leastCost bool) []ClassReport {
 	t.Helper()
-	sum := make([]ClassReport, len(SharedService().Classes))
+	sum := make([]ClassReport, len(cfg.Classes))
 	for seed := range uint64(3) {
-		cfg := SharedService()
-		cfg.Fault, cfg.Seed, cfg.LeastCost = f, seed+1, leastCost
+		cfg.Seed, cfg.LeastCost = seed+1, leastCost
 		r, err := Run(cfg, policy)
 		if err != nil {
 			t.Fatal(err)
@@ -35,7 +37,9 @@
 	for _, f := range []Fault{{Name: "calm"}, OwnerBurst(), heavier, heaviest} {
 		t.Run(f.Name, func(t *testing.T) {
 			t.Parallel()
-			before, after, bound := playClasses(t, f, Fresh, false), playClasses(t, f, Fresh, true), playClasses(t, f, Perfect, false)
+			cfg := SharedService()
+			cfg.Fault = f
+			before, after, bound := playClasses(t, cfg, Fresh, false), playClasses(t, cfg, Fresh, true), playClasses(t, cfg, Perfect, false)
 			requests, answered := 0, 0
 			for i, c := range after {
 				t.Logf("%s: in time %.3f, answered %.3f; without the rule %.3f, %.3f; perfect knowledge %.3f, %.3f", c.Name,
@@ -56,3 +60,26 @@
 		})
 	}
 }
+
+// TestReturnFromOutage guards against late answers after all hosts were gone for 3 s, when
+// they know nothing and all callers repeat within 0.3 s. Requests that are late already
+// must not take the room of those that can be in time: of the less urgent ones, whose
+// objective is 4 s, 0.55 were in time when late ones counted as urgent arrivals and the
+// unknown service time was a third of the objective.
+func TestReturnFromOutage(t *testing.T) {
+	const minPatient, minAnswered = 0.62, 0.95
+	cfg := SharedService()
+	cfg.Classes[0].Rate, cfg.Classes[1].Rate = 2*cfg.Classes[0].Rate, 2*cfg.Classes[1].Rate
+	cfg.Fault = Fault{Outage: 3 * time.Second}
+	cfg.From, cfg.For, cfg.Duration = 0, 2*time.Second, 4*time.Second
+	before, after := playClasses(t, cfg, Fresh, false), playClasses(t, cfg, Fresh, true)
+	for i, c := range after {
+		t.Logf("%s: in time %.3f, answered %.3f; without the rule %.3f, %.3f", c.Name, c.ShareInTime(), c.ShareAnswered(), before[i].ShareInTime(), before[i].ShareAnswered())
+		if c.ShareAnswered() < minAnswered {
+			t.Errorf("%s: too few are answered", c.Name)
+		}
+	}
+	if after[1].ShareInTime() < minPatient || after[0].ShareInTime() < before[0].ShareInTime() {
+		t.Error("too few are answered in time")
+	}
+}
--- a/internal/bench/kqmodel/config.go
+++ b/internal/bench/kqmodel/config.go
@@ -69,15 +69,16 @@
 // Fault is what happens to a service from Config.From on.
 type Fault struct {
 	Name     string
-	Burst    float64 // times the rate, 0: as usual
-	AtOnce   bool    // refused callers repeat at once
-	Share    float64 // of the targets to which the rest happens
-	Slow     float64 // times slower, 0: as usual
-	FailFast bool    // they reject everything at once
-	Shed     float64 // share of requests that they reject although they have room
-	Cold     float64 // times slower after a restart at From, 0: no restart
-	Dark     float64 // share of the hosts that end at From
-	Return   float64 // seconds of requests that come back in the first second of the play
+	Burst    float64       // times the rate, 0: as usual
+	AtOnce   bool          // refused callers repeat at once
+	Share    float64       // of the targets to which the rest happens
+	Slow     float64       // times slower, 0: as usual
+	FailFast bool          // they reject everything at once
+	Shed     float64       // share of requests that they reject although they have room
+	Cold     float64       // times slower after a restart at From, 0: no restart
+	Dark     float64       // share of the hosts that end at From
+	Outage   time.Duration // before the play, in which no host was there: its callers come back within returnWithin
+	Return   float64       // seconds of requests that come back in the first second of the play
 }
 
 // Faults are the patterns that a policy is compared under.
--- a/internal/bench/kqmodel/fresh.go
+++ b/internal/bench/kqmodel/fresh.go
@@ -11,7 +11,9 @@
 // product's kqproxy does.
 func fresh(h *host, p *passage) {
 	priority := h.s.classes[p.request.class].Priority
-	h.chooser.Admission.RecordArrival(priority, h.s.now)
+	if startBy, _ := h.limits(p); startBy.After(h.s.now) {
+		h.chooser.Admission.RecordArrival(priority, h.s.now)
+	}
 	if h.chooser.MustQueue(priority, h.s.now) {
 		h.wait(p)
 		return
@@ -101,7 +103,7 @@
 // limits returns by when the request must start, and until when it may wait.
 func (h *host) limits(p *passage) (startBy, giveUpAt time.Time) {
 	objective := h.s.classes[p.request.class].Objective
-	return kqselection.WaitLimits(h.s.now, p.request.born, p.until, objective, h.units[p.request.class].OrDefault(objective/3))
+	return kqselection.WaitLimits(h.s.now, p.request.born, p.until, objective, h.units[p.request.class].OrDefault(min(objective/3, kqselection.MaxUnknownServiceTime)))
 }
 
 // seek looks for room for those who wait, until none does.
--- a/internal/bench/kqmodel/sim.go
+++ b/internal/bench/kqmodel/sim.go
@@ -82,19 +82,22 @@
 	work  time.Duration
 	tries int
 	class int
+
+	counted bool // its first try at a host came during the fault
 }
 
 const (
-	highest   = int64(time.Minute)
-	digits    = 3
-	drained   = 5 * time.Second // after the last arrival, for what is in progress
-	askPart   = 0.85            // of the questions allowed
-	askSaved  = 10              // seconds over which questions are saved
-	backShare = 0.25            // of the time left over which returns are spread
-	backLeast = 60 * time.Millisecond
-	seconds   = 0.2 // second sends for each request
-	slack     = 56  // second sends of all hosts in a window
-	window    = 10 * time.Second
+	highest      = int64(time.Minute)
+	digits       = 3
+	drained      = 5 * time.Second        // after the last arrival, for what is in progress
+	askPart      = 0.85                   // of the questions allowed
+	askSaved     = 10                     // seconds over which questions are saved
+	backShare    = 0.25                   // of the time left over which returns are spread
+	returnWithin = 300 * time.Millisecond // after an outage: callers repeat at once
+	backLeast    = 60 * time.Millisecond
+	seconds      = 0.2 // second sends for each request
+	slack        = 56  // second sends of all hosts in a window
+	window       = 10 * time.Second
 )
 
 // Run plays the load under the policy.
@@ -106,6 +109,10 @@
 	s := newSim(cfg)
 	for class, k := range s.classes {
 		s.arrive(p, class)
+		for range int(cfg.Fault.Outage.Seconds() * k.Rate) {
+			age := time.Duration(s.rng.Float64() * float64(cfg.Fault.Outage))
+			s.after(time.Duration(s.rng.Float64()*float64(returnWithin)), func() { s.requestBorn(p, class, s.now.Add(-age)) })
+		}
 		for range int(cfg.Fault.Return * k.Rate) { // all hosts were dark: nobody knows anything yet
 			s.after(time.Duration(s.rng.Float64()*float64(time.Second)), func() { s.request(p, class) })
 		}
@@ -182,14 +189,17 @@
 }
 
 // request makes a request of the class come now.
-func (s *sim) request(p policy, class int) {
+func (s *sim) request(p policy, class int) { s.requestBorn(p, class, s.now) }
+
+// requestBorn makes a request come now whose caller first tried at another time.
+func (s *sim) requestBorn(p policy, class int, born time.Time) {
 	s.report.Requests++
 	if s.inFault(s.now) {
 		s.report.Classes[class].Requests++
 	}
 	k := &s.classes[class]
 	work := time.Duration(math.Exp(s.cfg.Spread*s.rng.NormFloat64()) * float64(k.Work))
-	s.try(p, &request{born: s.now, end: s.now.Add(k.Patience), work: work, class: class})
+	s.try(p, &request{born: born, end: born.Add(k.Patience), work: work, class: class, counted: s.inFault(s.now)})
 }
 
 // try brings the request to a host that is there.
@@ -213,7 +223,7 @@
 	}
 	_ = s.report.Latency.RecordValue(min(int64(took), highest)) // within the bounds
 	class := &s.report.Classes[r.class]
-	counted := s.inFault(r.born)
+	counted := r.counted
 	if took <= s.classes[r.class].Objective {
 		s.report.InTime++
 		if counted {
--- a/internal/call/kqproxy/hung.go
+++ b/internal/call/kqproxy/hung.go
@@ -28,7 +28,7 @@
 	e := p.engine
 	ctx, cancel := context.WithCancelCause(ctx)
 	e.mu.Lock()
-	expected := time.Duration(p.chosen.Score * float64(e.serviceTime(p.route.Name).OrDefault(p.route.Objective/3)))
+	expected := time.Duration(p.chosen.Score * float64(p.expectedServiceTime()))
 	s := &kqselection.Send{Expected: expected}
 	s.OnLost = func() { p.recordLost(t, cancel) }
 	p.watched = watchedSend{Send: s}
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -51,7 +51,7 @@
 	}
 	e.mu.Lock()
 	ch := e.chooser(p.service)
-	if len(tried) == 0 {
+	if startBy, _ := p.waitLimits(started); len(tried) == 0 && startBy.After(started) {
 		ch.Admission.RecordArrival(p.priority, started)
 	}
 	c.queueLen = ch.Queue.Len()
@@ -169,8 +169,13 @@
 // waitLimits returns the time by which the request must start to meet the objective of
 // its route, and the time at which it leaves the queue. e.mu must be held.
 func (p *proxiedRequest) waitLimits(now time.Time) (latestStart, waitUntil time.Time) {
-	unit := p.engine.serviceTime(p.route.Name).OrDefault(p.route.Objective / 3)
-	return kqselection.WaitLimits(now, p.firstTry, p.deadline, p.route.Objective, unit)
+	return kqselection.WaitLimits(now, p.firstTry, p.deadline, p.route.Objective, p.expectedServiceTime())
+}
+
+// expectedServiceTime returns how long requests of the route take on an idle target; e.mu
+// must be held.
+func (p *proxiedRequest) expectedServiceTime() time.Duration {
+	return p.engine.serviceTime(p.route.Name).OrDefault(min(p.route.Objective/3, kqselection.MaxUnknownServiceTime))
 }
 
 // serviceTime returns the usual service time of the route's requests on an idle
--- a/internal/route/kqselection/admission.go
+++ b/internal/route/kqselection/admission.go
@@ -40,8 +40,10 @@
 	minStartRate = 1.0
 
 	// reservedProbes is the share of the probe budget that is left to urgent requests.
-	// Without it, waiting requests used up the budget and urgent ones found no target.
-	reservedProbes = 0.5
+	// Without it, waiting requests used up the budget and urgent ones found no target. It is
+	// below the level at the start of a host, so that all may probe on the return from an
+	// outage.
+	reservedProbes = 0.3
 
 	// maxReturnShare is the share of the time that a refused caller has left after which it
 	// comes back at the latest, however long it would wait.
@@ -91,7 +93,7 @@
 	return a.full.value(now, pressureDecay) / probed
 }
 
-// RecordArrival counts a request.
+// RecordArrival counts a request that can be answered in time: for others no room is left.
 func (a *Admission) RecordArrival(priority int, now time.Time) {
 	if a.Active {
 		a.class(priority).arrived.add(1, now, shareDecay)
--- a/internal/route/kqselection/queue.go
+++ b/internal/route/kqselection/queue.go
@@ -210,6 +210,11 @@
 	s.mean += time.Duration(serviceTimeWeight * float64(idleTime-s.mean))
 }
 
+// MaxUnknownServiceTime bounds the service time that is assumed before the first answer. A
+// third of a long objective is far too much: after an outage, requests were refused or sent
+// in vain although they had seconds left.
+const MaxUnknownServiceTime = 500 * time.Millisecond
+
 // OrDefault returns the mean service time, or the fallback before the first request.
 func (s *ServiceTime) OrDefault(fallback time.Duration) time.Duration {
 	if s.mean == 0 {
