--- a/internal/bench/kqbench/policies.go
+++ b/internal/bench/kqbench/policies.go
@@ -92,7 +92,7 @@
 		leastCost bool
 	}{{kqmodel.Fresh, false}, {kqmodel.Fresh, true}, {kqmodel.Perfect, false}} {
 		cfg := kqmodel.SharedService()
-		cfg.Fault, cfg.LeastCost = kqmodel.OwnerBurst(), k.leastCost
+		cfg.Fault, cfg.LeastCost, cfg.ConnectedFirst = kqmodel.OwnerBurst(), k.leastCost, k.leastCost
 		sum := make([]kqmodel.ClassReport, len(cfg.Classes))
 		for seed := range p.seeds {
 			cfg.Seed = uint64(seed + 1)
