Hangs: only long timeouts show them, and ten minutes later they are forgotten

A timeout of a request that met a slow machine must not end the trials of nearly full targets for good: their slowdown would never be learned.

--- a/internal/call/kqproxy/hung.go
+++ b/internal/call/kqproxy/hung.go
@@ -134,8 +134,8 @@
 		hangs.RecordLateAnswer(now)
 		reply.DoNotReuse()
 		e.cfg.Log.Warn().Str("id", p.id).Str("target", t.ID).Dur("sent", now.Sub(s.SentAt)).Msg("send: answered although it counted as lost")
-	case err != nil && !s.Lost && s.Overdue(now) && t.LastLoad.At.After(s.SentAt) && !now.Before(p.deadline):
-		hangs.Record()
+	case err != nil && !s.Lost && !now.Before(p.deadline):
+		hangs.RecordTimeout(s, t.LastLoad.At, now)
 	}
 	t.Answered(s)
 }
--- a/internal/call/kqproxy/hung_test.go
+++ b/internal/call/kqproxy/hung_test.go
@@ -69,7 +69,7 @@
 			}
 			a, b := f.target(0), f.target(1)
 			f.engine.mu.Lock()
-			inFlight, seen := a.InFlight+b.InFlight, f.engine.chooser("kekhai").Hangs.Seen()
+			inFlight, seen := a.InFlight+b.InFlight, f.engine.chooser("kekhai").Hangs.Seen(time.Now())
 			f.engine.mu.Unlock()
 			if inFlight != 0 || seen != (c.hung > 0) {
 				t.Errorf("%d requests count as in flight, known to hang: %v", inFlight, seen)
--- a/internal/route/kqselection/hung.go
+++ b/internal/route/kqselection/hung.go
@@ -22,6 +22,14 @@
 	// maxHungProbeInterval bounds the growing interval between probes for one send.
 	maxHungProbeInterval = 4 * time.Second
 
+	// timeoutFactor is how many times its expected time a request without an answer took at
+	// least if its timeout shows that targets hang: twice that on a slow machine.
+	timeoutFactor = 10
+
+	// hangMemory is how long a service counts as one whose targets hang after the last one
+	// did: as long, full targets are not tried, and their slowdown is not learned.
+	hangMemory = 10 * time.Minute
+
 	// distrustTime is how long no send of a service counts as lost after one that did was
 	// answered: its targets report less than they run.
 	distrustTime = 10 * time.Minute
@@ -30,16 +38,24 @@
 // Hangs learns whether targets of a service leave requests unanswered for ever, as some do
 // with those that they cannot queue.
 type Hangs struct {
-	seen            bool
+	seenUntil       time.Time
 	distrustedUntil time.Time
 }
 
-// Seen reports whether a target of the service has hung. Nothing is then sent without a
-// young report that shows room.
-func (h *Hangs) Seen() bool { return h != nil && h.seen }
+// Seen reports whether a target of the service has hung lately. Nothing is then sent
+// without a young report that shows room.
+func (h *Hangs) Seen(now time.Time) bool { return h != nil && now.Before(h.seenUntil) }
 
 // Record notes that a send got no answer which reports of its target explain.
-func (h *Hangs) Record() { h.seen = true }
+func (h *Hangs) Record(now time.Time) { h.seenUntil = now.Add(hangMemory) }
+
+// RecordTimeout notes that a send to a target ended at its deadline without an answer. If
+// the target reported its load meanwhile and should have answered long ago, it hangs.
+func (h *Hangs) RecordTimeout(s *Send, reportedAt, now time.Time) {
+	if !s.SentAt.IsZero() && reportedAt.After(s.SentAt) && now.Sub(s.SentAt) >= max(timeoutFactor*s.Expected, minHungTime) {
+		h.Record(now)
+	}
+}
 
 // RecordLateAnswer notes the answer to a send that counted as lost.
 func (h *Hangs) RecordLateAnswer(now time.Time) { h.distrustedUntil = now.Add(distrustTime) }
@@ -72,8 +88,8 @@
 
 func (s *Send) patience() time.Duration { return max(hungFactor*s.Expected, minHungTime) }
 
-// Overdue reports whether the send should have been answered before now.
-func (s *Send) Overdue(now time.Time) bool {
+// overdue reports whether the send should have been answered before now.
+func (s *Send) overdue(now time.Time) bool {
 	return !s.SentAt.IsZero() && now.Sub(s.SentAt) >= s.patience()
 }
 
@@ -112,7 +128,7 @@
 			oldest = s
 		}
 	}
-	if oldest == nil || t.Hangs == nil || reported >= sent || !oldest.Overdue(probedAt) || now.Before(t.Hangs.distrustedUntil) {
+	if oldest == nil || t.Hangs == nil || reported >= sent || !oldest.overdue(probedAt) || now.Before(t.Hangs.distrustedUntil) {
 		t.fewerOf = nil
 		return nil
 	}
@@ -127,6 +143,6 @@
 	oldest.Lost = true
 	t.InFlight--
 	t.Answered(oldest)
-	t.Hangs.Record()
+	t.Hangs.Record(now)
 	return oldest
 }
--- a/internal/route/kqselection/hung_test.go
+++ b/internal/route/kqselection/hung_test.go
@@ -45,8 +45,8 @@
 					lost = s
 				}
 			}
-			if got := lost == oldest; got != c.want || oldest.Lost != c.want || x.Hangs.Seen() != c.want {
-				t.Fatalf("lost %v, hangs %v", lost, x.Hangs.Seen())
+			if got := lost == oldest; got != c.want || oldest.Lost != c.want || x.Hangs.Seen(epoch) != c.want {
+				t.Fatalf("lost %v, hangs %v", lost, x.Hangs.Seen(epoch))
 			}
 			if want := 1 + c.others; c.want && x.InFlight != want-1 || !c.want && x.InFlight != want {
 				t.Errorf("%d in flight", x.InFlight)
@@ -93,7 +93,10 @@
 // answers: once one has hung, sends without a report and trials of full targets end.
 func TestNoSendWithoutRoomWhereTargetsHang(t *testing.T) {
 	for _, hangs := range []bool{false, true} {
-		s := &Selector{Rand: rand.New(rand.NewPCG(1, 1)), Saturation: &Saturation{}, Hangs: Hangs{seen: hangs}}
+		s := &Selector{Rand: rand.New(rand.NewPCG(1, 1)), Saturation: &Saturation{}}
+		if hangs {
+			s.Hangs.Record(epoch)
+		}
 		for range 100 {
 			s.Saturation.Record(3) // nearly full targets are not filled
 		}
@@ -118,3 +121,27 @@
 		}
 	}
 }
+
+// TestTimeoutShowsHang checks which timeouts show that targets of a service hang: not those
+// of requests that met a slow machine.
+func TestTimeoutShowsHang(t *testing.T) {
+	const expected = 100 * time.Millisecond
+	cases := []struct {
+		name       string
+		took       time.Duration
+		reportedAt time.Time
+		want       bool
+	}{
+		{"long, and the target reports", 2 * time.Second, epoch.Add(time.Second), true},
+		{"long, without a report since", 2 * time.Second, epoch.Add(-time.Second), false},
+		{"as long as on a slow machine", 5 * expected, epoch.Add(expected), false},
+	}
+	for _, c := range cases {
+		var h Hangs
+		now := epoch.Add(c.took)
+		h.RecordTimeout(&Send{Expected: expected, SentAt: epoch}, c.reportedAt, now)
+		if h.Seen(now) != c.want || h.Seen(now.Add(hangMemory)) {
+			t.Errorf("%s: hangs %v, later %v", c.name, h.Seen(now), h.Seen(now.Add(hangMemory)))
+		}
+	}
+}
--- a/internal/route/kqselection/selector.go
+++ b/internal/route/kqselection/selector.go
@@ -80,7 +80,7 @@
 		return slices.DeleteFunc(slices.Clone(list), func(t *Target) bool { return !keep(t) })
 	}
 	available := filter(func(t *Target) bool { return t.Headroom(now, reportsLoad) > 0 })
-	if len(available) == 0 && len(list) > 0 && !s.Hangs.Seen() && s.Saturation.Explore() {
+	if len(available) == 0 && len(list) > 0 && !s.Hangs.Seen(now) && s.Saturation.Explore() {
 		available = filter(func(t *Target) bool { return t.HasFreeSlot(now) })
 	}
 	t := LowestScore(available, func(t *Target) bool { return fresh[t] || !reportsLoad }, now, s.Domain)
@@ -101,7 +101,7 @@
 // wait any longer while no load report comes in time; where targets hang when full, they
 // get none.
 func (s *Selector) PickUninformed(list []*Target, now time.Time) *Target {
-	if s.Hangs.Seen() {
+	if s.Hangs.Seen(now) {
 		list = slices.DeleteFunc(slices.Clone(list), func(t *Target) bool { return t.Headroom(now, true) <= 0 })
 	}
 	candidates := Candidates(list, MaxProbes, s.Domain, now, s.Rand)
--- a/internal/route/kqselection/yield.go
+++ b/internal/route/kqselection/yield.go
@@ -109,10 +109,10 @@
 // a body for which the target has no free slot: it would wait there ahead of urgent ones.
 // Where targets hang when full, it does so until the deadline of the request.
 func (s *Selector) BodyHoldDelay(t *Target, now, until, deadline time.Time) time.Duration {
-	if d := BodyHoldDelay(t, now, until); d > 0 || !s.Admission.Active && !s.Hangs.Seen() {
+	if d := BodyHoldDelay(t, now, until); d > 0 || !s.Admission.Active && !s.Hangs.Seen(now) {
 		return d
 	}
-	if s.Hangs.Seen() {
+	if s.Hangs.Seen(now) {
 		until = deadline
 	}
 	if l := &t.LastLoad; t.Informed(now) && l.Running+l.Waiting >= l.Slots && now.Before(until) {
