--- a/internal/call/kqproxy/hung.go
+++ b/internal/call/kqproxy/hung.go
@@ -54,6 +54,7 @@
 }
 
 // sendComplete notes that the target gets the last byte now, and plans the first probe.
+// Nothing can be learned of targets that never report their load.
 func (p *proxiedRequest) sendComplete(t *kqselection.Target, s *kqselection.Send) {
 	e := p.engine
 	e.mu.Lock()
@@ -62,6 +63,9 @@
 		return
 	}
 	s.SentAt = e.cfg.Clock.Now()
+	if t.LastLoad.At.IsZero() {
+		return
+	}
 	p.watched.timer = time.AfterFunc(t.HungDelay(s), func() { p.probeForSend(t, s) })
 }
 
