--- a/internal/bench/kqmodel/cold.go
+++ b/internal/bench/kqmodel/cold.go
@@ -37,9 +37,8 @@
 // toleratesCold reports whether the request loses little on a cold target.
 func (p *passage) toleratesCold() bool {
 	h := p.host
-	unit := h.unit.OrDefault(h.s.cfg.Objective / 3)
-	startBy, _ := kqselection.WaitLimits(h.s.now, p.request.born, p.until, h.s.cfg.Objective, unit)
-	return kqselection.ToleratesCold(h.s.now, startBy, unit)
+	startBy, _ := h.limits(p)
+	return kqselection.ToleratesCold(h.s.now, startBy, h.serviceTime(p))
 }
 
 // coldUntil reports whether all targets are cold, and this host may send to none of them before
--- a/internal/call/kqproxy/admit.go
+++ b/internal/call/kqproxy/admit.go
@@ -81,7 +81,7 @@
 func (p *proxiedRequest) readmit(ctx context.Context, t *kqselection.Target) *refusal {
 	r := p.admit(ctx)
 	if r != nil {
-		p.engine.finishSend(t, func(time.Time) {})
+		p.engine.uncountSend(t)
 	}
 	return r
 }
--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -48,13 +48,17 @@
 	if len(p.body) >= minHeldBody && p.bodyRest == nil {
 		req.BeforeLastByte = func(ctx context.Context) { p.holdLastByte(ctx, t) }
 	}
+	ctx, end := p.watchSend(ctx, t, &req)
+	defer end()
 	reply, err := e.pool.Send(ctx, req)
+	p.recordAnswered(t, reply, err)
 	if err != nil {
-		e.finishSend(t, func(now time.Time) {
+		p.finishSend(t, func(now time.Time) {
 			if isUnsent(err) {
 				t.ReleaseCold()
 			}
 			switch {
+			case errors.Is(context.Cause(ctx), errHung):
 			case isPoolExhausted(err) || errors.Is(err, errBarred) || ctx.Err() != nil:
 			case isUnsent(err):
 				t.RecordUnreachable(now)
@@ -63,6 +67,9 @@
 			}
 		})
 		out := outcome{mayHaveRun: !isUnsent(err), unsent: isUnsent(err), cause: err.Error(), elapsed: e.cfg.Clock.Now().Sub(started)}
+		if errors.Is(context.Cause(ctx), errHung) {
+			out.cause = errHung.Error()
+		}
 		p.logFailedSend(t, out, 0)
 		return out, false
 	}
@@ -131,13 +138,22 @@
 
 // finishSend uncounts a send to the target and calls record with the lock held to
 // note its result.
-func (e *Engine) finishSend(t *kqselection.Target, record func(now time.Time)) {
+func (p *proxiedRequest) finishSend(t *kqselection.Target, record func(now time.Time)) {
+	e := p.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	t.InFlight--
+	t.EndSend(p.watched.Send)
 	record(e.cfg.Clock.Now())
 }
 
+// uncountSend takes back a send that was counted and never began.
+func (e *Engine) uncountSend(t *kqselection.Target) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	t.InFlight--
+	t.ReleaseCold()
+}
+
 // handleReply checks the header of a response and passes a valid response to the
 // caller.
 func (p *proxiedRequest) handleReply(ctx context.Context, t *kqselection.Target, reply *kqtransport.Reply, started time.Time) (outcome, bool) {
@@ -148,7 +164,7 @@
 	sample, hasLoad := parseLoad(reply.Header.Get(names.Load), e.cfg.Clock.Now())
 	e.recordTerms(t, reply.Status, reply.Header)
 	reject := func(record func(time.Time), out outcome) (outcome, bool) {
-		e.finishSend(t, func(now time.Time) {
+		p.finishSend(t, func(now time.Time) {
 			record(now)
 			if hasLoad {
 				t.RecordLoad(sample)
@@ -184,7 +200,7 @@
 	if !complete {
 		p.deliver(reply, body, e.readAheads.start(reply.Body, func(err error) {
 			reply.Close() // the caller may still receive for a while
-			e.finishSend(t, func(now time.Time) {
+			p.finishSend(t, func(now time.Time) {
 				switch {
 				case err == nil:
 					t.RecordSuccess(now)
@@ -195,7 +211,7 @@
 		}))
 		return outcome{}, true
 	}
-	e.finishSend(t, func(now time.Time) {
+	p.finishSend(t, func(now time.Time) {
 		if reply.Status/100 == 5 {
 			t.RecordFailure(now)
 		} else {
--- a/internal/call/kqproxy/cold.go
+++ b/internal/call/kqproxy/cold.go
@@ -179,15 +179,14 @@
 }
 
 // allCold reports whether all targets of the service that are allowed and were not tried are
-// barred, and at least one of them as cold.
+// cold or barred, and at least one of them cold.
 func (e *Engine) allCold(service string, tried []*kqselection.Target, allows func(*kqselection.Target) bool, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if _, ok := e.cold.paces[service]; !ok {
 		return false
 	}
-	_, ok := kqselection.ColdEnd(e.routing.Load().untried(service, tried, allows), now)
-	return ok
+	return kqselection.AllCold(e.routing.Load().untried(service, tried, allows), now)
 }
 
 // coldForTooLong reports, and counts, whether all targets that are allowed and were not tried
@@ -215,7 +214,7 @@
 // toleratesCold reports whether the request loses little on a cold target. e.mu must be held.
 func (p *proxiedRequest) toleratesCold(now time.Time) bool {
 	startBy, _ := p.waitLimits(now)
-	return kqselection.ToleratesCold(now, startBy, p.usualServiceTime())
+	return kqselection.ToleratesCold(now, startBy, p.expectedServiceTime())
 }
 
 // assumeCold makes the targets of a failure domain count as cold until an answer to a probe
--- a/internal/call/kqproxy/probe.go
+++ b/internal/call/kqproxy/probe.go
@@ -31,9 +31,17 @@
 	if e.cfg.Limits.ProbeRate <= 0 {
 		return true
 	}
+	e.refillProbes(now)
+	return e.probeAllowance.Take()
+}
+
+// refillProbes adds the probes earned since the last call; e.mu must be held.
+func (e *Engine) refillProbes(now time.Time) {
+	if e.cfg.Limits.ProbeRate <= 0 {
+		return
+	}
 	rate := probeRateShare * e.cfg.Limits.ProbeRate * float64(max(len(e.knownTargets), 1)) / float64(max(e.cfg.Hosts(), 1))
 	e.probeAllowance.Refill(rate, rate*probeSavingTime.Seconds(), now)
-	return e.probeAllowance.Take()
 }
 
 // probeCandidates probes up to n of the targets that are ready now, allowed and not tried.
@@ -45,7 +53,13 @@
 	var toProbe []*kqselection.Target
 	e.mu.Lock()
 	e.refreshEntries(started)
-	list, toProbe, result.fresh = e.chooser(service).PlanProbes(e.routing.Load().untried(service, tried, allows), n, started, func() bool { return e.takeProbe(started) })
+	ch, untried := e.chooser(service), e.routing.Load().untried(service, tried, allows)
+	if ch.Admission.Active {
+		for _, t := range untried {
+			t.Connected = e.pool.HasIdle(t.Addr, instanceKey(t))
+		}
+	}
+	list, toProbe, result.fresh = ch.PlanProbes(untried, n, started, func() bool { return e.takeProbe(started) })
 	e.mu.Unlock()
 	result.probed = len(toProbe)
 	for _, t := range e.probeAll(ctx, table, service, toProbe, firstReplyWait) {
@@ -156,6 +170,7 @@
 	if ok {
 		sample.At = now.Add(-e.probeDelay(t.Domain, now.Sub(sentAt)))
 		t.RecordLoad(sample)
+		e.recordSends(t, sample, sentAt, now)
 	}
 	return ok && reply.Status == http.StatusOK && t.Informed(now)
 }
@@ -196,7 +211,7 @@
 			latest, _ := p.waitLimits(now)
 			until = kqselection.BodyHoldDeadline(now, latest)
 		}
-		pause := kqselection.BodyHoldDelay(t, now, until)
+		pause := e.chooser(p.service).BodyHoldDelay(t, now, until, p.deadline)
 		barred := t.BarredToProbe(now) != kqselection.NotBarred
 		e.mu.Unlock()
 		if pause == 0 || barred { // the target must not get its last byte any later
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -16,6 +16,8 @@
 	queueLen int       // number of requests that already waited for the service
 	revision uint64    // of the routing state in force when the target was chosen
 	at       time.Time // when the target was chosen
+
+	admission admissionState
 }
 
 // chooser chooses targets for one service. The engine's mutex guards it.
@@ -57,11 +59,17 @@
 	}
 	e.mu.Lock()
 	ch := e.chooser(p.service)
+	if startBy, _ := p.waitLimits(started); len(tried) == 0 && startBy.After(started) {
+		ch.Admission.RecordArrival(p.priority, started)
+	}
 	c.queueLen = ch.Queue.Len()
-	wanted := ch.Queue.Wanted()
+	wanted, mustQueue := ch.Queue.Wanted(), ch.MustQueue(p.priority, started)
+	if !mustQueue {
+		wanted = nil
+	}
 	maxProbes := kqselection.ProbeCount(e.probeAllowance.Level())
 	e.mu.Unlock()
-	if c.queueLen == 0 || wanted != nil {
+	if !mustQueue || wanted != nil {
 		list, result := e.probeCandidates(ctx, p.routing.table, p.service, tried, without(allows, wanted), maxProbes, p.route.Objective/firstReplyDivisor)
 		c.probeResult = result
 		now := e.cfg.Clock.Now()
@@ -69,9 +77,10 @@
 			return c, "no target"
 		}
 		e.mu.Lock()
-		if t := ch.PickFor(list, result.fresh, now, p.toleratesCold(now)); t != nil {
+		if t := ch.PickFor(p.priority, list, result.fresh, now, p.toleratesCold(now)); t != nil {
 			e.recordChoice(&c, ch, t, now)
 		}
+		c.admission = ch.admissionState(p.priority, now)
 		e.mu.Unlock()
 		if c.Target != nil {
 			return c, ""
@@ -91,10 +100,11 @@
 			cause = causeCold
 		}
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c.admission = ch.admissionState(p.priority, now)
 	if t != nil {
-		e.mu.Lock()
 		e.recordChoice(&c, ch, t, now)
-		e.mu.Unlock()
 	}
 	return c, cause
 }
@@ -129,14 +139,15 @@
 	w := &kqselection.Waiter{Priority: p.priority, Allows: allows, Assign: func(t *kqselection.Target) { assigned <- t }}
 	e.mu.Lock()
 	w.StartBy, w.GiveUpAt = p.waitLimits(now)
-	w.ServiceTime = p.usualServiceTime()
+	w.ServiceTime = p.expectedServiceTime()
 	if p.withdrawn(e.routing.Load().table) {
 		e.mu.Unlock()
 		return nil, causeKeyWithdrawn
 	}
-	if !ch.Queue.Enqueue(w, now) {
+	if !ch.Enqueue(w, now) {
+		cause := noRoomCause(ch.admissionState(p.priority, now))
 		e.mu.Unlock()
-		return nil, "no room in time"
+		return nil, cause
 	}
 	var ended chan string // nil: no new document ends the wait
 	if p.owner != nil || allows != nil {
@@ -159,7 +170,7 @@
 	defer timer.Stop()
 	select {
 	case t := <-assigned:
-		return assignment(t)
+		return assignment(w, t)
 	case cause := <-ended:
 		return nil, cause
 	case <-ctx.Done():
@@ -174,7 +185,7 @@
 	e.mu.Unlock()
 	select { // what happened just before the request could leave the queue
 	case t := <-assigned:
-		return assignment(t)
+		return assignment(w, t)
 	case cause := <-ended:
 		return nil, cause
 	}
@@ -186,36 +197,34 @@
 func (p *proxiedRequest) pickUninformed(ctx context.Context, ch *chooser, allows func(*kqselection.Target) bool) (*kqselection.Target, string) {
 	e := p.engine
 	now := e.cfg.Clock.Now()
-	if ctx.Err() != nil || now.Sub(ch.informedAt) <= maxUninformed {
-		return nil, "no room in time"
+	admission := ch.admissionState(p.priority, now)
+	noRoom := noRoomCause(admission)
+	if ctx.Err() != nil || admission.yields || now.Sub(ch.informedAt) <= maxUninformed {
+		return nil, noRoom
 	}
 	t := ch.PickUninformed(e.routing.Load().untried(p.service, nil, allows), now)
 	if t == nil {
-		return nil, "no room in time"
+		return nil, noRoom
 	}
+	ch.Admission.RecordStart(p.priority, now)
 	e.metrics.uninformed.Inc(1)
 	return t, ""
 }
 
-// assignment returns the target that a queued request was assigned, or the cause if the
-// queue was cleared.
-func assignment(t *kqselection.Target) (*kqselection.Target, string) {
-	if t == nil {
-		return nil, causeQuiet
-	}
-	return t, ""
-}
-
 // waitLimits returns the time by which the request must start to meet the objective of
 // its route, and the time at which it leaves the queue. e.mu must be held.
 func (p *proxiedRequest) waitLimits(now time.Time) (latestStart, waitUntil time.Time) {
-	return kqselection.WaitLimits(now, p.firstTry, p.deadline, p.route.Objective, p.usualServiceTime())
+	return kqselection.WaitLimits(now, p.firstTry, p.deadline, p.route.Objective, p.expectedServiceTime())
 }
 
-// usualServiceTime returns the service time of the request's route on an idle target, or a
-// guess before the first answer. e.mu must be held.
-func (p *proxiedRequest) usualServiceTime() time.Duration {
-	return p.engine.serviceTime(p.route.Name).OrDefault(p.route.Objective / 3)
+// expectedServiceTime returns how long requests of the route take on an idle target, or a guess
+// before the first answer; e.mu must be held.
+func (p *proxiedRequest) expectedServiceTime() time.Duration {
+	unknown := p.route.Objective / 3
+	if p.engine.chooser(p.service).Admission.Active {
+		unknown = min(unknown, kqselection.MaxUnknownServiceTime)
+	}
+	return p.engine.serviceTime(p.route.Name).OrDefault(unknown)
 }
 
 // serviceTime returns the usual service time of the route's requests on an idle
@@ -242,6 +251,7 @@
 			return
 		}
 		wanted := ch.Queue.Wanted()
+		mayProbe := e.mayProbeQueued(ch, e.cfg.Clock.Now())
 		e.mu.Unlock()
 		if cause, _ := e.allBarred(e.routing.Load().targets[service], e.cfg.Clock.Now()); cause != "" {
 			e.mu.Lock()
@@ -249,6 +259,10 @@
 			e.mu.Unlock()
 			continue
 		}
+		if !mayProbe {
+			time.Sleep(kqselection.QueueProbeInterval)
+			continue
+		}
 		list, result := e.probeCandidates(ctx, e.routing.Load().table, service, nil, wanted, kqselection.QueueProbeCount(n), 0)
 		e.mu.Lock()
 		ch.AssignQueued(list, result.fresh, e.cfg.Clock.Now())
--- a/internal/call/kqproxy/routing.go
+++ b/internal/call/kqproxy/routing.go
@@ -34,6 +34,7 @@
 	} else {
 		next.table = kqroutes.NewTable(doc)
 		e.dropUsage(next.table)
+		e.activateAdmission(doc)
 		e.cfg.Log.Info().Uint64("revision", revision).Uint64("routes", doc.Version).Msg("routes: in force")
 	}
 	e.doc = doc
@@ -56,7 +57,8 @@
 		e.applyCold(k, &t, now)
 		e.recordDraining(k, t.State != kqtargets.Ready, revision, now)
 		e.recordEvacuation(k)
-		k.Saturation = e.chooser(t.Service).Saturation
+		ch := e.chooser(t.Service)
+		k.Saturation, k.Hangs = ch.Saturation, &ch.Hangs
 		targetsByID[t.ID] = k
 		if t.State == kqtargets.Ready {
 			next.targets[t.Service] = append(next.targets[t.Service], k)
--- a/internal/route/kqselection/allow.go
+++ b/internal/route/kqselection/allow.go
@@ -29,21 +29,12 @@
 	return slices.DeleteFunc(slices.Clone(list), func(t *Target) bool { return !wanted(t) })
 }
 
-// DequeueFor removes and returns the request that starts next on the target, nil if there is
-// none for it. While other targets are warm, a cold one gets only requests that tolerate it.
-func (q *Queue) DequeueFor(t *Target, warm bool, now time.Time) *Waiter {
+// nextFor returns the request that starts next on the target, of those for which may returns
+// true, or of all if it is nil; it returns nil if there is none. While other targets are warm, a
+// cold one gets only requests that tolerate it.
+func (q *Queue) nextFor(t *Target, warm bool, now time.Time, may func(*Waiter) bool) *Waiter {
 	onlyTolerant := warm && t.IsCold(now)
-	if !onlyTolerant && !slices.ContainsFunc(q.waiters, func(w *Waiter) bool { return w.Allows != nil }) {
-		return q.Dequeue(now)
-	}
-	all := q.waiters
-	q.waiters = slices.DeleteFunc(slices.Clone(all), func(w *Waiter) bool {
-		return !w.allows(t) || onlyTolerant && !w.toleratesCold(now)
+	return q.next(now, func(w *Waiter) bool {
+		return (may == nil || may(w)) && w.allows(t) && (!onlyTolerant || w.toleratesCold(now))
 	})
-	w := q.Dequeue(now)
-	q.waiters = all
-	if w != nil {
-		q.Remove(w)
-	}
-	return w
 }
--- a/internal/route/kqselection/cold.go
+++ b/internal/route/kqselection/cold.go
@@ -250,3 +250,18 @@
 // SharesCold reports whether this host is one of those that may send to the target while it
 // is cold.
 func (t *Target) SharesCold() bool { return !t.cold.sharerSince.IsZero() }
+
+// AllCold reports whether all targets are cold or barred, and at least one of them is cold.
+func AllCold(list []*Target, now time.Time) bool {
+	cold := false
+	for _, t := range list {
+		if t.IsCold(now) {
+			cold = true
+			continue
+		}
+		if t.Barred(now) == NotBarred {
+			return false
+		}
+	}
+	return cold
+}
--- a/internal/route/kqselection/queue.go
+++ b/internal/route/kqselection/queue.go
@@ -33,7 +33,7 @@
 	if reportsLoad && t.LastLoad.Slots > 0 {
 		slots = t.LastLoad.Slots
 	}
-	limit := max(1, int(t.Saturation.UsableShare()*float64(slots)))
+	limit := t.Saturation.UsableSlots(slots)
 	if !reportsLoad {
 		return limit - t.InFlight
 	}
@@ -77,6 +77,9 @@
 
 	ServiceTime time.Duration // usual one on an idle target
 
+	// PushedOut is set before Assign(nil) if a more urgent request took the place in the queue.
+	PushedOut bool
+
 	seq uint64
 }
 
@@ -110,10 +113,15 @@
 
 // ExpectedWait returns how long a request that is queued now is expected to wait.
 func (q *Queue) ExpectedWait(now time.Time) time.Duration {
+	return q.waitBehind(len(q.waiters), now)
+}
+
+// waitBehind returns how long a request is expected to wait behind n others.
+func (q *Queue) waitBehind(n int, now time.Time) time.Duration {
 	q.decay(now)
 	// A few starts within startDecay are assumed: a host with few requests may have seen
 	// none lately, and a queue that did not move must accept requests again.
-	return time.Duration(float64(len(q.waiters)) * float64(startDecay) / max(q.recentStarts, minRecentStarts))
+	return time.Duration(float64(n) * float64(startDecay) / max(q.recentStarts, minRecentStarts))
 }
 
 // Enqueue adds the request; it returns false if the queue is full or the expected wait
@@ -122,10 +130,14 @@
 	if len(q.waiters) >= maxQueueLength || now.Add(q.ExpectedWait(now)).After(w.GiveUpAt) {
 		return false
 	}
+	q.add(w)
+	return true
+}
+
+func (q *Queue) add(w *Waiter) {
 	q.seq++
 	w.seq = q.seq
 	q.waiters = append(q.waiters, w)
-	return true
 }
 
 // Remove removes the request; it returns false if the request has already left the
@@ -141,9 +153,16 @@
 
 // Dequeue removes and returns the request that starts next, nil if the queue is empty.
 func (q *Queue) Dequeue(now time.Time) *Waiter {
-	if len(q.waiters) == 0 {
-		return nil
+	w := q.next(now, nil)
+	if w != nil {
+		q.Remove(w)
 	}
+	return w
+}
+
+// next returns the request that starts next of those for which may returns true, or of
+// all if it is nil; it returns nil if there is none.
+func (q *Queue) next(now time.Time, may func(*Waiter) bool) *Waiter {
 	order := func(a, b *Waiter) int {
 		lateA, lateB := now.After(a.StartBy), now.After(b.StartBy)
 		if lateA != lateB {
@@ -157,9 +176,13 @@
 		}
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.StartBy.Compare(b.StartBy), cmp.Compare(a.seq, b.seq))
 	}
-	w := slices.MinFunc(q.waiters, order)
-	q.Remove(w)
-	return w
+	var first *Waiter
+	for _, w := range q.waiters {
+		if (may == nil || may(w)) && (first == nil || order(w, first) < 0) {
+			first = w
+		}
+	}
+	return first
 }
 
 // Clear removes all requests; each is assigned no target.
@@ -191,6 +214,11 @@
 	s.mean += time.Duration(serviceTimeWeight * float64(idleTime-s.mean))
 }
 
+// MaxUnknownServiceTime bounds the service time that is assumed before the first answer. A
+// third of a long objective is far too much: after an outage, requests were refused or sent
+// in vain although they had seconds left.
+const MaxUnknownServiceTime = 500 * time.Millisecond
+
 // OrDefault returns the mean service time, or the fallback before the first request.
 func (s *ServiceTime) OrDefault(fallback time.Duration) time.Duration {
 	if s.mean == 0 {
--- a/internal/route/kqselection/selector.go
+++ b/internal/route/kqselection/selector.go
@@ -37,6 +37,8 @@
 	Rand       *rand.Rand
 	Queue      Queue
 	Saturation *Saturation // learned slowdown of nearly full targets
+	Admission  Admission
+	Hangs      Hangs
 
 	reportsLoad bool // a target of the service has reported its load
 }
@@ -73,19 +75,18 @@
 // takes a target with a free slot, as Saturation.Explore decides. If no target of the
 // service ever reported its load, only the requests in flight from this host count.
 func (s *Selector) Pick(list []*Target, fresh map[*Target]bool, now time.Time) *Target {
-	return s.PickFor(list, fresh, now, true)
+	return s.pick(list, fresh, now, true)
 }
 
-// PickFor is Pick for a request of which toleratesCold says whether it may get a cold target
+// pick is Pick for a request of which toleratesCold says whether it may get a cold target
 // while others are warm.
-func (s *Selector) PickFor(list []*Target, fresh map[*Target]bool, now time.Time, toleratesCold bool) *Target {
-	s.reportsLoad = s.reportsLoad || slices.ContainsFunc(list, func(t *Target) bool { return !t.LastLoad.At.IsZero() })
-	reportsLoad := s.reportsLoad
+func (s *Selector) pick(list []*Target, fresh map[*Target]bool, now time.Time, toleratesCold bool) *Target {
+	reportsLoad := s.recordReports(list)
 	filter := func(keep func(*Target) bool) []*Target {
 		return slices.DeleteFunc(slices.Clone(list), func(t *Target) bool { return !keep(t) })
 	}
 	available := filter(func(t *Target) bool { return t.Headroom(now, reportsLoad) > 0 })
-	if len(available) == 0 && len(list) > 0 && s.Saturation.Explore() {
+	if len(available) == 0 && len(list) > 0 && !s.Hangs.Seen(now) && s.Saturation.Explore() {
 		available = filter(func(t *Target) bool { return t.HasFreeSlot(now) })
 	}
 	if !toleratesCold {
@@ -98,10 +99,20 @@
 	return t
 }
 
+// recordReports returns whether a target of the service has ever reported its load.
+func (s *Selector) recordReports(list []*Target) bool {
+	s.reportsLoad = s.reportsLoad || slices.ContainsFunc(list, func(t *Target) bool { return !t.LastLoad.At.IsZero() })
+	return s.reportsLoad
+}
+
 // PickUninformed returns the target with the lowest score by what was known earlier and
 // counts a send to it, or returns nil if there is none. It is for requests that cannot
-// wait any longer while no load report comes in time.
+// wait any longer while no load report comes in time; where targets hang when full, they
+// get none.
 func (s *Selector) PickUninformed(list []*Target, now time.Time) *Target {
+	if s.Hangs.Seen(now) {
+		list = slices.DeleteFunc(slices.Clone(list), func(t *Target) bool { return t.Headroom(now, true) <= 0 })
+	}
 	candidates := Candidates(list, MaxProbes, s.Domain, now, s.Rand)
 	t := LowestScore(candidates, func(*Target) bool { return true }, now, s.Domain)
 	if t != nil {
@@ -127,17 +138,23 @@
 // AssignQueued assigns targets of the list to queued requests until no target has
 // headroom.
 func (s *Selector) AssignQueued(list []*Target, fresh map[*Target]bool, now time.Time) {
+	s.recordProbed(list, fresh, now)
 	for s.Queue.Len() > 0 {
-		t := s.PickFor(s.Queue.wantedOf(list), fresh, now, s.Queue.toleratesCold(now))
+		wanted := s.Queue.wantedOf(list)
+		may := s.mayStart(s.room(wanted, now), now)
+		if s.Queue.next(now, may) == nil {
+			return
+		}
+		t := s.pick(wanted, fresh, now, s.Queue.toleratesCold(now))
 		if t == nil {
 			return
 		}
-		w := s.Queue.DequeueFor(t, hasWarm(list, now), now)
-		if w == nil { // those that allow the target and those that tolerate a cold one differ
+		w := s.Queue.nextFor(t, hasWarm(list, now), now, may)
+		if w == nil { // those that allow the target, tolerate a cold one and may start differ
 			s.undoSend(t)
 			return
 		}
-		w.Assign(t)
+		s.assign(w, t, now)
 	}
 }
 
@@ -145,12 +162,12 @@
 // until its headroom is used up.
 func (s *Selector) AssignHeadroom(t *Target, now time.Time) {
 	for s.Queue.Len() > 0 && t.Headroom(now, true) > 0 {
-		w := s.Queue.DequeueFor(t, true, now)
+		w := s.Queue.nextFor(t, true, now, s.mayStart(t.Headroom(now, true), now))
 		if w == nil {
 			return
 		}
 		s.recordSend(t, now)
-		w.Assign(t)
+		s.assign(w, t, now)
 	}
 }
 
--- a/internal/route/kqselection/target.go
+++ b/internal/route/kqselection/target.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -32,10 +33,12 @@
 	ColdUntil  time.Time   // end of the warm-up
 	InFlight   int         // requests in flight from this host
 	Saturation *Saturation // shared by the targets of a service; nil if not known
+	Hangs      *Hangs      // shared by the targets of a service; nil if not known
 	LastLoad   Sample
 
 	Rank      uint64 // by which Prefer orders the targets of a failure domain on this host
 	Preferred bool   // this host keeps connections to it, as Prefer decides
+	Connected bool   // this host has an idle connection to it; kept up only for services with an active Admission
 
 	// DrainingSince is when this host learnt that the target drains or is gone, zero
 	// while the target accepts requests.
@@ -51,6 +54,9 @@
 	// EvacuationEnd is when this host learnt that the last evacuation of the target's
 	// failure domain had ended, zero if it knows of none.
 	EvacuationEnd time.Time
+	sends   []*Send   // without an answer
+	fewerOf *Send     // the oldest of them, if the last report named fewer requests than this host has there
+	fewerAt time.Time // when that report was asked for
 
 	quietUntil    time.Time // the target asked for no requests before this time
 	failureRate   float64
@@ -252,6 +258,7 @@
 	for tier := range tiers {
 		group := inTier(list, tier, domain, now)
 		rng.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
+		slices.SortStableFunc(group, compareConnected)
 		for _, t := range group {
 			switch {
 			case !t.Available(now):
@@ -274,6 +281,18 @@
 	return out[:min(n, len(out))]
 }
 
+// compareConnected orders targets with an idle connection first: a new one costs the host
+// and the target more than a probe.
+func compareConnected(a, b *Target) int {
+	switch {
+	case a.Connected == b.Connected:
+		return 0
+	case a.Connected:
+		return -1
+	}
+	return 1
+}
+
 // inTier returns the targets of the list in the tier.
 func inTier(list []*Target, tier int, domain string, now time.Time) []*Target {
 	var group []*Target
