Limits: requests that come while voters are asked for others are not refused as unanswered

Each voter was asked once for the requests that waited at that moment. Requests that came meanwhile found all voters asked, none refusing and none under way, and got 503 'no control host answers'. TestRequestsThatJoinLater fails without the change, and TestAskerCancelled failed in one of ten runs for the same cause.

--- a/internal/route/kqselection/target.go
+++ b/internal/route/kqselection/target.go
@@ -54,9 +54,9 @@
 	// EvacuationEnd is when this host learnt that the last evacuation of the target's
 	// failure domain had ended, zero if it knows of none.
 	EvacuationEnd time.Time
-	sends   []*Send   // without an answer
-	fewerOf *Send     // the oldest of them, if the last report named fewer requests than this host has there
-	fewerAt time.Time // when that report was asked for
+	sends         []*Send   // without an answer
+	fewerOf       *Send     // the oldest of them, if the last report named fewer requests than this host has there
+	fewerAt       time.Time // when that report was asked for
 
 	quietUntil    time.Time // the target asked for no requests before this time
 	failureRate   float64
--- a/internal/route/kqtokens/conclude.go
+++ b/internal/route/kqtokens/conclude.go
@@ -9,8 +9,8 @@
 // conclude decides the waiting requests without a token.
 func (h *Host) conclude(s *ownerState, now time.Time) {
 	turn, refused := s.turn(now)
-	if s.expired && !refused { // tokens came too late, behind a body on a slow link
-		s.expired, s.order = false, h.order()
+	if s.granting && !refused { // its tokens came too late to be used, or for earlier requests
+		s.granting, s.order = false, h.order()
 		h.next(s, now)
 		return
 	}
--- a/internal/route/kqtokens/host.go
+++ b/internal/route/kqtokens/host.go
@@ -72,7 +72,7 @@
 	order    []string             // voters still to be asked for them, first one first
 	asked    uint64               // ask whose answer comes before the next voter, 0: none
 	open     int                  // asks under way
-	expired  bool                 // tokens came too late to be used since the voters were last tried
+	granting bool                 // a voter granted all that it was asked for since the voters were last tried
 	spares   []time.Time          // when requests were sent without a token in the last window
 	demand   float64              // requests, decaying over demandTime
 	demandAt time.Time
@@ -206,7 +206,7 @@
 		s := h.owners[w.Owner]
 		s.open--
 		if i < len(grants) {
-			s.learn(h.cfg.Params, a, w, grants[i], now)
+			s.learn(a, w, grants[i], now)
 		}
 		h.serve(s, now)
 		if s.asked == id {
@@ -239,11 +239,11 @@
 }
 
 // learn records a voter's answer for one owner.
-func (s *ownerState) learn(p Params, a *ask, w Want, g Grant, now time.Time) {
+func (s *ownerState) learn(a *ask, w Want, g Grant, now time.Time) {
 	for range min(g.Count, w.Count+w.More+w.Late) {
 		s.held = append(s.held, Token{By: a.voter, Sent: a.sent})
 	}
-	s.expired = s.expired || g.Count > 0 && !p.Valid(Token{Sent: a.sent}, now)
+	s.granting = s.granting || g.Count > 0 && g.Count >= w.Count
 	switch {
 	case g.Unknown:
 	case g.Count < w.Count:
--- a/internal/route/kqtokens/host_test.go
+++ b/internal/route/kqtokens/host_test.go
@@ -243,3 +243,28 @@
 		t.Errorf("%d owners", len(h.owners))
 	}
 }
+
+// TestRequestsThatJoinLater guards against requests that are refused as if no voter answered,
+// because each voter had been asked for tokens before they came.
+func TestRequestsThatJoinLater(t *testing.T) {
+	h, o := newTestHost(Fleet{-1, 0}), owner("a", 100, 100)
+	asks := h.Take(&o, 1, testStart).Asks
+	granted := 0
+	for id := uint64(2); len(asks) > 0; id++ {
+		if id <= 10 {
+			asks = append(asks, h.Take(&o, id, testStart).Asks...)
+		}
+		a := asks[0]
+		e := h.Answered(a.ID, []Grant{{Count: a.Wants[0].Count}}, testStart)
+		asks = append(asks[1:], e.Asks...)
+		for _, d := range e.Decisions {
+			if d.Outcome != Granted {
+				t.Fatalf("%+v", d)
+			}
+			granted++
+		}
+	}
+	if granted != 10 {
+		t.Errorf("%d of 10 requests granted", granted)
+	}
+}
--- a/internal/route/kqtokens/late.go
+++ b/internal/route/kqtokens/late.go
@@ -56,7 +56,7 @@
 	case grants[0].Count == 0:
 		h.refuseLate(a.spare)
 	default:
-		s.learn(h.cfg.Params, a, a.wants[0], grants[0], now)
+		s.learn(a, a.wants[0], grants[0], now)
 		s.waiting = append(s.waiting, a.spare)
 	}
 	h.serve(s, now)
