--- a/internal/bench/kqbench/soak.go
+++ b/internal/bench/kqbench/soak.go
@@ -29,6 +29,7 @@
 	behind   bool
 	half     bool
 	reload   bool
+	scarce   bool
 }
 
 func newSoakCommand() command {
@@ -48,6 +49,7 @@
 	sub.Bool(&s.behind, "", "behind", "stayers also send requests behind each other")
 	sub.Bool(&s.half, "", "half", "stayers also close their sending side after a request")
 	sub.Bool(&s.reload, "", "reload", "SIGHUP is part of the planned work")
+	sub.Bool(&s.scarce, "", "scarce", "queues, owners with limits, targets that misbehave, faults of links")
 	sub.Int(&s.control, "", "control", "control hosts, with --settings")
 	sub.Int(&s.entries, "", "entries", "entry hosts, with --settings")
 }
@@ -56,6 +58,9 @@
 	if s.dir == "" || s.rate <= 0 || s.targets < 1 {
 		return errors.Wrap(errUsage, "--dir, a rate and targets are needed")
 	}
+	if s.scarce && (s.planned || s.stayers > 0) {
+		return errors.Wrap(errUsage, "--scarce is not combined with --planned or --stayers, whose callers have no keys")
+	}
 	if s.settings {
 		if err := os.MkdirAll(s.dir, 0o700); err != nil {
 			return err
@@ -64,7 +69,7 @@
 	}
 	broken, err := kqsoak.Run(ctx, kqsoak.Config{
 		Dir: s.dir, Seed: s.seed, RunTime: time.Duration(s.seconds) * time.Second, Rate: s.rate, Targets: s.targets,
-		Planned: s.planned, Reload: s.reload, Stayers: s.stayers, Ways: kqsoak.Ways(s.behind, s.half), Out: out,
+		Planned: s.planned, Scarce: s.scarce, Reload: s.reload, Stayers: s.stayers, Ways: kqsoak.Ways(s.behind, s.half), Out: out,
 	})
 	if err != nil {
 		return err
--- a/internal/bench/kqsoak/ledger.go
+++ b/internal/bench/kqsoak/ledger.go
@@ -33,6 +33,13 @@
 	signals    map[string]time.Time // when a host was last told to stop, by its address for callers
 	lost       []string             // IDs
 	planned    bool                 // all faults are planned work, which may cut no request
+
+	// For the promises of a scarce run.
+	checks    map[Promise]*Checks
+	used      map[string]*bucket     // by owner
+	cold      map[string][]time.Time // requests of the last second at a cold target
+	submitted uint64                 // highest version that an operator sent
+	disturbed time.Time              // until when hosts may be behind
 }
 
 // call is one request, identified by its request ID.
@@ -41,6 +48,9 @@
 	once    bool // must not run twice
 	runs    int
 	refused bool // the answer said that it did not run and never will
+
+	credential *credential // nil in a run without owners
+	sentAt     time.Time
 }
 
 type acceptance struct {
@@ -54,6 +64,7 @@
 	Accepted                             int // versions of routes
 	Left                                 int // targets that left as planned
 	Evacuated                            int // evacuations of failure domains
+	Limited                              int // requests with a valid key that were beyond their owner's limit
 }
 
 // WayCounts holds the numbers of calls that were sent in one way, by outcome; its field
@@ -75,7 +86,10 @@
 
 // NewLedger returns a Ledger without records.
 func NewLedger() *Ledger {
-	return &Ledger{calls: map[string]*call{}, left: map[string]time.Time{}, evacuated: map[string]time.Time{}, ways: map[Way]*WayCounts{}, signals: map[string]time.Time{}}
+	return &Ledger{
+		calls: map[string]*call{}, left: map[string]time.Time{}, evacuated: map[string]time.Time{}, ways: map[Way]*WayCounts{}, signals: map[string]time.Time{},
+		checks: map[Promise]*Checks{}, used: map[string]*bucket{}, cold: map[string][]time.Time{},
+	}
 }
 
 // way returns the counts of a way; the caller holds l.mu.
@@ -126,6 +140,7 @@
 		return
 	}
 	c.runs++
+	l.checkLimit(c, id, at)
 	switch {
 	case c.once && c.runs > 1:
 		l.violate("%s ran %d times, the last time at %s", id, c.runs, target)
@@ -144,6 +159,7 @@
 	defer l.mu.Unlock()
 	c := l.call(id)
 	way := l.way(c.way)
+	l.checkKey(c, id, status)
 	switch {
 	case !complete:
 		l.counts.Broken++
@@ -156,7 +172,7 @@
 		if c.runs == 0 {
 			l.violate("%s got a success and did not run", id)
 		}
-	case status == 429 || status == 503:
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable, status == http.StatusUnauthorized:
 		l.counts.Refused++
 		way.Refused++
 		c.refused = true
