--- a/internal/bench/kqsoak/ledger.go
+++ b/internal/bench/kqsoak/ledger.go
@@ -65,6 +65,7 @@
 	Left                                 int // targets that left as planned
 	Evacuated                            int // evacuations of failure domains
 	Limited                              int // requests with a valid key that were beyond their owner's limit
+	Hung                                 int // requests that a target did not queue and never answered
 }
 
 // WayCounts holds the numbers of calls that were sent in one way, by outcome; its field
--- a/internal/bench/kqsoak/promise.go
+++ b/internal/bench/kqsoak/promise.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// Hung records that a target did not queue a request and will never answer it.
+func (l *Ledger) Hung() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.Hung++
+}
+
 // Received checks a request that has reached a target, whether or not it runs there.
 func (l *Ledger) Received(a Arrival) {
 	l.mu.Lock()
--- a/internal/bench/kqsoak/scarce.go
+++ b/internal/bench/kqsoak/scarce.go
@@ -9,14 +9,16 @@
 
 const (
 	scarceSlots = 2
-	scarceQueue = 4
 	scarceWork  = 150 * time.Millisecond // so that six targets run 80 requests per second
 	linkDelay   = 40 * time.Millisecond
 )
 
+// scarceQueues are how many requests wait at a target. Those with room for few are soon full.
+var scarceQueues = []int{4, 1, 0}
+
 // makeScarce configures a target that fills up: every other one hangs when it is full.
 func (s *soak) makeScarce(cfg *TargetConfig) {
-	cfg.Slots, cfg.Queue, cfg.Work = scarceSlots, scarceQueue, func() time.Duration { return scarceWork }
+	cfg.Slots, cfg.Queue, cfg.Work = scarceSlots, scarceQueues[s.targetCount/2%len(scarceQueues)], func() time.Duration { return scarceWork }
 	cfg.Domain, cfg.Hangs = domains[s.targetCount%len(domains)], s.targetCount%2 == 0
 	cfg.Cold, cfg.Proxied = coldTime, true
 }
@@ -113,11 +115,4 @@
 	for _, p := range promises {
 		fmt.Fprintf(s.cfg.Out, "%-45s checks made %d, broken %d\n", p, checks[p].Made, checks[p].Broken)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	hung := int64(0)
-	for _, t := range s.targets {
-		hung += t.hung.Load()
-	}
-	fmt.Fprintf(s.cfg.Out, "requests that the present targets never answered: %d\n", hung)
 }
--- a/internal/bench/kqsoak/target.go
+++ b/internal/bench/kqsoak/target.go
@@ -70,7 +70,6 @@
 	slots        chan struct{}
 	dropsAnswers atomic.Bool // runs requests but breaks the connection instead of answering
 	inFlight     atomic.Int64
-	hung         atomic.Int64 // requests that it could not queue
 	seq          atomic.Uint64
 	stop         context.CancelFunc // ends the announcements
 	done         sync.WaitGroup
@@ -267,7 +266,7 @@
 
 // hang answers nothing on the connection until its other side closes it.
 func (t *Target) hang(r *http.Request) {
-	t.hung.Add(1)
+	t.cfg.Ledger.Hung()
 	t.inFlight.Add(-1) // it is no part of the target's load
 	<-r.Context().Done()
 	t.inFlight.Add(1)
