--- a/internal/bench/kqsoak/scarce.go
+++ b/internal/bench/kqsoak/scarce.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	scarceSlots = 2
-	scarceWork  = 150 * time.Millisecond // so that six targets run 80 requests per second
+	scarceSlots = 4
+	scarceWork  = 150 * time.Millisecond // so that a warm target runs 26 requests per second, far more than a cold one may get
 	linkDelay   = 40 * time.Millisecond
 )
 
