--- a/internal/bench/kqsoak/drive.go
+++ b/internal/bench/kqsoak/drive.go
@@ -27,17 +27,24 @@
 	safePrefix       = "/read/"
 	unsafePrefix     = "/file/"
 	uploadPrefix     = "/ledger/"
+	openPrefix       = "/open/" // in a scarce run, for callers without a key
 )
 
-// requestKinds are the kinds of requests by the prefix of their route; those with
-// once set must not run twice.
-var requestKinds = []struct {
+// requestKind is a kind of requests, those of the routes with one prefix. One with once set
+// must not run twice.
+type requestKind struct {
 	prefix string
 	kind   string
 	method string
 	size   int
 	once   bool
-}{
+}
+
+// openKind is the kind of requests that need no key.
+var openKind = requestKind{openPrefix, "safe", http.MethodGet, 0, false}
+
+// requestKinds are the kinds of requests in all runs.
+var requestKinds = []requestKind{
 	{safePrefix, "safe", http.MethodGet, 0, false},
 	{unsafePrefix, "unsafe", http.MethodPost, 300, true},
 	{uploadPrefix, "upload", http.MethodPost, uploadSize, true},
@@ -77,7 +84,10 @@
 	if !c.scarce {
 		return nil
 	}
-	drawn := drawCredential(c.ledger.Newest(time.Now()))
+	drawn := openCredential
+	if rand.IntN(openRequests) > 0 {
+		drawn = drawCredential(c.ledger.Newest(time.Now()))
+	}
 	return &drawn
 }
 
@@ -96,6 +106,9 @@
 // send sends one request and reports whether it succeeded.
 func (c *callers) send(ctx context.Context, addr string, cred *credential) bool {
 	k := requestKinds[rand.IntN(len(requestKinds))]
+	if cred != nil && *cred == openCredential {
+		k = openKind
+	}
 	id := fmt.Sprintf("r%d", c.next.Add(1))
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
@@ -162,10 +175,14 @@
 		Attempts  int    `json:"attempts"`
 		Timeout   string `json:"timeout"`
 		Objective string `json:"objective"`
+		Open      bool   `json:"open,omitempty"`
 	}
-	list := []route{{"version", versionPrefix(version), service, "safe", 2, routeTimeout.String(), "300ms"}}
+	list := []route{{"version", versionPrefix(version), service, "safe", 2, routeTimeout.String(), "300ms", false}}
 	for _, k := range requestKinds {
-		list = append(list, route{strings.Trim(k.prefix, "/"), k.prefix, service, k.kind, 2, routeTimeout.String(), "300ms"})
+		list = append(list, route{strings.Trim(k.prefix, "/"), k.prefix, service, k.kind, 2, routeTimeout.String(), "300ms", false})
+	}
+	if scarce {
+		list = append(list, route{"open", openPrefix, service, openKind.kind, 2, routeTimeout.String(), "300ms", true})
 	}
 	offered := map[string]any{"name": service, "health": "/health", "connections": 400}
 	doc := map[string]any{
--- a/internal/bench/kqsoak/owner.go
+++ b/internal/bench/kqsoak/owner.go
@@ -8,14 +8,15 @@
 )
 
 const (
-	keyLife     = 16               // versions of the routes after which the key of an owner is replaced, about 5 s
-	coldRate    = 2.5              // requests per second at a cold target
-	coldLimit   = coldRate*1.5 + 8 // requests in any second, with the usual settings
-	coldTime    = 4 * time.Second  // after the start of a target
-	unknownKeys = 20               // one request in so many has no key, or one that nobody ever had
-	oldKeys     = 20               // one request in so many of an owner whose keys are replaced has an old one
-	quotaShare  = 1.1              // of its limit that an owner may use in a window
-	quotaSlack  = 20               // requests beyond that
+	keyLife      = 16               // versions of the routes after which the key of an owner is replaced, about 5 s
+	coldRate     = 2.5              // requests per second at a cold target
+	coldLimit    = coldRate*1.5 + 8 // requests in any second, with the usual settings
+	coldTime     = 4 * time.Second  // after the start of a target
+	unknownKeys  = 20               // one request in so many has no key, or one that nobody ever had
+	oldKeys      = 20               // one request in so many of an owner whose keys are replaced has an old one
+	openRequests = 20               // one request in so many is on the open route
+	quotaShare   = 1.1              // of its limit that an owner may use in a window
+	quotaSlack   = 20               // requests beyond that
 )
 
 // owner is an owner in the routes of a scarce run.
@@ -59,6 +60,9 @@
 	first, end uint64
 }
 
+// openCredential is what callers of the open route present: no key, and none is needed.
+var openCredential = credential{end: math.MaxUint64}
+
 // valid reports whether the key is valid in all versions from low to high.
 func (c credential) valid(low, high uint64) bool { return c.first <= low && high < c.end }
 
