--- a/internal/call/kqproxy/hung.go
+++ b/internal/call/kqproxy/hung.go
@@ -19,6 +19,8 @@
 	timer     *time.Timer // of the next probe
 	tookRetry bool        // the retry of a lost send is already taken from the budget
 	probes    int
+	target    *kqselection.Target
+	end       context.CancelCauseFunc // ends the send with the cause
 }
 
 // watchSend checks the send, once it is complete, with probes on other connections. It
@@ -31,7 +33,7 @@
 	expected := time.Duration(p.chosen.Score * float64(p.expectedServiceTime()))
 	s := &kqselection.Send{Expected: expected}
 	s.OnLost = func() { p.recordLost(t, cancel) }
-	p.watched = watchedSend{Send: s}
+	p.watched = watchedSend{Send: s, target: t, end: cancel}
 	t.BeginSend(s)
 	e.mu.Unlock()
 	switch before, hold := req.BeforeFirstByte, req.BeforeLastByte; {
@@ -144,3 +146,21 @@
 	}
 	t.Answered(s)
 }
+
+// errStopEnds is the cause of the end of a send that has no answer at the end of a shutdown.
+var errStopEnds = errors.New("no answer before the end of the shutdown")
+
+// FailUnanswered ends the requests that have no answer, shortly before the end of a shutdown:
+// their callers get an error, and not a connection that ends without a response. It leaves out
+// services whose targets answer whatever they got, as far as the document tells.
+func (e *Engine) FailUnanswered() {
+	e.runningMu.Lock()
+	defer e.runningMu.Unlock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for p := range e.running {
+		if w := &p.watched; w.target != nil && w.target.Unanswered(w.Send) && e.chooser(p.service).Admission.Active {
+			w.end(errStopEnds)
+		}
+	}
+}
--- a/internal/call/kqproxy/hung_test.go
+++ b/internal/call/kqproxy/hung_test.go
@@ -122,3 +122,19 @@
 	defer f.engine.mu.Unlock()
 	f.engine.chooser("kekhai").Admission.Active = true
 }
+
+// TestUnansweredAtEndOfShutdown guards against callers whose connection ends without a response
+// when a host shuts down, because a target never answers what they sent.
+func TestUnansweredAtEndOfShutdown(t *testing.T) {
+	f := newFixture(t, kqroutes.Unsafe, 10*time.Second, silence)
+	f.activateAdmission()
+	time.AfterFunc(100*time.Millisecond, func() {
+		f.engine.Stop(time.Now().Add(200 * time.Millisecond))
+		f.engine.FailUnanswered()
+	})
+	started := time.Now()
+	res, _, err := f.call("/filings/1", "filing")
+	if err != nil || res.StatusCode != http.StatusBadGateway || time.Since(started) > 5*time.Second {
+		t.Errorf("%v %v after %s, want 502", res, err, time.Since(started))
+	}
+}
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -224,6 +224,10 @@
 // milliseconds, but a busy machine may not run the process for some tenths of a second.
 const closingTime = 400 * time.Millisecond
 
+// failTime is how long before the end of a shutdown requests to targets that may never answer
+// are ended, so that their callers get an error: a few round trips to callers.
+const failTime = 150 * time.Millisecond
+
 // stopCallers ends the connections of callers by the given time. Requests that might not be
 // finished by then are refused from the start, so that only refusals are left at the end.
 // Closing expedite makes it refuse all further requests.
@@ -253,6 +257,8 @@
 	}
 	ctx, cancel = context.WithDeadline(context.Background(), end)
 	defer cancel()
+	failing := time.AfterFunc(time.Until(end)-failTime, d.proxy.FailUnanswered)
+	defer failing.Stop()
 	err := d.callers.Drain(ctx)
 	if n := d.proxy.InFlight(); err != nil && n > 0 { // else only the ends of connections are under way
 		d.log.Warnf("stopping with %d requests in flight: %v", n, err)
