--- a/internal/call/kqproxy/leastcost.go
+++ b/internal/call/kqproxy/leastcost.go
@@ -36,39 +36,17 @@
 	}
 }
 
-// activateAdmission makes services whose requests may differ in priority leave room to
-// urgent ones: those with routes of different priorities, or all if there are owners. e.mu
-// must be held.
+// activateAdmission makes services leave room to urgent requests if the document has owners,
+// whose priorities may differ on any route. Documents without owners are served in the order of
+// the queue alone: with routes of different priorities on a service, leaving room cost callers
+// more than it gave them (0.820 to 0.653 of worth on one day of a deployment without owners).
+// e.mu must be held.
 func (e *Engine) activateAdmission(doc *kqroutes.Document) {
-	mixed := mixedPriorities(doc)
 	for _, s := range doc.Services {
-		e.chooser(s.Name).Admission.Active = len(doc.Owners) > 0 || mixed[s.Name]
+		e.chooser(s.Name).Admission.Active = len(doc.Owners) > 0
 	}
 }
 
-// mixedPriorities returns the services that have routes of different priorities.
-func mixedPriorities(doc *kqroutes.Document) map[string]bool {
-	first, mixed := map[string]int{}, map[string]bool{}
-	add := func(service string, priority int) {
-		if p, ok := first[service]; ok && p != priority {
-			mixed[service] = true
-		}
-		first[service] = priority
-	}
-	for _, h := range doc.Hosts {
-		for i := range h.Routes {
-			r := &h.Routes[i]
-			if r.Service != "" {
-				add(r.Service, r.Priority)
-			}
-			for _, s := range r.Split {
-				add(s.Service, r.Priority)
-			}
-		}
-	}
-	return mixed
-}
-
 // mayProbeQueued reports whether targets may be probed for the queued requests now: the
 // rest of the probe budget is left to urgent ones. e.mu must be held.
 func (e *Engine) mayProbeQueued(ch *chooser, now time.Time) bool {
