--- a/internal/state/kqroutes/owners.go
+++ b/internal/state/kqroutes/owners.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Owner is a tenant whose callers present one of its keys. Its limits apply to all hosts
+// Owner is a customer whose callers present one of its keys. Its limits apply to all hosts
 // together.
 type Owner struct {
 	Name     string      `json:"name"`
