--- a/internal/call/kqproxy/cold_test.go
+++ b/internal/call/kqproxy/cold_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kumquatglade/internal/host/kqclock"
+	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqroutes"
 )
 
@@ -164,3 +165,24 @@
 		t.Errorf("cold %v and %v, want the second one", f.target(0).IsCold(now), f.target(1).IsCold(now))
 	}
 }
+
+// TestTargetsAreColdAfterEvacuation guards against targets that get their usual load at the end
+// of an evacuation, although they may have become cold meanwhile.
+func TestTargetsAreColdAfterEvacuation(t *testing.T) {
+	f := newColdFixture(t, 10, 3*time.Second, 900*time.Millisecond, replyOK)
+	domain := f.targets[0].Domain
+	assumed := func() bool {
+		f.engine.mu.Lock()
+		defer f.engine.mu.Unlock()
+		return f.engine.knownTargets[f.targets[0].ID].AssumedCold()
+	}
+	f.engine.Apply(3, f.doc, f.targets, []kqcontract.Evacuation{{Domain: domain, On: true, Revision: 3}})
+	if assumed() {
+		t.Error("a target counts as cold while its domain is evacuated")
+	}
+	f.engine.Apply(4, f.doc, f.targets, []kqcontract.Evacuation{{Domain: domain, Revision: 4}})
+	if !assumed() {
+		t.Error("a target does not count as cold after the end of the evacuation")
+	}
+	waitFor(t, "an answer to a probe says that it is warm", func() bool { return !assumed() })
+}
