--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -109,29 +109,35 @@
 func New(cfg Config) *Engine {
 	pacer := kqtransport.NewPacer(cfg.LinkRate)
 	e := &Engine{
-		started: cfg.Clock.Now(), firstRoutes: make(chan struct{}),
-		cfg: cfg, pacer: pacer, pool: kqtransport.NewPool(kqtransport.Config{Pacer: pacer}), shortestProbes: map[string]time.Duration{}, readAheads: newReadAheadPool(), bodies: kqbody.NewMemory(kqbody.Share(cfg.Memory)), done: make(chan struct{}), knownTargets: map[string]*kqselection.Target{},
-		retryBudgets: map[string]*kqselection.RetryBudget{},
-		choosers:     map[string]*chooser{}, serviceTimes: map[string]*kqselection.ServiceTime{}, longestTimeouts: map[string]time.Duration{},
+		cfg: cfg, started: cfg.Clock.Now(), firstRoutes: make(chan struct{}), done: make(chan struct{}),
+		pacer: pacer, pool: kqtransport.NewPool(kqtransport.Config{Pacer: pacer}),
+		readAheads: newReadAheadPool(), bodies: kqbody.NewMemory(kqbody.Share(cfg.Memory)),
+		knownTargets: map[string]*kqselection.Target{}, evacuations: map[string]evacuation{},
+		retryBudgets: map[string]*kqselection.RetryBudget{}, choosers: map[string]*chooser{},
+		serviceTimes: map[string]*kqselection.ServiceTime{}, shortestProbes: map[string]time.Duration{}, longestTimeouts: map[string]time.Duration{},
 		running: map[*proxiedRequest]struct{}{}, queued: map[*proxiedRequest]queuedRequest{}, usage: map[string]*ownerCounts{},
+		metrics: newEngineMetrics(cfg.Metrics),
 	}
-	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("routes."+name, cfg.Metrics) }
-	e.metrics = engineMetrics{
+	go e.closeExpired()
+	return e
+}
+
+func newEngineMetrics(r metrics.Registry) engineMetrics {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("routes."+name, r) }
+	timer := func(name string) metrics.Timer { return metrics.GetOrRegisterTimer("routes."+name, r) }
+	m := engineMetrics{
 		requests: counter("requests"), answered: counter("answered"), refused: counter("refused"), failed: counter("failed"),
 		retries: counter("second"), probes: counter("questions"), failedProbes: counter("unanswered"),
-		cut: counter("cut"), barred: counter("barred"), foreign: counter("foreign"), uninformed: counter("uninformed"), hung: counter("hung"), leaving: counter("leaving"), quiet: counter("quiet"), oddQuiet: counter("oddquiet"),
+		cut: counter("cut"), barred: counter("barred"), foreign: counter("foreign"), uninformed: counter("uninformed"), hung: counter("hung"),
+		leaving: counter("leaving"), quiet: counter("quiet"), oddQuiet: counter("oddquiet"), evacuated: counter("evacuated"),
 		coldRefused: counter("coldrefused"), turnedCold: counter("turnedcold"), turnedWarm: counter("turnedwarm"), oddCold: counter("oddcold"),
-		key:       newKeyCounters(counter),
-		latency:   metrics.GetOrRegisterTimer("routes.latency", cfg.Metrics),
-		firstByte: metrics.GetOrRegisterTimer("routes.firstbyte", cfg.Metrics),
-		probeTime: metrics.GetOrRegisterTimer("routes.asking", cfg.Metrics),
+		key: newKeyCounters(counter), barredBy: map[kqselection.Barred]metrics.Counter{},
+		latency: timer("latency"), firstByte: timer("firstbyte"), probeTime: timer("asking"),
 	}
-	e.metrics.evacuated, e.metrics.barredBy = counter("evacuated"), map[kqselection.Barred]metrics.Counter{}
 	for reason, name := range barredCounters {
-		e.metrics.barredBy[reason] = counter("barred." + name)
+		m.barredBy[reason] = counter("barred." + name)
 	}
-	go e.closeExpired()
-	return e
+	return m
 }
 
 // closeExpired closes expired idle connections regularly until Close is called.
--- a/internal/call/kqproxy/probe.go
+++ b/internal/call/kqproxy/probe.go
@@ -48,7 +48,10 @@
 // It returns the targets worth a send, and which of them reported their load just now.
 // If none answers within probeWait, it waits for the first answer, up to firstReplyWait
 // in all.
-func (e *Engine) probeCandidates(ctx context.Context, table *kqroutes.Table, service string, tried []*kqselection.Target, allows func(*kqselection.Target) bool, n int, firstReplyWait time.Duration) (list []*kqselection.Target, result probeResult) {
+func (e *Engine) probeCandidates(
+	ctx context.Context, table *kqroutes.Table, service string, tried []*kqselection.Target, allows func(*kqselection.Target) bool,
+	n int, firstReplyWait time.Duration,
+) (list []*kqselection.Target, result probeResult) {
 	started := e.cfg.Clock.Now()
 	var toProbe []*kqselection.Target
 	e.mu.Lock()
