--- a/internal/call/kqlistener/descriptors.go
+++ b/internal/call/kqlistener/descriptors.go
@@ -7,14 +7,19 @@
 	"golang.org/x/sys/unix"
 )
 
-// reservedDescriptors is how many descriptors the connections of callers leave to the rest of
-// the process: the journal opens two files for a segment and its folder, a snapshot as many,
-// and each control host is dialled once.
-const reservedDescriptors = 16
+const (
+	// reservedDescriptors is how many descriptors a listener leaves to the rest of the process:
+	// the journal opens two files for a segment and its folder, and a snapshot as many.
+	reservedDescriptors = 8
+
+	// callersReserve is what the connections of callers leave, so that operators, targets and
+	// control hosts are still accepted while callers take all that they can.
+	callersReserve = 2 * reservedDescriptors
+)
 
 // takesReserve reports whether the descriptor of the connection is one of those that are
 // reserved. The kernel gives out the lowest free descriptor, so all lower ones are in use.
-func takesReserve(c net.Conn) bool {
+func takesReserve(c net.Conn, reserve uint64) bool {
 	sys, ok := c.(syscall.Conn)
 	if !ok {
 		return false
@@ -28,6 +33,6 @@
 		return false
 	}
 	reserved := false
-	_ = raw.Control(func(fd uintptr) { reserved = uint64(fd)+reservedDescriptors >= limit.Cur }) // an error means that it is closed
+	_ = raw.Control(func(fd uintptr) { reserved = uint64(fd)+reserve >= limit.Cur }) // an error means that it is closed
 	return reserved
 }
--- a/internal/call/kqlistener/listener.go
+++ b/internal/call/kqlistener/listener.go
@@ -55,14 +55,16 @@
 	closed  bool       // all connections that were accepted are in conns
 }
 
-// New returns a Listener that accepts from l and records nothing.
+// New returns a Listener that accepts from l, not for callers, and records nothing.
 func New(l net.Listener) *Listener {
-	return Open(Config{Listener: l, Log: kqlog.Discard(), Metrics: metrics.NewRegistry()})
+	out := Open(Config{Listener: l, Log: kqlog.Discard(), Metrics: metrics.NewRegistry()})
+	out.reserve = reservedDescriptors
+	return out
 }
 
-// Open returns a Listener.
+// Open returns a Listener for callers.
 func Open(cfg Config) *Listener {
-	l := &Listener{Listener: cfg.Listener, log: cfg.Log, unanswered: map[closeCause]metrics.Counter{}, conns: map[*conn]struct{}{}, heads: heads{conns: map[*conn]arrivingHead{}}}
+	l := &Listener{Listener: cfg.Listener, reserve: callersReserve, log: cfg.Log, unanswered: map[closeCause]metrics.Counter{}, conns: map[*conn]struct{}{}, heads: heads{conns: map[*conn]arrivingHead{}}}
 	l.noDescriptors = metrics.GetOrRegisterCounter("callers.nodescriptors", cfg.Metrics)
 	for _, cause := range closeCauses {
 		l.unanswered[cause] = metrics.GetOrRegisterCounter("callers.unanswered."+string(cause), cfg.Metrics)
@@ -98,7 +100,7 @@
 // acceptOne waits for the next connection. It closes one that would take a reserved descriptor.
 func (l *Listener) acceptOne() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
-	if err != nil || !takesReserve(raw) {
+	if err != nil || !takesReserve(raw, l.reserve) {
 		return raw, err
 	}
 	l.noDescriptors.Inc(1)
