--- a/internal/call/kqlistener/listener.go
+++ b/internal/call/kqlistener/listener.go
@@ -44,6 +44,7 @@
 	log           *kqlog.Log
 	unanswered    map[closeCause]metrics.Counter // connections closed with bytes of a further request
 	noDescriptors metrics.Counter                // connections closed because too few descriptors were left
+	reserve       uint64                         // descriptors that are left to the rest of the process
 	ended         atomic.Bool                    // Close was called: the server closes all connections
 	framed        atomic.Bool                    // Handler is used, so that heads and bodies can be told apart
 	heads         heads
