Hung sends: services without an active admission do not learn from timeouts that targets hang

A timeout alone marked the service, which then held back the ends of bodies longer and stopped trying nearly full targets: documents without owners are served as before.

--- a/internal/call/kqproxy/hung.go
+++ b/internal/call/kqproxy/hung.go
@@ -62,11 +62,11 @@
 	e := p.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !t.Unanswered(s) {
+	if !t.Unanswered(s) || !e.chooser(p.service).Admission.Active {
 		return
 	}
 	s.SentAt = e.cfg.Clock.Now()
-	if t.LastLoad.At.IsZero() || !e.chooser(p.service).Admission.Active {
+	if t.LastLoad.At.IsZero() {
 		return
 	}
 	p.watched.timer = time.AfterFunc(t.HungDelay(s), func() { p.probeForSend(t, s) })
--- a/internal/route/kqselection/hung.go
+++ b/internal/route/kqselection/hung.go
@@ -79,18 +79,19 @@
 		return hungConfirmTime
 	}
 	if s.probeDelay == 0 {
-		s.probeDelay = s.patience()
+		s.probeDelay = s.overdueAfter()
 		return s.probeDelay
 	}
 	s.probeDelay = min(2*s.probeDelay, maxHungProbeInterval)
 	return s.probeDelay
 }
 
-func (s *Send) patience() time.Duration { return max(hungFactor*s.Expected, minHungTime) }
+// overdueAfter returns for how long the send may stay unanswered before its target is probed.
+func (s *Send) overdueAfter() time.Duration { return max(hungFactor*s.Expected, minHungTime) }
 
 // overdue reports whether the send should have been answered before now.
 func (s *Send) overdue(now time.Time) bool {
-	return !s.SentAt.IsZero() && now.Sub(s.SentAt) >= s.patience()
+	return !s.SentAt.IsZero() && now.Sub(s.SentAt) >= s.overdueAfter()
 }
 
 // BeginSend adds a send that has been counted in InFlight.
