--- a/internal/state/kqfeed/view_test.go
+++ b/internal/state/kqfeed/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"kumquatglade/internal/host/kqevent"
 	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/state/kqcontract"
+	"kumquatglade/internal/state/kqroutes"
 	"kumquatglade/internal/state/kqtargets"
 )
 
@@ -149,3 +151,40 @@
 	f.subscribed = true
 	f.applyReply(s)
 }
+
+// TestAcceptedKindsReachHosts checks that entry hosts take routes of any kind that the log
+// holds, by a full view and by a change, and that a kind they do not know may not run again.
+func TestAcceptedKindsReachHosts(t *testing.T) {
+	s := kqcontract.NewState()
+	doc := kqroutes.Document{Version: 7, Services: []kqroutes.Service{{Name: "kekhai"}}, Hosts: []kqroutes.Host{{Name: "rent.example", Routes: []kqroutes.Route{
+		{Name: "r1", Prefix: "/a/", Service: "kekhai", Kind: kqroutes.Download, Timeout: time.Second},
+		{Name: "r2", Prefix: "/b/", Service: "kekhai", Kind: "of-another-version", Timeout: time.Second},
+	}}}}
+	_, change := s.Apply(kqcontract.Command{Op: kqcontract.OpRoutes, Routes: &kqroutes.Proposal{Document: doc}})
+	decode := func(from, to any) {
+		t.Helper()
+		p, err := json.Marshal(from)
+		if err == nil {
+			err = json.Unmarshal(p, to)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	var full View
+	decode(newView(s), &full)
+	var received kqcontract.Change
+	decode(change, &received)
+	changed, err := (View{}).with([]kqcontract.Change{received})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, v := range map[string]View{"full view": full, "change": changed} {
+		table := kqroutes.NewTable(v.Routes)
+		for path, repeatable := range map[string]bool{"/a/1": true, "/b/1": false} {
+			if r, ok := table.Find("rent.example", path); !ok || r.Kind.Repeatable() != repeatable {
+				t.Errorf("%s: %s: %+v", name, path, r)
+			}
+		}
+	}
+}
--- a/internal/state/kqroutes/routes.go
+++ b/internal/state/kqroutes/routes.go
@@ -19,6 +19,10 @@
 	Download Kind = "download" // like Safe, for large responses
 )
 
+// Kinds returns the kinds of routes that documents of the product may have. An adapter decides
+// by itself which of them its operators may name.
+func Kinds() []Kind { return []Kind{Safe, Unsafe, Upload, Download} }
+
 // Repeatable reports whether a request of this kind may run more than once.
 func (k Kind) Repeatable() bool {
 	return k == Safe || k == Download
@@ -132,10 +136,8 @@
 	if len(r.Prefix) == 0 || r.Prefix[0] != '/' {
 		return errors.Newf("prefix %q: want a leading slash", r.Prefix)
 	}
-	switch r.Kind {
-	case Safe, Unsafe, Upload, Download:
-	default:
-		return errors.Newf("kind %q: want safe, unsafe, upload or download", r.Kind)
+	if !slices.Contains(Kinds(), r.Kind) {
+		return errors.Newf("kind %q: want one of %q", r.Kind, Kinds())
 	}
 	if r.Timeout <= 0 || r.Timeout > MaxTimeout {
 		return errors.Newf("timeout %s: want more than 0 and at most %s", r.Timeout, MaxTimeout)
