Documents: a key twice in one object, or in other letters, is refused

A desired state with "routeKind":"unsafe" and a later "RouteKind":"safe" in the same route was acknowledged, and requests of the route could run twice; two lists of tenants left the last one in force.

kqcheck.Keys refuses both before the document is decoded, for the adapter and for all documents that operators write (contracts, routes, settings). What is in the log is not validated again.

--- a/internal/state/kqcheck/check.go
+++ b/internal/state/kqcheck/check.go
@@ -124,11 +124,14 @@
 }
 
 // Decode decodes exactly one JSON document into v. It fails on unknown keys, on a second
-// document and on more elements than BoundElements allows.
+// document, on more elements than BoundElements allows and on what Keys refuses.
 func Decode(p []byte, v any) error {
 	if err := BoundElements(p); err != nil {
 		return err
 	}
+	if err := Keys(p, v); err != nil {
+		return err
+	}
 	dec := json.NewDecoder(bytes.NewReader(p))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
--- a/internal/state/kqroutes/routes_test.go
+++ b/internal/state/kqroutes/routes_test.go
@@ -158,6 +158,8 @@
 	}
 	for _, c := range []struct{ name, from, to string }{
 		{"unknown key", `"limits"`, `"limit"`},
+		{"a second kind", `"kind": "safe"`, `"kind": "unsafe", "kind": "safe"`},
+		{"kind under a name in other letters", `"kind"`, `"Kind"`},
 		{"no version", `"version": 1,`, ``},
 		{"no attempts", `"attempts": 2,`, ``},
 		{"timeout without unit", `"1s"`, `"1"`},
