Routes: hosts in other letters are one host in deltas too

Of two routes with the same prefix, one on index.example and one on INDEX.example, entry hosts used the one that comes first by the alphabet and not by the document. If that one was of kind safe and the other unsafe, requests could run twice although kumquat routes check called the safe one "never matches".

Cause: the table of routes normalizes host names, the keys of deltas did not, and a document that went through a delta is sorted by host. The keys are normalized now, also those received from a control host of an earlier version, so that a route it dropped does not stay.

TestHostInOtherLetters failed before: 'entry host: got r4', and ten changes between documents that differ in letters only. After: r2, none.

--- a/internal/state/kqroutes/delta.go
+++ b/internal/state/kqroutes/delta.go
@@ -21,10 +21,12 @@
 
 // RouteKey identifies a route by the HTTP host name and the path prefix.
 type RouteKey struct {
-	Host   string `json:"h"`
+	Host   string `json:"h"` // normalized: names in other letters, or with a port, are the same host
 	Prefix string `json:"p"`
 }
 
+func routeKey(host, prefix string) RouteKey { return RouteKey{hostName(host), prefix} }
+
 // HostRoute is a route together with its HTTP host name.
 type HostRoute struct {
 	Host  string `json:"h"`
@@ -35,7 +37,7 @@
 	m := map[RouteKey]Route{}
 	for _, h := range d.Hosts {
 		for _, r := range h.Routes {
-			p := RouteKey{h.Name, r.Prefix}
+			p := routeKey(h.Name, r.Prefix)
 			if _, exists := m[p]; !exists { // of routes with the same prefix, Find returns the first
 				m[p] = r
 			}
@@ -62,12 +64,12 @@
 	newRoutes := d.routesByKey()
 	for _, h := range d.Hosts {
 		for _, r := range h.Routes {
-			p := RouteKey{h.Name, r.Prefix}
+			p := routeKey(h.Name, r.Prefix)
 			old, ok := oldRoutes[p]
 			if kept := newRoutes[p]; !equalRoutes(&kept, &r) || ok && equalRoutes(&old, &r) {
 				continue
 			}
-			out.Set = append(out.Set, HostRoute{h.Name, r})
+			out.Set = append(out.Set, HostRoute{p.Host, r})
 		}
 	}
 	for p := range oldRoutes {
@@ -148,10 +150,10 @@
 		out.Limits = *delta.Limits
 	}
 	for _, p := range delta.Removed {
-		delete(m, p)
+		delete(m, routeKey(p.Host, p.Prefix)) // a host of an earlier version does not normalize
 	}
 	for _, s := range delta.Set {
-		m[RouteKey{s.Host, s.Route.Prefix}] = s.Route
+		m[routeKey(s.Host, s.Route.Prefix)] = s.Route
 	}
 	out.Hosts = groupByHost(m)
 	out.Owners = delta.withOwners(out.Owners)
--- a/internal/state/kqroutes/lint.go
+++ b/internal/state/kqroutes/lint.go
@@ -36,7 +36,7 @@
 		for i := range h.Routes {
 			r := &h.Routes[i]
 			place := "host " + h.Name + ": route " + r.Name
-			key := RouteKey{hostName(h.Name), r.Prefix}
+			key := routeKey(h.Name, r.Prefix)
 			if other, ok := first[key]; ok {
 				add(place, "never matches: route %s has the same host and prefix %s", other, r.Prefix)
 			} else {
--- a/internal/state/kqroutes/routes_test.go
+++ b/internal/state/kqroutes/routes_test.go
@@ -86,6 +86,33 @@
 	}
 }
 
+// TestHostInOtherLetters guards against a route that hides another one, of another kind, from
+// the entry hosts but not from the operator: all must find the first route of the document with
+// the host and prefix, in whatever letters the host is written.
+func TestHostInOtherLetters(t *testing.T) {
+	d := sampleDocument(1)
+	shadowed := Route{Name: "r4", Prefix: "/filings/", Service: "chiso", Kind: Safe, Attempts: 2, Timeout: time.Second}
+	d.Hosts = append(d.Hosts, Host{Name: "INDEX.example:8080", Routes: []Route{shadowed}})
+	received, _ := (*Document)(nil).With(d.Diff(nil))
+	for name, doc := range map[string]*Document{"document": d, "entry host": received} {
+		if r, ok := NewTable(doc).Find("index.example", "/filings/7"); !ok || r.Name != "r2" {
+			t.Errorf("%s: got %+v", name, r)
+		}
+	}
+	next := sampleDocument(2)
+	next.Hosts[0].Name = "Index.Example"
+	changed, ok := received.With(next.Diff(d))
+	if !ok {
+		t.Fatal("the next version does not follow")
+	}
+	if r, ok := NewTable(changed).Find("index.example", "/filings/7"); !ok || r.Name != "r2" {
+		t.Errorf("after a change of letters: got %+v", r)
+	}
+	if list := next.Changes(d); len(list) != 0 {
+		t.Errorf("changes %q, want none", list)
+	}
+}
+
 // TestSplitMatchesWeights: each service of a split gets requests in proportion to its
 // weight.
 func TestSplitMatchesWeights(t *testing.T) {
