Owners: an empty list of owners lets nobody in

A desired state with "tenants":[] was served to callers without any key, while the protocol says that a request carries a key if the desired state contains tenants. Callers whose last key had been taken away got in again, and requests ran whose key no desired state ever held.

Cause: whether a key is needed was read off the number of owners. The document and its deltas now keep whether the operator listed owners. Documents without a list are encoded as before; hosts of an earlier version still go by the number of owners. kumquat routes check warns of an empty list.

TestEmptyListOfOwners holds it at the entry host: 401, nothing sent, open routes served.

--- a/internal/admin/kqcommand/check_test.go
+++ b/internal/admin/kqcommand/check_test.go
@@ -16,6 +16,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	begin, _, _ := strings.Cut(string(source), `{"name": "acme"`)
+	ownersList := strings.TrimSuffix(strings.TrimPrefix(string(source), begin), "\n  ]\n}\n")
 	cases := []struct {
 		name, from, to string
 		code           int
@@ -32,6 +34,7 @@
 		{"weight-0", `"weight": 10`, `"weight": 0`, ExitWarnings},
 		{"all-weights-0", `"weight": 90}, {"service": "kekhai", "weight": 10`, `"weight": 0}, {"service": "kekhai", "weight": 0`, ExitWarnings},
 		{"owner-without-keys", `["secret-2"]`, `[]`, ExitWarnings},
+		{"empty-owners", ownersList, ``, ExitWarnings},
 		{"timeout-below-objective", `"timeout": "1s"`, `"timeout": "100ms"`, ExitWarnings},
 		{"rate-without-burst", `"burst": 40`, `"burst": 0`, ExitWarnings},
 		{"burst-without-rate", `"rate": 118`, `"rate": 0`, ExitWarnings},
--- a/internal/call/kqproxy/owner.go
+++ b/internal/call/kqproxy/owner.go
@@ -32,11 +32,11 @@
 	causeStateOld     = "the key is unknown here and the routes may be out of date"
 )
 
-// authorize finds the owner of the request by its key, if the document has owners. The
+// authorize finds the owner of the request by its key, if requests need one. The
 // target gets the owner's name in place of the key.
 func (p *proxiedRequest) authorize() *refusal {
 	table, names := p.routing.table, &p.engine.cfg.HeaderNames
-	if !table.HasOwners() {
+	if !table.NeedsKey() {
 		return nil
 	}
 	p.header.Del(names.Owner)
@@ -95,9 +95,9 @@
 }
 
 // withdrawn reports whether the table no longer gives the request's key to its owner. A
-// document without owners withdraws none.
+// document in which requests need no key withdraws none.
 func (p *proxiedRequest) withdrawn(table *kqroutes.Table) bool {
-	if p.owner == nil || table == p.routing.table || !table.HasOwners() {
+	if p.owner == nil || table == p.routing.table || !table.NeedsKey() {
 		return false
 	}
 	o := table.OwnerByKey(p.key)
--- a/internal/call/kqproxy/owner_test.go
+++ b/internal/call/kqproxy/owner_test.go
@@ -114,6 +114,27 @@
 	}
 }
 
+// TestEmptyListOfOwners guards against requests without a key once the last owner is gone: an
+// empty list of owners has no valid key, while a document without a list needs none.
+func TestEmptyListOfOwners(t *testing.T) {
+	f := newFixture(t, kqroutes.Unsafe, time.Second, replyOK)
+	f.setOwners(owners("a")...)
+	f.change(func(d *kqroutes.Document) { d.Owners, d.Keyed = nil, true })
+	for _, header := range [][]string{nil, {"Authorization", "Bearer a-key"}} {
+		if res, _, err := f.call("/filings/1", "filing", header...); err != nil || res.StatusCode != 401 || f.arrivals() != 0 {
+			t.Errorf("%q: %v %v after %d arrivals, want 401 after none", header, res, err, f.arrivals())
+		}
+	}
+	f.change(func(d *kqroutes.Document) { d.Hosts[0].Routes[0].Open = true })
+	if res, _, err := f.call("/filings/1", "filing"); err != nil || res.StatusCode != 200 {
+		t.Errorf("%v %v on an open route, want 200", res, err)
+	}
+	f.change(func(d *kqroutes.Document) { d.Hosts[0].Routes[0].Open, d.Keyed = false, false })
+	if res, _, err := f.call("/filings/1", "filing"); err != nil || res.StatusCode != 200 {
+		t.Errorf("%v %v without a list of owners, want 200", res, err)
+	}
+}
+
 // TestNoOwners guards documents without owners: requests pass as before, with all their fields.
 func TestNoOwners(t *testing.T) {
 	f := newFixture(t, kqroutes.Unsafe, time.Second, replyOK)
--- a/internal/state/kqroutes/changes.go
+++ b/internal/state/kqroutes/changes.go
@@ -16,6 +16,9 @@
 	for _, c := range changedFields(&from.Limits, &d.Limits) {
 		add("limits: %s", c)
 	}
+	if before, now := from.NeedsKey(), d.NeedsKey(); before != now {
+		add("owners: requests need a key %t, was %t", now, before)
+	}
 	describe(add, from.Services, d.Services, func(s *Service) string { return "service " + s.Name }, func(a, b *Service) []string {
 		return changedFields(a, b)
 	})
--- a/internal/state/kqroutes/lint.go
+++ b/internal/state/kqroutes/lint.go
@@ -19,6 +19,9 @@
 			add("service "+s.Name, "coldRate %v has no effect without coldTime", s.ColdRate)
 		}
 	}
+	if d.NeedsKey() && len(d.Owners) == 0 {
+		add("owners", "an empty list: no request has a valid key, only open routes can be used")
+	}
 	for _, o := range d.Owners {
 		place := "owner " + o.Name
 		if len(o.Keys) == 0 {
--- a/internal/state/kqroutes/owners_test.go
+++ b/internal/state/kqroutes/owners_test.go
@@ -54,12 +54,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, field := range []string{"owners", "open", "regions", "coldTime", "coldRate"} {
+	for _, field := range []string{"owners", "keyed", "open", "regions", "coldTime", "coldRate"} {
 		if strings.Contains(string(p), field) {
 			t.Errorf("the document contains %s", field)
 		}
 	}
-	if NewTable(sampleDocument(1)).HasOwners() {
+	if NewTable(sampleDocument(1)).NeedsKey() {
 		t.Error("requests need a key")
 	}
 }
@@ -127,7 +127,7 @@
 // randomDocument returns a document with random routes and owners.
 func randomDocument(rng *rand.Rand, version uint64) *Document {
 	d := sampleDocument(version)
-	d.Owners = randomOwners(rng)
+	d.Owners, d.Keyed = randomOwners(rng), rng.IntN(2) == 0
 	for i := range d.Hosts[0].Routes {
 		r := &d.Hosts[0].Routes[i]
 		r.Open, r.Regions = rng.IntN(2) == 0, []string{"east", "west"}[:rng.IntN(3)]
--- a/internal/state/kqroutes/parse.go
+++ b/internal/state/kqroutes/parse.go
@@ -85,7 +85,7 @@
 	if err := kqcheck.Struct(&d); err != nil {
 		return nil, errors.Wrap(err, "routes")
 	}
-	out := &Document{Version: d.Version, Limits: Limits{
+	out := &Document{Version: d.Version, Keyed: d.Owners != nil, Limits: Limits{
 		Header: d.Limits.Header, Body: d.Limits.Body,
 		HeaderTime: time.Duration(d.Limits.HeaderTime), IdleTime: time.Duration(d.Limits.IdleTime),
 	}}
--- a/internal/state/kqroutes/routes.go
+++ b/internal/state/kqroutes/routes.go
@@ -42,7 +42,8 @@
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
 	Hosts    []Host    `json:"hosts"`
-	Owners   []Owner   `json:"owners,omitempty"` // empty: requests need no key
+	Owners   []Owner   `json:"owners,omitempty"`
+	Keyed    bool      `json:"keyed,omitempty"` // the operator listed owners, if only an empty list: requests need a key
 }
 
 // Service is a group of targets that routes can send requests to.
@@ -96,6 +97,11 @@
 	return slices.ContainsFunc(d.Services, func(s Service) bool { return s.Name == service })
 }
 
+// NeedsKey reports whether requests need a key, unless their route is open.
+func (d *Document) NeedsKey() bool {
+	return d.Keyed || len(d.Owners) > 0 // hosts of earlier versions know owners only
+}
+
 // HasColdRate reports whether the document limits what cold targets of the service get.
 func (d *Document) HasColdRate(service string) bool {
 	return slices.ContainsFunc(d.Services, func(s Service) bool { return s.Name == service && s.ColdRate > 0 })
--- a/internal/state/kqroutes/table.go
+++ b/internal/state/kqroutes/table.go
@@ -8,13 +8,16 @@
 	Limits   Limits
 	Services map[string]Service
 	hosts    map[string][]Route // longest prefix first
-	owners   map[string]*Owner  // by name
+	needsKey bool
+	owners   map[string]*Owner // by name
 	keys     map[KeyDigest]*Owner
 }
 
 // NewTable returns a table of the document's routes.
 func NewTable(d *Document) *Table {
-	t := &Table{Version: d.Version, Limits: d.Limits, Services: map[string]Service{}, hosts: map[string][]Route{}}
+	t := &Table{
+		Version: d.Version, Limits: d.Limits, Services: map[string]Service{}, hosts: map[string][]Route{}, needsKey: d.NeedsKey(),
+	}
 	for _, s := range d.Services {
 		t.Services[s.Name] = s
 	}
@@ -38,8 +41,8 @@
 	return t
 }
 
-// HasOwners reports whether requests need a key, unless their route is open.
-func (t *Table) HasOwners() bool { return len(t.owners) > 0 }
+// NeedsKey reports whether requests need a key, unless their route is open.
+func (t *Table) NeedsKey() bool { return t.needsKey }
 
 // Owner returns the owner with the name, nil if there is none.
 func (t *Table) Owner(name string) *Owner { return t.owners[name] }
