--- a/internal/call/kqproxy/probe.go
+++ b/internal/call/kqproxy/probe.go
@@ -69,11 +69,6 @@
 		result.fresh[t] = true
 		result.answered++
 	}
-	if result.answered > 0 {
-		e.mu.Lock()
-		e.chooser(service).informedAt = e.cfg.Clock.Now()
-		e.mu.Unlock()
-	}
 	if len(toProbe) > 0 {
 		e.metrics.probeTime.Update(e.cfg.Clock.Now().Sub(started))
 	}
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -23,14 +23,9 @@
 // chooser chooses targets for one service. The engine's mutex guards it.
 type chooser struct {
 	kqselection.Selector
-	searching  bool      // serveQueue is running
-	informedAt time.Time // when a probe was last answered in time to choose by it
+	searching bool // serveQueue is running
 }
 
-// maxUninformed is how long after the last timely answer to a probe the queue counts as
-// uninformed: several rounds of probes.
-const maxUninformed = 8 * kqselection.QueueProbeInterval
-
 // chooser returns the chooser of the service; e.mu must be held.
 func (e *Engine) chooser(service string) *chooser {
 	c := e.choosers[service]
@@ -77,6 +72,7 @@
 			return c, "no target"
 		}
 		e.mu.Lock()
+		ch.Search.Record(list, now)
 		w := &kqselection.Waiter{Priority: p.priority, Tight: p.isTight()}
 		if t := ch.PickFor(w, list, result.fresh, now, p.toleratesCold(now)); t != nil {
 			e.recordChoice(&c, ch, t, now)
@@ -200,7 +196,7 @@
 	now := e.cfg.Clock.Now()
 	admission := ch.admissionState(p.priority, now)
 	noRoom := noRoomCause(admission)
-	if ctx.Err() != nil || now.Sub(ch.informedAt) <= maxUninformed {
+	if ctx.Err() != nil || !ch.Search.Blind(now) {
 		return nil, noRoom
 	}
 	t := ch.PickUninformed(e.routing.Load().untried(p.service, nil, allows), now)
@@ -271,7 +267,9 @@
 		}
 		list, result := e.probeCandidates(ctx, e.routing.Load().table, service, nil, wanted, kqselection.QueueProbeCount(n), 0)
 		e.mu.Lock()
-		ch.AssignQueued(list, result.fresh, e.cfg.Clock.Now())
+		now := e.cfg.Clock.Now()
+		ch.Search.Record(list, now)
+		ch.AssignQueued(list, result.fresh, now)
 		e.mu.Unlock()
 		time.Sleep(kqselection.QueueProbeInterval)
 	}
--- a/internal/route/kqselection/selector.go
+++ b/internal/route/kqselection/selector.go
@@ -39,6 +39,7 @@
 	Saturation *Saturation // learned slowdown of nearly full targets
 	Admission  Admission
 	Hangs      Hangs
+	Search     Search
 
 	reportsLoad bool // a target of the service has reported its load
 }
