--- a/internal/call/kqproxy/linkdelay_test.go
+++ b/internal/call/kqproxy/linkdelay_test.go
@@ -68,3 +68,31 @@
 		t.Errorf("%d sends without a report", n)
 	}
 }
+
+// TestPausedHostTrustsReports guards against a send to a full target by a host that wakes from
+// a pause: that it has asked nothing meanwhile is no lack of reports.
+func TestPausedHostTrustsReports(t *testing.T) {
+	f := newFixture(t, kqroutes.Unsafe, 2*time.Second, replyOK)
+	f.fakeTargets[0].setLoad("4,8,4,100")
+	f.engine.probe(t.Context(), f.target(0), "/health", 10, time.Second)
+	done := make(chan *http.Response, 1)
+	go func() {
+		res, _, err := f.call("/filings/1", "filing")
+		if err != nil {
+			t.Error(err)
+		}
+		done <- res
+	}()
+	waitFor(t, "the queued request knows that the target is full", func() bool {
+		f.engine.mu.Lock()
+		defer f.engine.mu.Unlock()
+		ch := f.engine.chooser("kekhai")
+		return ch.Queue.Len() == 1 && !ch.Search.Blind()
+	})
+	f.engine.mu.Lock() // nothing is decided meanwhile, as in a process that does not run
+	time.Sleep(400 * time.Millisecond)
+	f.engine.mu.Unlock()
+	if res := <-done; res == nil || res.StatusCode != http.StatusServiceUnavailable || f.arrivals() != 0 {
+		t.Errorf("%v after %d arrivals, want 503 and none", res, f.arrivals())
+	}
+}
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -26,6 +26,12 @@
 	searching bool // serveQueue is running
 }
 
+// recordSearch ends a round of probes that waited for a first answer for up to firstReplyWait;
+// e.mu must be held.
+func (c *chooser) recordSearch(list []*kqselection.Target, now time.Time, firstReplyWait time.Duration) {
+	c.Search.Record(list, now, max(probeWait, firstReplyWait)+kqselection.QueueProbeInterval)
+}
+
 // chooser returns the chooser of the service; e.mu must be held.
 func (e *Engine) chooser(service string) *chooser {
 	c := e.choosers[service]
@@ -62,17 +68,21 @@
 	if !mustQueue {
 		wanted = nil
 	}
+	if !ch.searching {
+		ch.Search.Begin(started)
+	}
 	maxProbes := kqselection.ProbeCount(e.probeAllowance.Level())
 	e.mu.Unlock()
 	if !mustQueue || wanted != nil {
-		list, result := e.probeCandidates(ctx, p.routing.table, p.service, tried, without(allows, wanted), maxProbes, p.route.Objective/firstReplyDivisor)
+		firstReplyWait := p.route.Objective / firstReplyDivisor
+		list, result := e.probeCandidates(ctx, p.routing.table, p.service, tried, without(allows, wanted), maxProbes, firstReplyWait)
 		c.probeResult = result
 		now := e.cfg.Clock.Now()
 		if len(list) == 0 && c.queueLen == 0 && !e.allCold(p.service, tried, allows, now) {
 			return c, "no target"
 		}
 		e.mu.Lock()
-		ch.Search.Record(list, now)
+		ch.recordSearch(list, now, firstReplyWait)
 		w := &kqselection.Waiter{Priority: p.priority, Tight: p.isTight()}
 		if t := ch.PickFor(w, list, result.fresh, now, p.toleratesCold(now)); t != nil {
 			e.recordChoice(&c, ch, t, now)
@@ -196,7 +206,7 @@
 	now := e.cfg.Clock.Now()
 	admission := ch.admissionState(p.priority, now)
 	noRoom := noRoomCause(admission)
-	if ctx.Err() != nil || !ch.Search.Blind(now) {
+	if ctx.Err() != nil || !ch.Search.Blind() {
 		return nil, noRoom
 	}
 	t := ch.PickUninformed(e.routing.Load().untried(p.service, nil, allows), now)
@@ -262,13 +272,16 @@
 			continue
 		}
 		if !mayProbe {
+			e.mu.Lock()
+			ch.recordSearch(nil, e.cfg.Clock.Now(), 0)
+			e.mu.Unlock()
 			time.Sleep(kqselection.QueueProbeInterval)
 			continue
 		}
 		list, result := e.probeCandidates(ctx, e.routing.Load().table, service, nil, wanted, kqselection.QueueProbeCount(n), 0)
 		e.mu.Lock()
 		now := e.cfg.Clock.Now()
-		ch.Search.Record(list, now)
+		ch.recordSearch(list, now, 0)
 		ch.AssignQueued(list, result.fresh, now)
 		e.mu.Unlock()
 		time.Sleep(kqselection.QueueProbeInterval)
