--- a/internal/run/kqdaemon/listeners_test.go
+++ b/internal/run/kqdaemon/listeners_test.go
@@ -402,7 +402,7 @@
 // TestStopOfHostWithContracts guards against calls and changes that a planned stop of a host
 // with contracts cuts after they were taken.
 func TestStopOfHostWithContracts(t *testing.T) {
-	host := "127.0.71.1"
+	host := control(0)
 	f := newFleet(t)
 	s := kqsettings.Settings{
 		Host: "h1", Domain: "a", Region: "r", Data: filepath.Join(f.dir, "h1"), Secret: "secret-of-the-story", OperatorKey: operator,
--- a/internal/run/kqdaemon/seeded_test.go
+++ b/internal/run/kqdaemon/seeded_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -61,9 +62,39 @@
 	return f
 }
 
-func control(i int) string { return fmt.Sprintf("127.0.71.%d", 1+i) }
+// fleetNet holds the addresses of this process's fleets, fleetMark what marks them as taken.
+var fleetNet, fleetMark = reserveNet()
 
-func entry(i int) string { return fmt.Sprintf("127.0.71.%d", 101+i) }
+// markPort is the port by which processes see that a network is taken.
+const markPort = 7171
+
+// reserveNet returns the beginning of addresses that no other process of these tests uses, as
+// long as the listener is open: ports that are free for one fleet can be in use by another.
+func reserveNet() (string, net.Listener) {
+	var err error
+	for i := range 250 {
+		var l net.Listener
+		prefix := fmt.Sprintf("127.71.%d.", i)
+		if l, err = net.Listen("tcp", net.JoinHostPort(prefix+"254", strconv.Itoa(markPort))); err == nil {
+			return prefix, l
+		}
+	}
+	panic(err)
+}
+
+// TestFleetsOfTwoProcesses guards against hosts of two runs at the same address: "bind: address
+// already in use".
+func TestFleetsOfTwoProcesses(t *testing.T) {
+	other, mark := reserveNet()
+	defer mark.Close()
+	if fleetMark == nil || other == fleetNet || other[:len("127.71.")] != fleetNet[:len("127.71.")] {
+		t.Errorf("%q beside %q", other, fleetNet)
+	}
+}
+
+func control(i int) string { return fmt.Sprint(fleetNet, 1+i) }
+
+func entry(i int) string { return fmt.Sprint(fleetNet, 101+i) }
 
 func (f *fleet) at(host string, port int) string { return net.JoinHostPort(host, f.ports[port]) }
 
@@ -74,7 +105,7 @@
 		Seeds: f.seeds, Bootstrap: bootstrap, Tolerance: 2, Stop: f.stopTimes,
 		Listen: kqsettings.Listen{Admin: f.at(host, 1), Peers: f.at(host, 2)},
 	}
-	if strings.HasPrefix(host, "127.0.71.10") {
+	if strings.HasPrefix(host, fleetNet+"10") {
 		s.Roles = []string{kqsettings.RoleEntry}
 		s.Listen.Calls, s.Listen.Ready, s.Listen.Directory = f.at(host, 0), f.at(host, 3), f.at(host, 5)
 	} else {
