kqcheck: keys that are no text are compared as the decoder reads them

FuzzKeys compares Keys with the decoder's own tokens. In 15 s it found {"\x8c":0,"\xa8":0}: two keys by their bytes, one by the decoder, which puts the same character in place of both. No field can be meant by it, but a map could; such keys are unquoted by the decoder now, as those with escapes are.

--- a/internal/state/kqcheck/keys.go
+++ b/internal/state/kqcheck/keys.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"reflect"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 )
@@ -73,7 +74,7 @@
 // add adds a key, in quotes, of the innermost object.
 func (c *keyCheck) add(text []byte) error {
 	key := bytes.Trim(text, `"`)
-	if bytes.IndexByte(text, '\\') >= 0 {
+	if bytes.IndexByte(text, '\\') >= 0 || !utf8.Valid(text) { // the decoder changes it
 		var s string
 		if json.Unmarshal(text, &s) != nil {
 			return nil // the decoder reports it
