--- a/internal/route/kqapi/routes_test.go
+++ b/internal/route/kqapi/routes_test.go
@@ -28,3 +28,17 @@
 		}
 	}
 }
+
+// TestAmbiguousAnnouncements guards against an announcement with two readings: the decoder
+// takes the last value of a key, in any letters, and a draining target would be used again.
+func TestAmbiguousAnnouncements(t *testing.T) {
+	const body = `{"service":"kekhai","id":"k1","addr":"10.0.0.1:80","domain":"a","slots":4,"state":"draining","boot":1,"seq":1`
+	if _, err := decode(strings.NewReader(body + "}")); err != nil {
+		t.Fatal(err)
+	}
+	for _, second := range []string{`"state":"ready"`, `"State":"ready"`, `"ADDR":"10.0.0.2:80"`} {
+		if got, err := decode(strings.NewReader(body + "," + second + "}")); err == nil {
+			t.Errorf("with %s: %+v", second, got)
+		}
+	}
+}
