Documents: a text that is not Unicode is refused

What callers could see: a payment run twice. The decoder replaces bytes that are not UTF-8, and halves of surrogate pairs, without an error. A route of payments with the prefix "/puka\xff/" was acknowledged, held as "/puka\ufffd/" and never matched; its requests went to the route above it. Two keys that differ in such bytes became one, which opens to a third.

Cause: as with keys of an object, what the decoder makes of a document was not what it says, and "the desired state cannot be read in full" was not noticed.

--- a/internal/route/kqapi/routes.go
+++ b/internal/route/kqapi/routes.go
@@ -82,7 +82,7 @@
 		return kqtargets.Target{}, errors.Newf("more than %d bytes", maxAnnouncementBytes)
 	}
 	var a announcement
-	if err := kqcheck.Keys(p, &a); err != nil {
+	if err := kqcheck.Literal(p, &a); err != nil {
 		return kqtargets.Target{}, err
 	}
 	if err := json.Unmarshal(p, &a); err != nil {
--- a/internal/state/kqcheck/check.go
+++ b/internal/state/kqcheck/check.go
@@ -123,15 +123,24 @@
 	return nil
 }
 
-// Decode decodes exactly one JSON document into v. It fails on unknown keys, on a second
-// document, on more elements than BoundElements allows and on what Keys refuses.
-func Decode(p []byte, v any) error {
+// Literal returns an error if the decoder would read anything else in the JSON document than a
+// person does, or far more than its size explains: the errors of BoundElements, Keys and Text.
+func Literal(p []byte, v any) error {
 	if err := BoundElements(p); err != nil {
 		return err
 	}
 	if err := Keys(p, v); err != nil {
 		return err
 	}
+	return Text(p)
+}
+
+// Decode decodes exactly one JSON document into v. It fails on unknown keys, on a second
+// document and on what Literal refuses.
+func Decode(p []byte, v any) error {
+	if err := Literal(p, v); err != nil {
+		return err
+	}
 	dec := json.NewDecoder(bytes.NewReader(p))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
