Requests: an encoded slash ends no segment of a path

What callers could see: an unsafe request run twice, or one answered without a key. Routes were found by the decoded path: POST /filings/open%2F1 was taken for /filings/open/1, and got that route's kind and its freedom from keys, although its path begins with no such prefix; the target gets the path as it was sent. The idempotent patterns of contracts were matched in the same way.

Dot segments are not resolved: a prefix is a prefix of the path as sent.

--- /dev/null
+++ b/internal/call/kqcall/path_test.go
@@ -0,0 +1,20 @@
+package kqcall
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// TestEncodedSlashMatchesNoPattern guards against a call that may run again because its
+// decoded path begins like an idempotent one.
+func TestEncodedSlashMatchesNoPattern(t *testing.T) {
+	for path, want := range map[string]bool{"/quotes/1": true, "/quot%65s/1": true, "/quotes%2F1": false, "/quotes%2f..%2fpay": false} {
+		q := &request{service: service()}
+		q.service.Idempotent = []string{"POST /quotes/*"}
+		if err := q.readHeader(httptest.NewRequest(http.MethodPost, path, nil), time.Now()); err != nil || q.idempotent != want {
+			t.Errorf("%s: idempotent %v %v, want %v", path, q.idempotent, err, want)
+		}
+	}
+}
--- a/internal/call/kqcall/request.go
+++ b/internal/call/kqcall/request.go
@@ -115,7 +115,7 @@
 // readHeader parses the header fields that control the call. It returns an error if
 // one is out of range.
 func (q *request) readHeader(r *http.Request, now time.Time) error {
-	q.idempotent = q.service.IsIdempotent(r.Method, r.URL.Path)
+	q.idempotent = q.service.IsIdempotent(r.Method, kqheader.Path(r.URL))
 	q.key = r.Header.Get(kqheader.IdempotencyKey)
 	if len(q.key) > maxKeyLength {
 		return errors.Newf("%s: at most %d characters", kqheader.IdempotencyKey, maxKeyLength)
--- a/internal/call/kqproxy/owner.go
+++ b/internal/call/kqproxy/owner.go
@@ -114,7 +114,7 @@
 func (p *proxiedRequest) regions() (ofRoute, ofOwner []string) {
 	route, owner := p.route, p.owner
 	if table := p.engine.routing.Load().table; table != p.routing.table {
-		if r, ok := table.Find(p.in.Host, p.in.URL.Path); ok {
+		if r, ok := p.findRoute(table); ok {
 			route = r
 		}
 		if owner != nil {
--- /dev/null
+++ b/internal/call/kqproxy/path_test.go
@@ -0,0 +1,42 @@
+package kqproxy
+
+import (
+	"testing"
+	"time"
+
+	"kumquatglade/internal/state/kqroutes"
+)
+
+// TestEncodedSlashIsNoSeparator guards against a request that is taken for one of a longer
+// prefix, which its path does not begin with: it would run again there, or need no key.
+func TestEncodedSlashIsNoSeparator(t *testing.T) {
+	addRoute := func(f *fixture, r kqroutes.Route) {
+		f.change(func(d *kqroutes.Document) {
+			base := d.Hosts[0].Routes[0]
+			r.Service, r.Attempts, r.Timeout, r.Objective = base.Service, base.Attempts, base.Timeout, base.Objective
+			d.Hosts[0].Routes = append(d.Hosts[0].Routes, r)
+			d.Owners = owners("a")
+		})
+	}
+	cases := []struct {
+		path             string
+		status, arrivals int
+	}{
+		{"/filings/open/1", 200, 2}, // the longer prefix: repeated, and without a key
+		{"/filings/op%65n/1", 200, 2},
+		{"/filings/open%2F1", 401, 0},
+		{"/filings/open%2f..%2f1", 401, 0},
+		{"/filings%2Fopen/1", 404, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.path, func(t *testing.T) {
+			a, b := failFirst(resetConn)
+			f := newFixture(t, kqroutes.Unsafe, time.Second, a, b)
+			addRoute(f, kqroutes.Route{Name: "open", Prefix: "/filings/open/", Kind: kqroutes.Safe, Open: true})
+			res, _, err := f.call(c.path, "filing")
+			if err != nil || res.StatusCode != c.status || f.arrivals() != c.arrivals {
+				t.Fatalf("%v %v after %d arrivals, want %d after %d", res, err, f.arrivals(), c.status, c.arrivals)
+			}
+		})
+	}
+}
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -102,7 +102,7 @@
 	if p.routing = p.awaitRoutes(); p.routing == nil {
 		return &refusal{http.StatusServiceUnavailable, "no confirmed routes yet", p.retryAfterStart()}
 	}
-	route, ok := p.routing.table.Find(p.in.Host, p.in.URL.Path)
+	route, ok := p.findRoute(p.routing.table)
 	if !ok {
 		return &refusal{status: http.StatusNotFound, cause: "no route"}
 	}
@@ -113,6 +113,11 @@
 	return nil
 }
 
+// findRoute returns the route of the request in the table, and false if there is none.
+func (p *proxiedRequest) findRoute(table *kqroutes.Table) (*kqroutes.Route, bool) {
+	return table.Find(p.in.Host, kqheader.Path(p.in.URL))
+}
+
 const (
 	noRoutesRetryAfter = 300 * time.Millisecond // least time for a host that has no routes yet: an election and the transfer of a view
 	defaultTimeout     = time.Minute            // for a request whose caller names no deadline
