Requests: a path with a character that RFC 3986 does not allow reaches the target as it was sent

What targets saw: another path than the caller's. The library encodes a path that has such a character anew, and does so from the decoded one: /filings/a|b arrived as /filings/a%7Cb, and /filings/é/%2F| as /filings/%C3%A9//%7C, with a slash that the caller had encoded.

Cause: http.Request writes URL.EscapedPath, which is the path as sent only if that was valid.

A path that begins with two slashes and has such a character is still encoded, as the library would write a scheme before it.

--- a/internal/call/kqheader/doc.go
+++ b/internal/call/kqheader/doc.go
@@ -1,3 +1,3 @@
-// Package kqheader defines the names and values of the HTTP header fields that
-// callers, entry hosts and targets exchange.
+// Package kqheader defines the names and values of the HTTP header fields that callers, entry
+// hosts and targets exchange, and how the path of a request is read and passed on.
 package kqheader
--- a/internal/call/kqheader/path.go
+++ b/internal/call/kqheader/path.go
@@ -21,3 +21,12 @@
 	}
 	return strings.Join(segments, "/")
 }
+
+// AsSent returns a URL that the library writes with the path as the caller sent it. It would
+// encode a path with a character that RFC 3986 does not allow, and decode its slashes.
+func AsSent(u *url.URL) *url.URL {
+	if u.RawPath == "" || u.RawPath == u.EscapedPath() || strings.HasPrefix(u.RawPath, "//") { // it writes "//" with a scheme
+		return u
+	}
+	return &url.URL{Opaque: u.RawPath, RawQuery: u.RawQuery, ForceQuery: u.ForceQuery}
+}
--- a/internal/call/kqproxy/path_test.go
+++ b/internal/call/kqproxy/path_test.go
@@ -1,6 +1,10 @@
 package kqproxy
 
 import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,3 +44,24 @@
 		})
 	}
 }
+
+// TestPathAsSent guards against a path that reaches the target changed: characters that RFC
+// 3986 does not allow in one are not the proxy's to encode.
+func TestPathAsSent(t *testing.T) {
+	for _, path := range []string{"/filings/1?q=%7c|", "/filings/a|b", "/filings/{\"x\"}^`<1>", "/filings/\xc3\xa9/%2F|", "/filings/a#b?q=1", "/filings//|?"} {
+		f := newFixture(t, kqroutes.Unsafe, time.Second, replyOK)
+		conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: index.example\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", path)
+		if answer, err := io.ReadAll(conn); err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 200 ") {
+			t.Errorf("%s: %q %v", path, answer, err)
+			continue
+		}
+		if got := f.fakeTargets[0].lastRequest.Load().RequestURI; got != path {
+			t.Errorf("the target gets %s, want %s", got, path)
+		}
+	}
+}
--- a/internal/call/kqtransport/send.go
+++ b/internal/call/kqtransport/send.go
@@ -267,7 +267,7 @@
 // newHTTPRequest converts req for the standard library, which writes it.
 func newHTTPRequest(ctx context.Context, req Request) *http.Request {
 	out := &http.Request{
-		Method: req.Method, URL: req.URL, Host: req.Host, Header: req.Header,
+		Method: req.Method, URL: kqheader.AsSent(req.URL), Host: req.Host, Header: req.Header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Trailer: req.Trailer,
 	}
 	if len(req.Body) > 0 {
