Feed: a host whose first join lost its reply is still new

What callers saw: every call with an Idempotency-Key refused as not run (503, "guards") for ten minutes after the first start of a cluster whose control host was slow.

Cause: a guard decides at once if its host was in no list before it started, as it has lost no claims. The control host said so only in the reply to the attempt that added the entry. With that reply lost, the next attempt found the entry of the first one and was told that the host is known; if that met most hosts, no majority of guards was left until the claims of an earlier start would have expired.

TestLostReplyToNewHost fails in two cases if the entry does not tell its start.

Why it works: the entry keeps the random number of the start that added it, replicated with the list, so every control host recognizes further attempts of that start and none of a later one. Hosts and entries of earlier versions have no number and count as known, as before.

--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -210,7 +210,7 @@
 	}
 	self := kqcontract.EntryHost{
 		Name: d.settings.Host, Domain: d.settings.Domain, Region: d.settings.Region,
-		Calls: d.settings.Listen.Calls, Peers: d.settings.Listen.Peers,
+		Calls: d.settings.Listen.Calls, Peers: d.settings.Listen.Peers, Boot: rand.Uint64(),
 	}
 	// The components below use the follower's view as soon as they are created.
 	var old *kqfeed.View
--- a/internal/state/kqcontract/state.go
+++ b/internal/state/kqcontract/state.go
@@ -69,8 +69,12 @@
 	Region string `json:"region" validate:"required,word"`
 	Calls  string `json:"calls" validate:"required,ipport"` // listen address for callers and targets
 	Peers  string `json:"peers" validate:"required,ipport"` // listen address for other hosts of the system
+	Boot   uint64 `json:"boot,omitempty"`                   // random number of the start at which it joined, 0 if not known
 }
 
+// JoinedBy returns whether the entry was first added for the given start of the host.
+func (h *EntryHost) JoinedBy(boot uint64) bool { return boot != 0 && h.Boot == boot }
+
 // Accepted describes one accepted version of an owner's contract, of the host lists
 // or of the routes.
 type Accepted struct {
@@ -242,20 +246,24 @@
 }
 
 // joinEntryHost adds an entry host that registered itself, or replaces its entry if
-// it changed.
+// it changed. The entry keeps the start at which it was added.
 func (s *State) joinEntryHost(c Command) (Result, *Change) {
 	if c.Join == nil {
 		return Result{Refused: ReasonUnknown}, nil
 	}
-	i := slices.IndexFunc(s.Hosts.Entry, func(h EntryHost) bool { return h.Name == c.Join.Name })
-	if i >= 0 && s.Hosts.Entry[i] == *c.Join {
-		return Result{Accepted: Accepted{Revision: s.Revision}, Repeat: true}, nil
+	host := *c.Join
+	i := slices.IndexFunc(s.Hosts.Entry, func(h EntryHost) bool { return h.Name == host.Name })
+	if i >= 0 {
+		host.Boot = s.Hosts.Entry[i].Boot
+		if s.Hosts.Entry[i] == host {
+			return Result{Accepted: Accepted{Revision: s.Revision}, Repeat: true}, nil
+		}
 	}
 	list := slices.Clone(s.Hosts.Entry)
 	if i >= 0 {
-		list[i] = *c.Join
+		list[i] = host
 	} else {
-		list = append(list, *c.Join)
+		list = append(list, host)
 	}
 	slices.SortFunc(list, func(a, b EntryHost) int { return cmp.Compare(a.Name, b.Name) })
 	s.Hosts.Entry = list
--- a/internal/state/kqfeed/hub.go
+++ b/internal/state/kqfeed/hub.go
@@ -225,20 +225,25 @@
 }
 
 // addHost submits the host for the replicated host list unless an identical entry is
-// there. isNew tells that its name was not in the list before.
+// there. isNew tells that its name was in no list before this start of the host, also if
+// an earlier attempt of it added the entry and the reply was lost.
 func (h *Hub) addHost(ctx context.Context, host kqcontract.EntryHost) (isNew bool, err error) {
-	unchanged, known := false, false
+	unchanged := false
+	isNew = true
 	err = h.source.View(func(s *kqcontract.State) {
 		for _, e := range s.Hosts.Entry {
-			unchanged = unchanged || e == host
-			known = known || e.Name == host.Name
+			if e.Name == host.Name {
+				isNew = e.JoinedBy(host.Boot)
+				e.Boot = host.Boot // the entry keeps its own
+				unchanged = e == host
+			}
 		}
 	})
 	if err != nil || unchanged {
-		return false, err
+		return isNew, err
 	}
 	_, err = h.source.Submit(ctx, kqcontract.Command{Op: kqcontract.OpJoin, Join: &host})
-	return !known, err
+	return isNew, err
 }
 
 // confirmLoop confirms the state once per interval while there are subscribers.
--- a/internal/state/kqfeed/view_test.go
+++ b/internal/state/kqfeed/view_test.go
@@ -188,3 +188,44 @@
 		}
 	}
 }
+
+// applyingSource is a replica of one host.
+type applyingSource struct{ fixedSource }
+
+func (s applyingSource) Submit(_ context.Context, c kqcontract.Command) (kqcontract.Result, error) {
+	result, _ := s.state.Apply(c)
+	return result, nil
+}
+
+// TestLostReplyToNewHost guards against a host that counts as restarted, whose guard would
+// refuse keyed calls for ten minutes, since the reply to its first subscription was lost.
+func TestLostReplyToNewHost(t *testing.T) {
+	hub := NewHub(HubConfig{Link: &fakeLink{}, Clock: kqfake.NewClock(), Log: kqlog.Discard()})
+	source := applyingSource{fixedSource{kqcontract.NewState()}}
+	hub.source = source
+	first := kqcontract.EntryHost{Name: "e1", Domain: "d", Region: "r", Calls: "127.0.0.1:1", Peers: "127.0.0.1:2", Boot: 71}
+	moved, restarted, movedTwice, earlierVersion := first, first, first, first
+	moved.Calls, restarted.Boot, earlierVersion.Boot = "127.0.0.1:3", 72, 0
+	movedTwice.Calls, movedTwice.Boot = "127.0.0.1:4", 72
+	for _, c := range []struct {
+		name  string
+		host  kqcontract.EntryHost
+		isNew bool
+	}{
+		{"reply lost", first, true},
+		{"asked again", first, true},
+		{"other address, same start", moved, true},
+		{"restarted", restarted, false},
+		{"restarted at another address", movedTwice, false},
+		{"that start once more", movedTwice, false},
+		{"host of an earlier version", earlierVersion, false},
+	} {
+		reply, err := hub.subscribe(t.Context(), "e1", subscription{Host: c.host})
+		if err != nil || reply.New != c.isNew {
+			t.Errorf("%s: new %v %v, want %v", c.name, reply.New, err, c.isNew)
+		}
+	}
+	if list := source.state.Hosts.Entry; len(list) != 1 || list[0].Boot != first.Boot {
+		t.Errorf("listed %+v, want one entry with the start at which it was added", list)
+	}
+}
