--- a/internal/scenario/kqscenario/scenario_test.go
+++ b/internal/scenario/kqscenario/scenario_test.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -59,13 +60,23 @@
 	if err != nil {
 		return err
 	}
+	ip := scenarioIP()
 	for i, a := range addrs {
-		env.Setenv(fmt.Sprintf("A%d", i), a)
+		env.Setenv(fmt.Sprintf("A%d", i), strings.Replace(a, "127.0.0.1", ip, 1))
 	}
 	env.Setenv("KUMQUAT_OPERATOR", operatorKey)
 	return nil
 }
 
+var scenarios atomic.Uint32 // that were started by this process
+
+// scenarioIP returns an address of its own for each scenario of each process: on a shared
+// one, another test or an outgoing connection may take a port before the host listens on it.
+func scenarioIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 80+scenarios.Add(1), pid>>8&0xff, pid&0xff)
+}
+
 // writeHost writes the settings NAME.json of one host:
 //
 //	host NAME DOMAIN ROLES CALLS ADMIN PEERS CONTROL=PEERS...
