Directory: an entry host that is listed after it was linked gets the targets at once

What callers saw: 503 (no target) at one entry host for up to 30 s after the start of a cluster, while others served; a target's drain, acknowledged at another host, would have reached it as late.

Cause: a change is broadcast to the entry hosts of the view, and all records are sent to a host when its link comes up. A host whose link came up before this one had it in its list got neither, and learnt of the target with the next digest.

Evidence: the time line of a slow run: e3 has the target at 40.772, in the millisecond in which it applies the revisions that list e1 and e2, which had dialled it since 40.751; e1 and e2 have the target at 18:03:10.242, with the digest. TestLinkedBeforeListed fails if Listed sends nothing.

The platform's adapter keeps its targets in the log and is not concerned.

--- a/internal/route/kqregistry/handlers_test.go
+++ b/internal/route/kqregistry/handlers_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -137,6 +138,34 @@
 	}
 }
 
+// TestLinkedBeforeListed guards against a target that an entry host learns of only with the next
+// digest, 30 s later, since it was linked before it was listed: its drain would reach the host as late.
+func TestLinkedBeforeListed(t *testing.T) {
+	after := testView()
+	before := *after
+	before.Hosts.Entry = after.Hosts.Entry[:1]
+	r, link, h := newTestRegistry(t, &before)
+	for _, peer := range []string{"e2", "e9"} {
+		r.Linked(peer, true)
+	}
+	if w := post(h, strings.Replace(validAnnouncement, "ready", "draining", 1)); w.Code != 200 {
+		t.Fatal(w.Code, w.Body)
+	}
+	r.Listed(&before, after)
+	for began := time.Now(); ; time.Sleep(time.Millisecond) {
+		link.mu.Lock()
+		sent := slices.Sorted(slices.Values(link.sent))
+		link.mu.Unlock()
+		if slices.Equal(sent, []string{"targets to e2", "targets to e9"}) {
+			break
+		}
+		if time.Since(began) > 5*time.Second {
+			t.Fatalf("sent %v, want the target to e2 and e9", sent)
+		}
+	}
+	r.Listed(after, after)
+}
+
 func TestEntriesAnswer(t *testing.T) {
 	cases := []struct {
 		name, owner, service string
--- a/internal/route/kqregistry/registry.go
+++ b/internal/route/kqregistry/registry.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
 	kq "kumquatglade"
 	"kumquatglade/internal/host/kqevent"
 	"kumquatglade/internal/route/kqdirectory"
+	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqfeed"
 
 	"github.com/cockroachdb/errors"
@@ -252,6 +254,21 @@
 	r.perform(r.reduce(kqdirectory.LinkChanged{Peer: peer, Up: up}))
 }
 
+// Listed sends the records that this host holds to the linked entry hosts that the view adds
+// to the one before, nil for none. Their links may have come up earlier, and changes are
+// broadcast to listed hosts only. It does not wait: the caller may hold a lock that OnUpdate
+// needs.
+func (r *TargetRegistry) Listed(before, now *kqfeed.View) {
+	r.wg.Go(func() {
+		for _, h := range now.Hosts.Entry {
+			isNew := before == nil || !slices.ContainsFunc(before.Hosts.Entry, func(o kqcontract.EntryHost) bool { return o.Name == h.Name })
+			if isNew && h.Name != r.cfg.Host && r.cfg.Link.Up(h.Name) {
+				r.perform(r.reduce(kqdirectory.LinkChanged{Peer: h.Name, Up: true}))
+			}
+		}
+	})
+}
+
 func (r *TargetRegistry) setLeaving(peer string, leaving bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/run/kqdaemon/daemon.go
+++ b/internal/run/kqdaemon/daemon.go
@@ -221,6 +221,9 @@
 			d.quota.SetHosts(v.HostsRevision, entryNames(v))
 			d.engine.ApplyView(old, v)
 			d.coordinator.SetHosts(v.HostsRevision, v.Hosts.Entry, d.follower.IsNewHost())
+			if old == nil || old.HostsRevision != v.HostsRevision {
+				d.targets.Listed(old, v)
+			}
 			old = v
 			d.dialPeers()
 		},
