--- a/internal/state/kqcontract/state.go
+++ b/internal/state/kqcontract/state.go
@@ -72,7 +72,7 @@
 	Boot   uint64 `json:"boot,omitempty"`                   // random number of the start at which it joined, 0 if not known
 }
 
-// JoinedBy returns whether the entry was first added for the given start of the host.
+// JoinedBy reports whether the entry was added by the given start of the host.
 func (h *EntryHost) JoinedBy(boot uint64) bool { return boot != 0 && h.Boot == boot }
 
 // Accepted describes one accepted version of an owner's contract, of the host lists
