--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 # Builds the stand-ins of the scripted cases; the build line of the deploy file comes first.
-cd "$(dirname "$0")/.." && exec go build -o target/review-2 ./review/stand2
+cd "$(dirname "$0")/stand2" && exec go build -o ../../target/review-2 .
--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -18,6 +18,7 @@
 // request is one attempt of a client.
 type request struct {
 	id, method, path, key, body string
+	host                        string // empty: clientHost
 	deadline                    time.Duration
 }
 
@@ -29,12 +30,15 @@
 		return answer{}
 	}
 	req.Host = clientHost
+	if q.host != "" {
+		req.Host = q.host
+	}
 	req.Header.Set("X-Kumquatglade-Request-Id", q.id)
 	req.Header.Set("X-Kumquatglade-Deadline-Ms", fmt.Sprint(q.deadline.Milliseconds()))
 	if q.key != "" {
 		req.Header.Set("Authorization", "Token "+q.key)
 	}
-	f.run.note("client sends %s to %s: %s %s key %q", q.id, n.name, q.method, q.path, q.key)
+	f.run.note("client sends %s to %s: %s %s host %s key %q", q.id, n.name, q.method, q.path, req.Host, q.key)
 	res, err := client.Do(req)
 	if err != nil {
 		f.run.note("client: %s has no answer: %v", q.id, err)
