--- a/review/stand2/foreign_ping.go
+++ b/review/stand2/foreign_ping.go
@@ -34,7 +34,7 @@
 	}
 	leaving := instances[0]
 	if r.trouble {
-		if err := pingWithoutBorn(f, leaving); err != nil {
+		if err := pingByOther(f, leaving); err != nil {
 			return "", err
 		}
 	}
@@ -64,12 +64,12 @@
 	return "", nil
 }
 
-// pingWithoutBorn sends a ping of another writer about the instance: born and coldRemaining are
-// missing, and its own count of calls is higher.
-func pingWithoutBorn(f *fleet, in *instance) error {
+// pingByOther sends a ping of another writer about the instance: born, version and coldRemaining
+// are missing, and its own count of calls is higher.
+func pingByOther(f *fleet, in *instance) error {
 	body, err := json.Marshal(map[string]any{
 		"address": in.addr,
-		"info":    map[string]any{"service": in.service, "version": "v1", "zone": in.zone, "slots": slots - 1},
+		"info":    map[string]any{"service": in.service, "zone": in.zone, "slots": slots - 1},
 		"status":  map[string]any{"state": "ready", "seq": 5000},
 	})
 	if err != nil {
@@ -86,6 +86,6 @@
 		return err
 	}
 	res.Body.Close()
-	f.run.note("another writer: PUT /instances/%s without born and coldRemaining is answered %d", in.id, res.StatusCode)
+	f.run.note("another writer: PUT /instances/%s without born, version and coldRemaining is answered %d", in.id, res.StatusCode)
 	return nil
 }
