--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -34,8 +34,9 @@
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
-	held  bool // not to be started again
 	ended bool
+
+	done chan struct{} // closed when the process is gone for good
 }
 
 // fleet is the system: its core and front machines, which share their ports.
@@ -88,6 +89,7 @@
 
 // start runs the process of a machine until the case ends.
 func (f *fleet) start(n *node) {
+	n.done = make(chan struct{})
 	go n.supervise()
 	f.run.atEnd(n.end)
 }
@@ -163,17 +165,13 @@
 
 // supervise runs the process and starts it again whenever it ends, as the platform does.
 func (n *node) supervise() {
+	defer close(n.done)
 	for {
 		n.mu.Lock()
 		if n.ended {
 			n.mu.Unlock()
 			return
 		}
-		if n.held {
-			n.mu.Unlock()
-			time.Sleep(restartDelay / 10)
-			continue
-		}
 		cmd := exec.Command("target/kumquatd", "--adapter", "platform") // the run line of the deploy file
 		cmd.Dir = n.run.root
 		cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "KUMQUATGLADE_NODE_FILE=" + n.file}
@@ -204,18 +202,12 @@
 	}
 }
 
-// hold keeps the process from being started again, or lets it be.
-func (n *node) hold(on bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.held = on
-}
-
 func (n *node) end() {
 	n.mu.Lock()
 	n.ended = true
 	n.mu.Unlock()
 	n.signal(syscall.SIGKILL)
+	<-n.done
 }
 
 // awaitReady waits until all front machines count as ready.
