--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -122,6 +122,7 @@
 func (p *proxiedRequest) targetRequest(t *kqselection.Target) kqtransport.Request {
 	names := p.engine.cfg.HeaderNames
 	h := p.header.Clone()
+	p.withholdKey(h)
 	left := max(time.Until(p.deadline).Milliseconds(), 1)
 	h.Set(names.Deadline, strconv.FormatInt(left, 10))
 	h.Set(names.Target, t.ID)
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -39,6 +39,9 @@
 	// here are the newest; nil: they always are.
 	StateAge func() time.Duration
 	Domains  map[string]string // region of each failure domain
+
+	// Keyed says that callers may present keys whatever the routes in force say.
+	Keyed bool
 }
 
 // Limits are the limits that all entry hosts share.
@@ -103,6 +106,8 @@
 	barredBy  map[kqselection.Barred]metrics.Counter // sends given up by reason
 	evacuated metrics.Counter                        // requests refused because all targets are evacuated
 	key       map[string]metrics.Counter             // requests refused for their key, by cause
+
+	keyWithheld metrics.Counter // sends from which a key was removed that the request did not need
 }
 
 // New returns an Engine that refuses all requests until Apply is called.
@@ -131,7 +136,7 @@
 		cut: counter("cut"), barred: counter("barred"), foreign: counter("foreign"), uninformed: counter("uninformed"), hung: counter("hung"),
 		leaving: counter("leaving"), quiet: counter("quiet"), oddQuiet: counter("oddquiet"), evacuated: counter("evacuated"),
 		coldRefused: counter("coldrefused"), turnedCold: counter("turnedcold"), turnedWarm: counter("turnedwarm"), oddCold: counter("oddcold"),
-		key: newKeyCounters(counter), barredBy: map[kqselection.Barred]metrics.Counter{},
+		key: newKeyCounters(counter), keyWithheld: counter("key.withheld"), barredBy: map[kqselection.Barred]metrics.Counter{},
 		latency: timer("latency"), firstByte: timer("firstbyte"), probeTime: timer("asking"),
 	}
 	for reason, name := range barredCounters {
--- a/internal/call/kqproxy/engine_test.go
+++ b/internal/call/kqproxy/engine_test.go
@@ -155,16 +155,28 @@
 // call sends one request and returns the response and its body; err is set if the
 // response is truncated. more is pairs of header names and values.
 func (f *fixture) call(path, body string, more ...string) (*http.Response, string, error) {
-	req, err := http.NewRequest(http.MethodPost, f.server.URL+path, strings.NewReader(body))
+	req, err := f.newRequest(path, body)
 	if err != nil {
 		return nil, "", err
 	}
-	req.Host = "index.example"
-	req.Header.Set(DefaultHeaderNames.RequestID, "id-1")
-	req.Header.Set(DefaultHeaderNames.Deadline, "2000")
 	for i := 0; i+1 < len(more); i += 2 {
 		req.Header.Set(more[i], more[i+1])
 	}
+	return f.do(req)
+}
+
+func (f *fixture) newRequest(path, body string) (*http.Request, error) {
+	req, err := http.NewRequest(http.MethodPost, f.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Host = "index.example"
+	req.Header.Set(DefaultHeaderNames.RequestID, "id-1")
+	req.Header.Set(DefaultHeaderNames.Deadline, "2000")
+	return req, nil
+}
+
+func (f *fixture) do(req *http.Request) (*http.Response, string, error) {
 	res, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return nil, "", err
--- a/internal/call/kqproxy/owner.go
+++ b/internal/call/kqproxy/owner.go
@@ -36,11 +36,7 @@
 // target gets the owner's name in place of the key.
 func (p *proxiedRequest) authorize() *refusal {
 	table, names := p.routing.table, &p.engine.cfg.HeaderNames
-	if !table.NeedsKey() {
-		return nil
-	}
-	p.header.Del(names.Owner)
-	if p.route.Open {
+	if !table.NeedsKey() || p.route.Open {
 		return nil
 	}
 	p.header.Del("Authorization")
--- a/internal/state/kqcontract/state.go
+++ b/internal/state/kqcontract/state.go
@@ -286,7 +286,7 @@
 	if old != nil {
 		from = &old.Document
 	}
-	delta := c.Routes.Document.Diff(from)
+	delta := s.Routes.Current.Document.Diff(from)
 	return Result{Accepted: s.acceptedRoutes()}, &Change{Revision: s.Revision, Routes: &delta}
 }
 
--- a/internal/state/kqroutes/delta.go
+++ b/internal/state/kqroutes/delta.go
@@ -17,7 +17,8 @@
 
 	SetOwners     []Owner  `json:"owners,omitempty"` // owners that were added or replaced
 	RemovedOwners []string `json:"droppedOwners,omitempty"`
-	Keyed         bool     `json:"keyed,omitempty"` // of the later version
+	Keyed         bool     `json:"keyed,omitempty"`      // of the later version
+	KeysIssued    bool     `json:"keysIssued,omitempty"` // of the later version
 }
 
 // RouteKey identifies a route by the HTTP host name and the path prefix.
@@ -50,7 +51,7 @@
 // Diff returns the delta that turns from into d. With a nil from it contains the full
 // document.
 func (d *Document) Diff(from *Document) Delta {
-	out := Delta{Version: d.Version, Keyed: d.Keyed}
+	out := Delta{Version: d.Version, Keyed: d.Keyed, KeysIssued: d.KeysIssued}
 	oldRoutes := map[RouteKey]Route{}
 	if from != nil {
 		out.From = from.Version
@@ -135,7 +136,7 @@
 // With returns the document after the delta, and false if the delta applies to another
 // version.
 func (d *Document) With(delta Delta) (*Document, bool) {
-	out := &Document{Version: delta.Version, Keyed: delta.Keyed}
+	out := &Document{Version: delta.Version, Keyed: delta.Keyed, KeysIssued: delta.KeysIssued}
 	m := map[RouteKey]Route{}
 	if delta.From != 0 {
 		if d == nil || d.Version != delta.From {
--- a/internal/state/kqroutes/owners_test.go
+++ b/internal/state/kqroutes/owners_test.go
@@ -218,3 +218,42 @@
 		t.Errorf("the table took %v", time.Since(started))
 	}
 }
+
+// TestKeysIssued guards against a host that shows keys to targets since it does not know that
+// callers have some: the document that says so went on to one without owners, the state was
+// written and read, or the host got only what changed.
+func TestKeysIssued(t *testing.T) {
+	var b Registry
+	var have *Document
+	for _, step := range []struct {
+		version uint64
+		owners  []Owner
+		issued  bool
+	}{{1, nil, false}, {2, []Owner{{Name: "a"}}, true}, {3, nil, true}, {4, nil, true}} {
+		d := sampleDocument(step.version)
+		d.Owners = step.owners
+		var last *Document
+		if b.Current != nil {
+			last = &b.Current.Document
+		}
+		b.Accept(&Proposal{Document: *d}, time.Time{}, step.version)
+		p, err := cbor.Marshal(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b = Registry{}
+		if err := cbor.Unmarshal(p, &b); err != nil {
+			t.Fatal(err)
+		}
+		next, ok := have.With(b.Current.Document.Diff(last))
+		if !ok {
+			t.Fatalf("version %d does not follow", step.version)
+		}
+		have = next
+		for name, d := range map[string]*Document{"document": &b.Current.Document, "entry host": have} {
+			if got := NewTable(d).HasIssuedKeys(); got != step.issued {
+				t.Errorf("version %d, %s: keys issued %v, want %v", step.version, name, got, step.issued)
+			}
+		}
+	}
+}
--- a/internal/state/kqroutes/registry.go
+++ b/internal/state/kqroutes/registry.go
@@ -46,7 +46,9 @@
 	if b.Current != nil && p.Document.Version <= b.Version() {
 		return false
 	}
-	b.Current = p
+	next := *p // the proposal may still be sent to other hosts
+	next.Document.KeysIssued = p.Document.NeedsKey() || b.Current != nil && b.Current.Document.issuedKeys()
+	b.Current = &next
 	b.History = append(b.History, AcceptedVersion{
 		Version: p.Document.Version, Hash: Hash(p.Source), Time: at, Revision: revision,
 	})
--- a/internal/state/kqroutes/routes.go
+++ b/internal/state/kqroutes/routes.go
@@ -44,6 +44,9 @@
 	Hosts    []Host    `json:"hosts"`
 	Owners   []Owner   `json:"owners,omitempty"`
 	Keyed    bool      `json:"keyed,omitempty"` // the operator listed owners, if only an empty list: requests need a key
+
+	// KeysIssued is set by the registry: this or an earlier version needed keys, which callers may still present.
+	KeysIssued bool `json:"keysIssued,omitempty"`
 }
 
 // Service is a group of targets that routes can send requests to.
@@ -102,6 +105,10 @@
 	return d.Keyed || len(d.Owners) > 0 // hosts of earlier versions know owners only
 }
 
+// issuedKeys reports whether callers may have keys: the document or an earlier version needed
+// them.
+func (d *Document) issuedKeys() bool { return d.KeysIssued || d.NeedsKey() }
+
 // HasColdRate reports whether the document limits what cold targets of the service get.
 func (d *Document) HasColdRate(service string) bool {
 	return slices.ContainsFunc(d.Services, func(s Service) bool { return s.Name == service && s.ColdRate > 0 })
--- a/internal/state/kqroutes/table.go
+++ b/internal/state/kqroutes/table.go
@@ -9,6 +9,7 @@
 	Services map[string]Service
 	hosts    map[string][]Route // longest prefix first
 	needsKey bool
+	issued   bool              // callers may have keys
 	owners   map[string]*Owner // by name
 	keys     map[KeyDigest]*Owner
 }
@@ -16,7 +17,7 @@
 // NewTable returns a table of the document's routes.
 func NewTable(d *Document) *Table {
 	t := &Table{
-		Version: d.Version, Limits: d.Limits, Services: map[string]Service{}, hosts: map[string][]Route{}, needsKey: d.NeedsKey(),
+		Version: d.Version, Limits: d.Limits, Services: map[string]Service{}, hosts: map[string][]Route{}, needsKey: d.NeedsKey(), issued: d.issuedKeys(),
 	}
 	for _, s := range d.Services {
 		t.Services[s.Name] = s
@@ -44,6 +45,9 @@
 // NeedsKey reports whether requests need a key, unless their route is open.
 func (t *Table) NeedsKey() bool { return t.needsKey }
 
+// HasIssuedKeys reports whether callers may have keys, also if requests need none any more.
+func (t *Table) HasIssuedKeys() bool { return t.issued }
+
 // Owner returns the owner with the name, nil if there is none.
 func (t *Table) Owner(name string) *Owner { return t.owners[name] }
 
