--- a/internal/state/kqroutes/delta.go
+++ b/internal/state/kqroutes/delta.go
@@ -6,9 +6,9 @@
 	"strings"
 )
 
-// Delta is the difference between a document and a later version of it.
+// Delta is the difference between a document and a later version of it, or a full document.
 type Delta struct {
-	From     uint64      `json:"from"` // version it applies to, 0: it contains the full document
+	From     uint64      `json:"from"` // version it applies to, 0: it contains the full document and applies to any
 	Version  uint64      `json:"version"`
 	Services []Service   `json:"services,omitempty"` // the full list if it differs
 	Limits   *Limits     `json:"limits,omitempty"`
@@ -48,9 +48,22 @@
 	return m
 }
 
-// Diff returns the delta that turns from into d. With a nil from it contains the full
-// document.
+// isFull reports whether the delta contains the full document.
+func (d *Delta) isFull() bool { return d.From == 0 }
+
+// hasDelta reports whether a delta can say what differs from the earlier document. It can't name
+// version 0, nor say that the last service is gone. Hosts of earlier builds read deltas in the
+// same way, so that the full document is what they can apply, too.
+func (d *Document) hasDelta(from *Document) bool {
+	return from != nil && from.Version != 0 && (len(d.Services) > 0 || len(from.Services) == 0)
+}
+
+// Diff returns the delta that turns from into d. With a nil from, or one that no delta can
+// refer to, it contains the full document.
 func (d *Document) Diff(from *Document) Delta {
+	if !d.hasDelta(from) {
+		from = nil
+	}
 	out := Delta{Version: d.Version, Keyed: d.Keyed, KeysIssued: d.KeysIssued}
 	oldRoutes := map[RouteKey]Route{}
 	if from != nil {
@@ -138,7 +151,7 @@
 func (d *Document) With(delta Delta) (*Document, bool) {
 	out := &Document{Version: delta.Version, Keyed: delta.Keyed, KeysIssued: delta.KeysIssued}
 	m := map[RouteKey]Route{}
-	if delta.From != 0 {
+	if !delta.isFull() {
 		if d == nil || d.Version != delta.From {
 			return nil, false
 		}
--- a/internal/state/kqroutes/registry.go
+++ b/internal/state/kqroutes/registry.go
@@ -32,18 +32,10 @@
 	History []AcceptedVersion `json:"history,omitempty"`
 }
 
-// Version returns the version of the active document, 0 if there is none.
-func (b *Registry) Version() uint64 {
-	if b.Current == nil {
-		return 0
-	}
-	return b.Current.Document.Version
-}
-
 // Accept makes the proposal the active document if its version is higher than the
 // active one; versions may be skipped. Otherwise it changes nothing and returns false.
 func (b *Registry) Accept(p *Proposal, at time.Time, revision uint64) bool {
-	if b.Current != nil && p.Document.Version <= b.Version() {
+	if b.Current != nil && p.Document.Version <= b.Current.Document.Version {
 		return false
 	}
 	next := *p // the proposal may still be sent to other hosts
--- a/internal/state/kqroutes/routes_test.go
+++ b/internal/state/kqroutes/routes_test.go
@@ -172,7 +172,7 @@
 			t.Errorf("version %d %q: taken %v", s.version, s.source, got)
 		}
 	}
-	if b.Version() != 40 || len(b.History) != 2 || string(b.Current.Source) != "b" {
+	if b.Current.Document.Version != 40 || len(b.History) != 2 || string(b.Current.Source) != "b" {
 		t.Fatalf("%+v", b)
 	}
 }
