--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -40,6 +40,8 @@
 	StateAge func() time.Duration
 	Domains  map[string]string // region of each failure domain
 
+	// ExactHosts says that a host is found only by the name and port with which it is listed.
+	ExactHosts bool
 	// Keyed says that callers may present keys whatever the routes in force say.
 	Keyed bool
 }
--- a/internal/call/kqproxy/path_test.go
+++ b/internal/call/kqproxy/path_test.go
@@ -65,3 +65,30 @@
 		}
 	}
 }
+
+// TestHostWithPort guards against requests that are run by the service of another host: with
+// exact hosts a port that is not listed matches none, also after a host with it was removed.
+func TestHostWithPort(t *testing.T) {
+	for exact, want := range map[bool]int{true: 404, false: 200} {
+		f := newFixture(t, kqroutes.Unsafe, time.Second, replyOK)
+		f.engine.cfg.ExactHosts = exact
+		send := func(step string, status int) {
+			t.Helper()
+			req, err := f.newRequest("/filings/1", "filing")
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Host = "index.example:8443"
+			if res, _, err := f.do(req); err != nil || res.StatusCode != status {
+				t.Errorf("exact hosts %v, %s: %v %v, want %d", exact, step, res, err, status)
+			}
+		}
+		send("not listed", want)
+		f.change(func(d *kqroutes.Document) {
+			d.Hosts = append(d.Hosts, kqroutes.Host{Name: "index.example:8443", Routes: d.Hosts[0].Routes})
+		})
+		send("listed", 200)
+		f.change(func(*kqroutes.Document) {})
+		send("removed", want)
+	}
+}
--- a/internal/call/kqproxy/request.go
+++ b/internal/call/kqproxy/request.go
@@ -115,7 +115,11 @@
 
 // findRoute returns the route of the request in the table, and false if there is none.
 func (p *proxiedRequest) findRoute(table *kqroutes.Table) (*kqroutes.Route, bool) {
-	return table.Find(p.in.Host, kqheader.Path(p.in.URL))
+	find := table.FindAnyPort
+	if p.engine.cfg.ExactHosts {
+		find = table.Find
+	}
+	return find(p.in.Host, kqheader.Path(p.in.URL))
 }
 
 const (
--- a/internal/call/kqproxy/response.go
+++ b/internal/call/kqproxy/response.go
@@ -169,6 +169,9 @@
 			Dur("held", time.Duration(p.heldFor.Load()))
 		c.admission.log(l, p.priority)
 	}
+	if p.route == nil {
+		l.Str("host", bounded(p.in.Host)) // none is listed with it, or none of its prefixes matches
+	}
 	if t := p.chosen.Target; t != nil {
 		s := p.chosen.Sample
 		l.Str("target", t.ID).Int("running", s.Running).Int("waiting", s.Waiting).Float64("slow", s.Slowdown).Float64("score", p.chosen.Score)
--- a/internal/host/kqsettings/settings.go
+++ b/internal/host/kqsettings/settings.go
@@ -39,8 +39,9 @@
 	Memory    int          `json:"memory,omitempty" validate:"min=0"`            // memory limit of the process in bytes, 0: none
 	Link      float64      `json:"link,omitempty" validate:"min=0"`              // rate of the host's network link in Mbit/s, 0: unknown
 
-	Keyed   bool              `json:"keyed,omitempty"`                                          // callers may present keys that no target may see, also while the routes have no owners
-	Domains map[string]string `json:"domains,omitempty" validate:"dive,keys,word,endkeys,word"` // region of each failure domain
+	Keyed      bool              `json:"keyed,omitempty"`                                          // callers may present keys that no target may see, also while the routes have no owners
+	ExactHosts bool              `json:"exactHosts,omitempty"`                                     // a request finds its route only by the host and port as listed
+	Domains    map[string]string `json:"domains,omitempty" validate:"dive,keys,word,endkeys,word"` // region of each failure domain
 }
 
 // SharedLimits are limits over all entry hosts together.
--- a/internal/run/kqdaemon/seeded.go
+++ b/internal/run/kqdaemon/seeded.go
@@ -131,7 +131,7 @@
 			RetryWindow: shared.RetryWindow.Or(defaultRetryWindow), ProbeRate: shared.ProbesPerSecond,
 			Cold: kqselection.ColdLimits{Overrun: shared.ColdOverrun, Slack: shared.ColdSlack},
 		},
-		Entries: d.entries, Keyed: d.settings.Keyed,
+		Entries: d.entries, Keyed: d.settings.Keyed, ExactHosts: d.settings.ExactHosts,
 	})
 	ready := false
 	d.follower = kqfeed.NewFollower(kqfeed.FollowerConfig{
--- a/internal/state/kqroutes/delta.go
+++ b/internal/state/kqroutes/delta.go
@@ -23,11 +23,11 @@
 
 // RouteKey identifies a route by the HTTP host name and the path prefix.
 type RouteKey struct {
-	Host   string `json:"h"` // normalized: names in other letters, or with a port, are the same host
+	Host   string `json:"h"` // normalized, as by hostKey
 	Prefix string `json:"p"`
 }
 
-func routeKey(host, prefix string) RouteKey { return RouteKey{hostName(host), prefix} }
+func routeKey(host, prefix string) RouteKey { return RouteKey{hostKey(host), prefix} }
 
 // HostRoute is a route together with its HTTP host name.
 type HostRoute struct {
--- a/internal/state/kqroutes/table.go
+++ b/internal/state/kqroutes/table.go
@@ -23,7 +23,7 @@
 		t.Services[s.Name] = s
 	}
 	for _, h := range d.Hosts {
-		name := hostName(h.Name)
+		name := hostKey(h.Name)
 		t.hosts[name] = append(t.hosts[name], h.Routes...)
 	}
 	for _, list := range t.hosts {
@@ -55,9 +55,22 @@
 func (t *Table) OwnerByKey(k KeyDigest) *Owner { return t.keys[k] }
 
 // Find returns the route of the host with the longest prefix that matches the path, and
-// false if there is none.
+// false if there is none. The host is compared with its port.
 func (t *Table) Find(host, path string) (*Route, bool) {
-	list := t.hosts[hostName(host)]
+	return findPrefix(t.hosts[hostKey(host)], path)
+}
+
+// FindAnyPort is like Find, but a host that is not listed with its port is taken without it.
+func (t *Table) FindAnyPort(host, path string) (*Route, bool) {
+	list, ok := t.hosts[hostKey(host)]
+	if name, hasPort := withoutPort(host); !ok && hasPort {
+		list = t.hosts[hostKey(name)]
+	}
+	return findPrefix(list, path)
+}
+
+// findPrefix returns the first route of the list whose prefix matches.
+func findPrefix(list []Route, path string) (*Route, bool) {
 	for i := range list {
 		if strings.HasPrefix(path, list[i].Prefix) {
 			return &list[i], true
@@ -66,14 +79,6 @@
 	return nil, false
 }
 
-// hostName normalizes a Host header: it removes the port and converts to lower case.
-func hostName(s string) string {
-	if i := strings.LastIndexByte(s, ':'); i >= 0 && !strings.Contains(s[i:], "]") {
-		s = s[:i]
-	}
-	return strings.ToLower(s)
-}
-
 // PickService returns the service for one request, empty if no service of the split has
 // a weight. u is a random number that is uniform in [0, 1).
 func (r *Route) PickService(u float64) string {
