--- a/internal/state/kqcontract/state.go
+++ b/internal/state/kqcontract/state.go
@@ -306,6 +306,9 @@
 	t := *c.Target
 	t.ColdLimited = s.Routes.Current != nil && s.Routes.Current.Document.HasColdRate(t.Service)
 	changed := s.Targets.Apply(t, c.Time)
+	if t.State != kqtargets.Ready && !s.Targets.InEffect(t) {
+		return Result{Refused: ReasonStale}, nil
+	}
 	if len(changed) == 0 {
 		return Result{Accepted: Accepted{Revision: s.Revision}, Repeat: true}, nil
 	}
--- a/internal/state/kqcontrol/leave_test.go
+++ b/internal/state/kqcontrol/leave_test.go
@@ -10,6 +10,8 @@
 	"kumquatglade/internal/state/kqcontract"
 	"kumquatglade/internal/state/kqreplica"
 	"kumquatglade/internal/state/kqtargets"
+
+	"github.com/cockroachdb/errors"
 )
 
 // TestLeaveNeedsQuorum guards against a leave that a host acknowledges and nobody records,
@@ -58,3 +60,35 @@
 		t.Error(err)
 	}
 }
+
+// TestForeignAnnouncementIsRefused guards against the announcement of another program, which
+// names no start, that voids the acknowledged leave of a target by its higher sequence number.
+func TestForeignAnnouncementIsRefused(t *testing.T) {
+	c := startAlone(t, kqfake.NewDisk(rand.New(rand.NewPCG(1, 1))))
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	own, foreign, leave := target(1), target(1), target(1)
+	own.Boot, own.Seq = 1, 3
+	foreign.Boot, foreign.Seq, foreign.Slots = 0, 5000, own.Slots+1
+	leave.Boot, leave.Seq, leave.State = 1, 4, kqtargets.Draining
+	late := leave
+	late.Boot, late.Seq = 0, 2
+	for _, step := range []struct {
+		name    string
+		a       kqtargets.Target
+		refused bool
+	}{{"own", own, false}, {"foreign", foreign, true}, {"late leave of an unknown start", late, true}, {"leave", leave, false}} {
+		if err := c.Announce(ctx, step.a); errors.Is(err, kqtargets.ErrInvalid) != step.refused || !step.refused && err != nil {
+			t.Errorf("%s: %v, refused %v is expected", step.name, err, step.refused)
+		}
+	}
+	err := c.View(func(s *kqcontract.State) {
+		if got := s.Targets.Live(); len(got) != 1 || got[0].State != kqtargets.Draining || got[0].Slots != own.Slots {
+			t.Errorf("%+v", got)
+		}
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/state/kqcontrol/store.go
+++ b/internal/state/kqcontrol/store.go
@@ -134,7 +134,7 @@
 	if err := t.Validate(time.Now()); err != nil {
 		return err
 	}
-	known, serviceKnown, hasRoom := false, true, true
+	known, foreign, serviceKnown, hasRoom := false, false, true, true
 	err := l.View(func(s *kqcontract.State) {
 		t.ColdLimited = s.Routes.Current != nil && s.Routes.Current.Document.HasColdRate(t.Service)
 		if t.State == kqtargets.Ready {
@@ -142,7 +142,7 @@
 		} else {
 			known = s.Targets.IsFinal(t)
 		}
-		hasRoom = s.Targets.HasRoom(t)
+		hasRoom, foreign = s.Targets.HasRoom(t), s.Targets.IsForeign(t)
 		if s.Routes.Current != nil && t.State != kqtargets.Gone {
 			serviceKnown = s.Routes.Current.Document.HasService(t.Service)
 		}
@@ -152,13 +152,17 @@
 		return err
 	case !serviceKnown:
 		return errors.Newf("announcement of %s: service %q is unknown", t.ID, t.Service)
+	case foreign:
+		return errors.Mark(errors.Newf("announcement of %s: it names no start, which is known of this target", t.ID), kqtargets.ErrInvalid)
 	case known:
 		return nil
 	case !hasRoom:
 		return errors.Newf("announcement of %s: too many targets", t.ID)
 	}
 	res, err := l.Submit(ctx, kqcontract.Command{Op: kqcontract.OpTarget, Target: &t})
-	if err == nil && res.Refused != "" {
+	if err == nil && res.Refused == kqcontract.ReasonStale {
+		err = errors.Mark(errors.Newf("announcement of %s: it names no start and later ones came before it", t.ID), kqtargets.ErrInvalid)
+	} else if err == nil && res.Refused != "" {
 		err = errors.Newf("announcement of %s: refused: %s", t.ID, res.Refused)
 	}
 	return err
--- a/internal/state/kqtargets/targets.go
+++ b/internal/state/kqtargets/targets.go
@@ -73,12 +73,35 @@
 		return false
 	case a.State == Gone:
 		return true
+	case old.isForeign(a):
+		return false
+	case a.State == Draining && old.State == Ready && a.Boot != 0:
+		return true // a start that drains does not become ready again, so that no later announcement outdates this one
 	case a.Seq <= old.Seq:
 		return false
 	}
 	return a.State == Draining && old.State != Draining || a.ColdLimited && old.isColder(a, at) || a.Addr != old.Addr || a.Service != old.Service || a.Slots != old.Slots
 }
 
+// isForeign reports whether a ready announcement is not of the target: it names no start,
+// while that of the target is known. Other programs write to the same address.
+func (t *Target) isForeign(a Target) bool {
+	return a.State == Ready && a.Boot == 0 && t.Boot != 0
+}
+
+// IsForeign reports whether the announcement is not of the target that it names.
+func (s *Set) IsForeign(a Target) bool {
+	old := s.Targets[a.ID]
+	return old != nil && old.isForeign(a)
+}
+
+// InEffect reports whether the announcement of a leave is in effect once it was applied. One that
+// names no start and was overtaken is not: it may be of an earlier start.
+func (s *Set) InEffect(a Target) bool {
+	old := s.Targets[a.ID]
+	return old == nil || old.State != Ready || a.Boot != 0 && a.Boot < old.Boot
+}
+
 // HasDomain reports whether a target of the directory is in the failure domain.
 func (s *Set) HasDomain(domain string) bool {
 	for _, t := range s.Targets {
@@ -134,6 +157,12 @@
 		s.store(gone)
 		return []Target{gone}
 	}
+	if sameBoot && a.State == Draining && a.Seq <= old.Seq {
+		late := *old // what else it says may be outdated
+		late.State = Draining
+		s.store(late)
+		return []Target{late}
+	}
 	if sameBoot && old.State == Draining {
 		a.State = Draining // a target that drains stays so until its next start
 	}
--- a/internal/state/kqtargets/targets_test.go
+++ b/internal/state/kqtargets/targets_test.go
@@ -1,6 +1,7 @@
 package kqtargets
 
 import (
+	"cmp"
 	"encoding/json"
 	"testing"
 	"time"
@@ -33,6 +34,8 @@
 		{"a late announcement does not take an address back", []Target{announcement("b", 2, 1, Ready, x), announcement("a", 1, 4, Ready, x)}, Gone, Ready},
 		{"draining stays after an announcement without a boot", []Target{announcement("a", 1, 1, Ready, x), announcement("a", 0, 2, Draining, x), announcement("a", 1, 3, Ready, x)}, Draining, ""},
 		{"gone stays after an announcement without a boot", []Target{announcement("a", 1, 1, Ready, x), announcement("a", 0, 2, Draining, x), announcement("a", 0, 0, Gone, ""), announcement("a", 1, 3, Ready, x)}, Gone, ""},
+		{"a foreign announcement does not outdate that it drains", []Target{announcement("a", 1, 3, Ready, x), announcement("a", 0, 5000, Ready, x), announcement("a", 1, 4, Draining, x)}, Draining, ""},
+		{"nor does a later one of its own", []Target{announcement("a", 1, 5000, Ready, x), announcement("a", 1, 4, Draining, x), announcement("a", 1, 5001, Ready, x)}, Draining, ""},
 		{"two addresses", []Target{announcement("a", 1, 1, Ready, x), announcement("b", 2, 1, Ready, y)}, Ready, Ready},
 		{"an unknown target leaves", []Target{announcement("a", 0, 0, Gone, "")}, Gone, ""},
 		{"a late announcement does not follow the leave of an unknown target", []Target{announcement("a", 0, 0, Gone, ""), announcement("a", 1, 1, Ready, x)}, Gone, ""},
@@ -58,6 +61,58 @@
 	}
 }
 
+// TestAcknowledgedLeaveHolds guards against a leave that is acknowledged and has no effect, over
+// all short histories of announcements that may be late, foreign or of another start. Each leave
+// that names its start is in effect at once, and one in effect stays so for that start.
+func TestAcknowledgedLeaveHolds(t *testing.T) {
+	const x = "10.0.0.1:80"
+	var all []Target
+	for _, boot := range []int64{0, 1, 2} {
+		for _, seq := range []uint64{1, 2, 3} {
+			for _, state := range []State{Ready, Draining, Gone} {
+				all = append(all, announcement("a", boot, seq, state, x))
+			}
+		}
+	}
+	var play func(list []Target)
+	play = func(list []Target) {
+		s, left := NewSet(), map[int64]bool{}
+		for i, a := range list {
+			s.Apply(a, now)
+			if a.State != Ready && s.InEffect(a) {
+				left[cmp.Or(a.Boot, s.Targets["a"].Boot)] = true
+			} else if a.State != Ready && a.Boot != 0 {
+				t.Fatalf("after %+v: not in effect", list[:i+1])
+			}
+			if k := s.Targets["a"]; k.State == Ready && k.Boot != 0 && left[k.Boot] {
+				t.Fatalf("after %+v: ready, though it left", list[:i+1])
+			}
+		}
+		if len(list) < 4 {
+			for _, a := range all {
+				play(append(list[:len(list):len(list)], a))
+			}
+		}
+	}
+	play(nil)
+}
+
+// TestForeignAnnouncementChangesNothing guards against another program's announcement, which
+// names no start, that changes what the target said of itself.
+func TestForeignAnnouncementChangesNothing(t *testing.T) {
+	s := NewSet()
+	s.Apply(announcement("a", 1, 3, Ready, "10.0.0.1:80"), now)
+	foreign := announcement("a", 0, 5000, Ready, "10.0.0.2:80")
+	if changed := s.Apply(foreign, now); len(changed) != 0 || !s.IsForeign(foreign) {
+		t.Errorf("changed %+v", changed)
+	}
+	s = NewSet()
+	s.Apply(announcement("a", 0, 3, Ready, "10.0.0.1:80"), now)
+	if changed := s.Apply(foreign, now); len(changed) != 1 || s.IsForeign(foreign) {
+		t.Errorf("changed %+v for a target of unknown start", changed)
+	}
+}
+
 // TestAddressesAfterDecoding: the index by address is not encoded, so a host that
 // decodes a directory must build it again.
 func TestAddressesAfterDecoding(t *testing.T) {
