--- a/internal/call/kqheader/path.go
+++ b/internal/call/kqheader/path.go
@@ -3,23 +3,17 @@
 import (
 	"net/url"
 	"strings"
+
+	"kumquatglade/internal/state/kqpath"
 )
 
-// Path returns the decoded path of a request, by which its route is found. An encoded slash
-// stays encoded, as "%2F": it is part of a segment and ends none.
+// Path returns the canonical path of a request, by which its route is found. An encoded slash
+// stays encoded: it is part of a segment and ends none.
 func Path(u *url.URL) string {
-	if u.RawPath == "" { // no slash is encoded
-		return u.Path
-	}
-	segments := strings.Split(u.RawPath, "/")
-	for i, s := range segments {
-		decoded, err := url.PathUnescape(s)
-		if err != nil {
-			return u.RawPath // cannot happen: the URL was parsed
-		}
-		segments[i] = strings.ReplaceAll(decoded, "/", "%2F")
+	if u.RawPath != "" {
+		return kqpath.Canonical(u.RawPath)
 	}
-	return strings.Join(segments, "/")
+	return kqpath.Canonical(u.EscapedPath())
 }
 
 // AsSent returns a URL that the library writes with the path as the caller sent it. It would
--- a/internal/call/kqproxy/path_test.go
+++ b/internal/call/kqproxy/path_test.go
@@ -92,3 +92,29 @@
 		send("removed", want)
 	}
 }
+
+// TestEncodedPrefix guards against a prefix that matches no request since operators write it as
+// callers send it: with encoded characters. The route of a shorter prefix would get its requests.
+func TestEncodedPrefix(t *testing.T) {
+	for _, c := range []struct {
+		prefix, path string
+		status       int
+	}{
+		{"/foto%20bak/", "/foto%20bak/1", 200},
+		{"/foto bak/", "/foto%20bak/1", 200},
+		{"/foto%20bak/", "/%66oto%20bak/1", 200},
+		{"/a%2fb/", "/a%2Fb/1", 200},
+		{"/a%2Fb/", "/a/b/1", 404},
+		{"/a%2Fb/", "/a%252Fb/1", 404},
+		{"/100%25/", "/100%25/1", 200},
+		{"/100%25/", "/100%2525/1", 404},
+		{"/%C3%A9/", "/\xc3\xa9/1", 200},
+		{"/\xc3\xa9/", "/%c3%A9/1", 200},
+	} {
+		f := newFixture(t, kqroutes.Unsafe, time.Second, replyOK)
+		f.change(func(d *kqroutes.Document) { d.Hosts[0].Routes[0].Prefix = c.prefix })
+		if res, _, err := f.call(c.path, "filing"); err != nil || res.StatusCode != c.status {
+			t.Errorf("prefix %s, path %s: %v %v, want %d", c.prefix, c.path, res, err, c.status)
+		}
+	}
+}
--- a/internal/state/kqcontract/contract.go
+++ b/internal/state/kqcontract/contract.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kumquatglade/internal/state/kqcheck"
+	"kumquatglade/internal/state/kqpath"
 
 	"github.com/cockroachdb/errors"
 )
@@ -138,7 +139,7 @@
 
 // IsIdempotent reports whether the contract lists method and path as safe to
 // run more than once. A pattern is "METHOD" or "METHOD /path", where a
-// trailing "*" matches any suffix.
+// trailing "*" matches any suffix. The path is canonical.
 func (s *Service) IsIdempotent(method, path string) bool {
 	for _, p := range s.Idempotent {
 		m, pat, onPath := strings.Cut(p, " ")
@@ -154,7 +155,7 @@
 
 func matchPath(pattern, path string) bool {
 	if prefix, ok := strings.CutSuffix(pattern, "*"); ok {
-		return strings.HasPrefix(path, prefix)
+		return strings.HasPrefix(path, kqpath.Canonical(prefix))
 	}
-	return pattern == path
+	return kqpath.Canonical(pattern) == path
 }
--- a/internal/state/kqroutes/delta.go
+++ b/internal/state/kqroutes/delta.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"kumquatglade/internal/state/kqpath"
 )
 
 // Delta is the difference between a document and a later version of it, or a full document.
@@ -24,10 +26,10 @@
 // RouteKey identifies a route by the HTTP host name and the path prefix.
 type RouteKey struct {
 	Host   string `json:"h"` // normalized, as by hostKey
-	Prefix string `json:"p"`
+	Prefix string `json:"p"` // canonical; in a delta as written, which hosts of earlier versions compare
 }
 
-func routeKey(host, prefix string) RouteKey { return RouteKey{hostKey(host), prefix} }
+func routeKey(host, prefix string) RouteKey { return RouteKey{hostKey(host), kqpath.Canonical(prefix)} }
 
 // HostRoute is a route together with its HTTP host name.
 type HostRoute struct {
@@ -87,9 +89,9 @@
 			out.Set = append(out.Set, HostRoute{p.Host, r})
 		}
 	}
-	for p := range oldRoutes {
+	for p, r := range oldRoutes {
 		if _, ok := newRoutes[p]; !ok {
-			out.Removed = append(out.Removed, p)
+			out.Removed = append(out.Removed, RouteKey{p.Host, r.Prefix})
 		}
 	}
 	out.diffOwners(from, d)
--- a/internal/state/kqroutes/registry.go
+++ b/internal/state/kqroutes/registry.go
@@ -54,7 +54,3 @@
 func Hash(source []byte) string {
 	return fmt.Sprintf("%016x", xxhash.Sum64(source))
 }
-
-func sortByPrefix(list []Route) {
-	slices.SortStableFunc(list, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
-}
--- a/internal/state/kqroutes/routes_test.go
+++ b/internal/state/kqroutes/routes_test.go
@@ -200,3 +200,36 @@
 		}
 	}
 }
+
+// TestEncodedPrefixes guards against an encoded prefix that counts as shorter than it is, or as
+// another one than the same prefix in plain characters, in deltas too.
+func TestEncodedPrefixes(t *testing.T) {
+	route := func(name, prefix string) Route {
+		return Route{Name: name, Prefix: prefix, Service: "s", Kind: Safe, Timeout: time.Second}
+	}
+	document := func(version uint64, routes ...Route) *Document {
+		return &Document{Version: version, Services: []Service{{Name: "s"}}, Hosts: []Host{{Name: "a.example", Routes: routes}}}
+	}
+	all := []Route{route("short", "/%61%20%62/"), route("long", "/a b/c/"), route("shadowed", "/%61 b/")}
+	first, changed, removed := document(1, all...), document(2, route("other", "/a%20b/"), all[1]), document(3, all[1])
+	if list := first.Warnings(); len(list) != 1 || !strings.Contains(list[0].Text, "never matches") {
+		t.Errorf("warnings %v, want one of the shadowed route", list)
+	}
+	var have, last *Document
+	for i, want := range []string{"short", "other", ""} {
+		d := []*Document{first, changed, removed}[i]
+		have, _ = have.With(d.Diff(last))
+		last = d
+		for path, name := range map[string]string{"/a b/x": want, "/a b/c/x": "long"} {
+			for from, doc := range map[string]*Document{"document": d, "entry host": have} {
+				got := ""
+				if r, ok := NewTable(doc).Find("a.example", path); ok {
+					got = r.Name
+				}
+				if got != name {
+					t.Errorf("version %d, %s, %s: route %q, want %q", d.Version, from, path, got, name)
+				}
+			}
+		}
+	}
+}
--- a/internal/state/kqroutes/table.go
+++ b/internal/state/kqroutes/table.go
@@ -1,33 +1,46 @@
 package kqroutes
 
-import "strings"
+import (
+	"slices"
+	"strings"
+
+	"kumquatglade/internal/state/kqpath"
+)
 
 // Table finds the route of a request. It is immutable.
 type Table struct {
 	Version  uint64
 	Limits   Limits
 	Services map[string]Service
-	hosts    map[string][]Route // longest prefix first
+	hosts    map[string][]prefixRoute // longest prefix first
 	needsKey bool
 	issued   bool              // callers may have keys
 	owners   map[string]*Owner // by name
 	keys     map[KeyDigest]*Owner
 }
 
+// prefixRoute is a route with the canonical form of its prefix.
+type prefixRoute struct {
+	prefix string
+	route  Route
+}
+
 // NewTable returns a table of the document's routes.
 func NewTable(d *Document) *Table {
 	t := &Table{
-		Version: d.Version, Limits: d.Limits, Services: map[string]Service{}, hosts: map[string][]Route{}, needsKey: d.NeedsKey(), issued: d.issuedKeys(),
+		Version: d.Version, Limits: d.Limits, Services: map[string]Service{}, hosts: map[string][]prefixRoute{}, needsKey: d.NeedsKey(), issued: d.issuedKeys(),
 	}
 	for _, s := range d.Services {
 		t.Services[s.Name] = s
 	}
 	for _, h := range d.Hosts {
 		name := hostKey(h.Name)
-		t.hosts[name] = append(t.hosts[name], h.Routes...)
+		for _, r := range h.Routes {
+			t.hosts[name] = append(t.hosts[name], prefixRoute{kqpath.Canonical(r.Prefix), r})
+		}
 	}
 	for _, list := range t.hosts {
-		sortByPrefix(list)
+		slices.SortStableFunc(list, func(a, b prefixRoute) int { return len(b.prefix) - len(a.prefix) })
 	}
 	if len(d.Owners) > 0 {
 		t.owners, t.keys = make(map[string]*Owner, len(d.Owners)), make(map[KeyDigest]*Owner, len(d.Owners))
@@ -54,8 +67,8 @@
 // OwnerByKey returns the owner that has the key, nil if none has.
 func (t *Table) OwnerByKey(k KeyDigest) *Owner { return t.keys[k] }
 
-// Find returns the route of the host with the longest prefix that matches the path, and
-// false if there is none. The host is compared with its port.
+// Find returns the route of the host with the longest prefix that matches the canonical path,
+// and false if there is none. The host is compared with its port.
 func (t *Table) Find(host, path string) (*Route, bool) {
 	return findPrefix(t.hosts[hostKey(host)], path)
 }
@@ -70,10 +83,10 @@
 }
 
 // findPrefix returns the first route of the list whose prefix matches.
-func findPrefix(list []Route, path string) (*Route, bool) {
+func findPrefix(list []prefixRoute, path string) (*Route, bool) {
 	for i := range list {
-		if strings.HasPrefix(path, list[i].Prefix) {
-			return &list[i], true
+		if strings.HasPrefix(path, list[i].prefix) {
+			return &list[i].route, true
 		}
 	}
 	return nil, false
