--- a/internal/call/kqproxy/attempt.go
+++ b/internal/call/kqproxy/attempt.go
@@ -82,7 +82,7 @@
 var errBarred = errors.New("target is barred")
 
 // checkBarred returns errBarred if this host knows that the target must get nothing now,
-// if the request's key was withdrawn, if its regions exclude the target, if the host began to
+// if the request's key was withdrawn or moved, if its regions exclude the target, if the host began to
 // shut down meanwhile and might not answer the request any more, or if the caller closed its
 // side.
 func (p *proxiedRequest) checkBarred(t *kqselection.Target) error {
@@ -90,8 +90,8 @@
 	if !e.shutdown.Takes(p.deadline) {
 		return errors.Wrap(errBarred, causeShutdown)
 	}
-	if p.withdrawn(e.routing.Load().table) {
-		return errors.Wrap(errBarred, causeKeyWithdrawn)
+	if cause := p.keyChange(e.routing.Load().table); cause != "" {
+		return errors.Wrap(errBarred, cause)
 	}
 	allows := p.allows()
 	now := e.cfg.Clock.Now()
--- a/internal/call/kqproxy/engine.go
+++ b/internal/call/kqproxy/engine.go
@@ -110,6 +110,7 @@
 	key       map[string]metrics.Counter             // requests refused for their key, by cause
 
 	keyWithheld metrics.Counter // sends from which a key was removed that the request did not need
+	keyMoved    metrics.Counter // requests whose key moved to another owner while they were here
 }
 
 // New returns an Engine that refuses all requests until Apply is called.
@@ -138,7 +139,7 @@
 		cut: counter("cut"), barred: counter("barred"), foreign: counter("foreign"), uninformed: counter("uninformed"), hung: counter("hung"),
 		leaving: counter("leaving"), quiet: counter("quiet"), oddQuiet: counter("oddquiet"), evacuated: counter("evacuated"),
 		coldRefused: counter("coldrefused"), turnedCold: counter("turnedcold"), turnedWarm: counter("turnedwarm"), oddCold: counter("oddcold"),
-		key: newKeyCounters(counter), keyWithheld: counter("key.withheld"), barredBy: map[kqselection.Barred]metrics.Counter{},
+		key: newKeyCounters(counter), keyWithheld: counter("key.withheld"), keyMoved: counter("key.moved"), barredBy: map[kqselection.Barred]metrics.Counter{},
 		latency: timer("latency"), firstByte: timer("firstbyte"), probeTime: timer("asking"),
 	}
 	for reason, name := range barredCounters {
--- a/internal/call/kqproxy/owner.go
+++ b/internal/call/kqproxy/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"kumquatglade/internal/route/kqselection"
+	"kumquatglade/internal/route/kqtokens"
 	"kumquatglade/internal/state/kqroutes"
 
 	"github.com/rcrowley/go-metrics"
@@ -29,6 +30,7 @@
 	causeKeyMalformed = "malformed key"
 	causeKeyUnknown   = "unknown key"
 	causeKeyWithdrawn = "the key was withdrawn"
+	causeKeyMoved     = "the key moved to another owner" // ends a wait or a send, and no request
 	causeStateOld     = "the key is unknown here and the routes may be out of date"
 )
 
@@ -49,13 +51,32 @@
 	if p.owner == nil {
 		return p.refuseKey(causeKeyUnknown)
 	}
-	p.header.Set(names.Owner, p.owner.Name)
-	if p.owner.Priority != nil {
-		p.priority = *p.owner.Priority
-	}
+	p.setOwner(p.owner)
 	return nil
 }
 
+// setOwner makes the request one of the owner, with its priority.
+func (p *proxiedRequest) setOwner(o *kqroutes.Owner) {
+	p.owner, p.priority = o, p.route.Priority
+	if o.Priority != nil {
+		p.priority = *o.Priority
+	}
+	p.header.Set(p.engine.cfg.HeaderNames.Owner, o.Name)
+}
+
+// followKey makes the request one of the owner that has its key now, if the key moved. The token
+// of the former owner's limit is given back.
+func (p *proxiedRequest) followKey() {
+	o := p.newOwner(p.engine.routing.Load().table)
+	if o == nil {
+		return
+	}
+	p.returnToken()
+	p.limit, p.limitOf = kqtokens.Decision{}, nil
+	p.engine.metrics.keyMoved.Inc(1)
+	p.setOwner(o)
+}
+
 // parseKey returns the key in the values of Authorization, or the cause of the refusal.
 func parseKey(values []string, scheme string) (key, cause string) {
 	if len(values) == 0 {
@@ -90,14 +111,35 @@
 	}
 }
 
-// withdrawn reports whether the table no longer gives the request's key to its owner. A
-// document in which requests need no key withdraws none.
-func (p *proxiedRequest) withdrawn(table *kqroutes.Table) bool {
-	if p.owner == nil || table == p.routing.table || !table.NeedsKey() {
-		return false
+// keyChange returns the cause for which the request can't go on with its owner by the table,
+// empty if it can: its key was withdrawn, or moved to another owner. A document in which requests
+// need no key changes nothing.
+func (p *proxiedRequest) keyChange(table *kqroutes.Table) string {
+	switch {
+	case p.owner == nil || table == p.routing.table || !table.NeedsKey():
+		return ""
+	case table.OwnerByKey(p.key) == nil:
+		return causeKeyWithdrawn
+	case p.newOwner(table) != nil:
+		return causeKeyMoved
 	}
-	o := table.OwnerByKey(p.key)
-	return o == nil || o.Name != p.owner.Name
+	return ""
+}
+
+// newOwner returns the owner to which the request's key moved, nil if it did not.
+func (p *proxiedRequest) newOwner(table *kqroutes.Table) *kqroutes.Owner {
+	if p.owner == nil || !table.NeedsKey() {
+		return nil
+	}
+	if o := table.OwnerByKey(p.key); o != nil && o.Name != p.owner.Name {
+		return o
+	}
+	return nil
+}
+
+// withdrawn reports whether the request's key was withdrawn.
+func (p *proxiedRequest) withdrawn() bool {
+	return p.keyChange(p.engine.routing.Load().table) == causeKeyWithdrawn
 }
 
 // wrongRegion is why a request is not sent to a target.
@@ -155,14 +197,13 @@
 	ended   chan string // receives the cause
 }
 
-// endQueued ends the queued requests whose key was withdrawn or that may be sent to no
-// target of the new routing state; e.mu must be held.
+// endQueued ends the wait of queued requests whose key was withdrawn or moved or that may be sent
+// to no target of the new routing state; e.mu must be held.
 func (e *Engine) endQueued(s *routingState) {
 	for p, q := range e.queued {
-		cause, allows := "", p.allows()
+		cause, allows := p.keyChange(s.table), p.allows()
 		switch {
-		case p.withdrawn(s.table):
-			cause = causeKeyWithdrawn
+		case cause != "":
 		case allows != nil && !slices.ContainsFunc(s.targets[p.service], allows):
 			cause = causeNoRegion
 		}
--- a/internal/call/kqproxy/queue.go
+++ b/internal/call/kqproxy/queue.go
@@ -147,9 +147,9 @@
 	e.mu.Lock()
 	w.StartBy, w.GiveUpAt = p.waitLimits(now)
 	w.ServiceTime, w.Tight = p.expectedServiceTime(), p.isTight()
-	if p.withdrawn(e.routing.Load().table) {
+	if cause := p.keyChange(e.routing.Load().table); cause != "" {
 		e.mu.Unlock()
-		return nil, causeKeyWithdrawn
+		return nil, cause
 	}
 	if !ch.Enqueue(w, now) {
 		cause := noRoomCause(ch.admissionState(p.priority, now))
--- a/internal/call/kqproxy/send.go
+++ b/internal/call/kqproxy/send.go
@@ -33,7 +33,7 @@
 	var refused *refusal // by the owner's limit
 	last := outcome{cause: "no target"}
 	for {
-		if p.withdrawn(p.engine.routing.Load().table) {
+		if p.withdrawn() {
 			last.cause = causeKeyWithdrawn
 			break
 		}
@@ -47,11 +47,10 @@
 			last.cause = causeShutdown
 			break
 		}
-		if refused = p.admit(ctx); refused != nil {
+		var cause string
+		if cause, refused = p.chooseAdmitted(ctx, tried); refused != nil {
 			break
 		}
-		var cause string
-		p.chosen, cause = p.choose(ctx, tried)
 		t := p.chosen.Target
 		if t == nil {
 			if p.sends == 0 && unreachable == 0 || cause == causeQuiet || cause == causeEvacuated || cause == causeNoRegion {
@@ -72,6 +71,10 @@
 			p.caller.takeBack()
 			p.keepToken()
 		}
+		if res.unsent && p.newOwner(p.engine.routing.Load().table) != nil {
+			tried = tried[:len(tried)-1] // the target may get the request of its new owner
+			continue
+		}
 		if res.unsent {
 			if unreachable++; unreachable >= maxUnreachable {
 				break
@@ -88,6 +91,20 @@
 	p.giveUp(ctx, mayHaveRun, last)
 }
 
+// chooseAdmitted takes a token of the owner's limit and chooses a target, again if the key moves
+// to another owner while the request waits. Without a target it returns why there is none.
+func (p *proxiedRequest) chooseAdmitted(ctx context.Context, tried []*kqselection.Target) (cause string, refused *refusal) {
+	for {
+		p.followKey()
+		if refused = p.admit(ctx); refused != nil {
+			return "", refused
+		}
+		if p.chosen, cause = p.choose(ctx, tried); cause != causeKeyMoved {
+			return cause, nil
+		}
+	}
+}
+
 // beginRetry reports whether another send is allowed, and takes it from the retry
 // budget.
 func (p *proxiedRequest) beginRetry(mayHaveRun bool) bool {
@@ -107,7 +124,7 @@
 		p.answerClosed(mayHaveRun, last.cause)
 		return
 	}
-	if !mayHaveRun && p.withdrawn(p.engine.routing.Load().table) {
+	if !mayHaveRun && p.withdrawn() {
 		r := p.refuseKey(causeKeyWithdrawn)
 		p.refuse(r.status, r.cause, r.retryAfter)
 		return
