--- a/internal/state/kqjournal/journal.go
+++ b/internal/state/kqjournal/journal.go
@@ -37,6 +37,9 @@
 	Term        uint64         `json:"term"`
 	Vote        string         `json:"vote"`
 	Seen        map[string]Run `json:"seen"` // newest run seen of each peer
+
+	// Founders are the hosts with which this folder may form a cluster, sorted; empty if it may not.
+	Founders []string `json:"founders,omitempty"`
 }
 
 // Run identifies one start of a process on one data folder.
--- a/internal/state/kqreplica/form.go
+++ b/internal/state/kqreplica/form.go
@@ -11,6 +11,23 @@
 // are reachable and none of them belongs to a cluster. A host that lost its data
 // folder can therefore never found a second cluster beside the first.
 
+// continuesFirstStart reports whether the data folder is that of the first start of the system,
+// which was interrupted before the host had a cluster. Such a folder was never lost, so that no
+// cluster can be missing from it.
+func (r *Replica) continuesFirstStart() bool {
+	return r.meta.Cluster == "" && len(r.meta.Founders) > 0 && slices.Equal(r.meta.Founders, hostNames(r.cfg.Hosts))
+}
+
+// hostNames returns the names of the hosts, sorted.
+func hostNames(list []MemberSpec) []string {
+	var names []string
+	for _, spec := range list {
+		names = append(names, spec.Host)
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (r *Replica) tickUnjoined() {
 	if r.elapsed%helloTicks == 1 {
 		r.sendHello()
--- a/internal/state/kqreplica/join_test.go
+++ b/internal/state/kqreplica/join_test.go
@@ -143,3 +143,86 @@
 	t.Fatalf("role %s", r.role)
 	return nil
 }
+
+// TestFirstStartInterrupted guards against seeds that never form a cluster, since the process of
+// one ended during the first start: its settings say that it may only join from then on, though its
+// folder is the one of the first start. A lost folder, and one of other seeds, may only join.
+func TestFirstStartInterrupted(t *testing.T) {
+	start := func(loaded kqjournal.Loaded, joinOnly bool, hosts ...string) (*Replica, kqjournal.Meta) {
+		var list []MemberSpec
+		for _, h := range hosts {
+			list = append(list, memberSpec(h))
+		}
+		r, effects, err := New(Config{
+			Host: "a", Hosts: list, Token: "t", Cluster: "k", Loaded: loaded, Machine: &testMachine{state: kqcontract.NewState()},
+			Rand: rand.New(rand.NewPCG(1, 1)), OpenMembership: true, Tolerance: 2, JoinOnly: joinOnly,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range effects {
+			if s, ok := e.(SaveMeta); ok {
+				return r, s.Meta
+			}
+		}
+		t.Fatal("nothing is saved at the start")
+		return nil, kqjournal.Meta{}
+	}
+	_, first := start(kqjournal.Loaded{}, false, "a", "b", "c")
+	_, lost := start(kqjournal.Loaded{}, true, "a", "b", "c")
+	member := first
+	member.Cluster = "k"
+	for _, c := range []struct {
+		name  string
+		meta  kqjournal.Meta
+		hosts []string
+		may   bool
+	}{
+		{"same folder", first, []string{"c", "b", "a"}, true},
+		{"other seeds", first, []string{"a", "b", "d"}, false},
+		{"fewer seeds", first, []string{"a", "b"}, false},
+		{"lost folder", lost, []string{"a", "b", "c"}, false},
+		{"folder of a cluster", member, []string{"a", "b", "c"}, false},
+		{"empty folder", kqjournal.Meta{}, []string{"a", "b", "c"}, false},
+	} {
+		r, saved := start(kqjournal.Loaded{Meta: c.meta}, true, c.hosts...)
+		effects := r.Reduce(time.Time{}, Received{From: "b", Message: Message{Kind: kindHello, Run: encodedRun("i"), Members: []Member{testMember("b", false)}}})
+		may := false
+		for _, e := range effects {
+			if s, ok := e.(Send); ok && s.Message.Kind == kindHelloReply {
+				may = s.Message.OK
+			}
+		}
+		if may != c.may {
+			t.Errorf("%s: may found a cluster: %v, want %v", c.name, may, c.may)
+		}
+		if again, _ := start(kqjournal.Loaded{Meta: saved}, true, c.hosts...); again.cfg.JoinOnly == c.may && c.meta.Cluster == "" {
+			t.Errorf("%s: at the next start: join only %v", c.name, again.cfg.JoinOnly)
+		}
+	}
+}
+
+// TestFoundersCrashWhileForming plays first starts during which processes of the founders end again
+// and again and keep their folders: the cluster forms once they stay up, and no second one does.
+func TestFoundersCrashWhileForming(t *testing.T) {
+	const crashSlots, formSlots = 40, 2000
+	for seed := range uint64(200) {
+		r := newOpenHistoryRun(seed, noMutation)
+		for range crashSlots {
+			if n := r.pickNode(); n.up && r.rng.IntN(4) == 0 {
+				r.crash(n, 1+r.rng.IntN(3))
+			}
+			r.step()
+		}
+		if !r.stepUntil(formSlots, func() bool { l := r.leader(); return l != nil && r.allVote(l) }) {
+			t.Fatalf("seed %d: no cluster of all hosts", seed)
+		}
+		clusters := map[string]bool{}
+		for _, n := range r.nodes {
+			clusters[n.replica.meta.Cluster] = true
+		}
+		if len(clusters) != 1 {
+			t.Fatalf("seed %d: clusters %v", seed, clusters)
+		}
+	}
+}
--- a/internal/state/kqreplica/replica.go
+++ b/internal/state/kqreplica/replica.go
@@ -72,7 +72,8 @@
 	// determines the members.
 	OpenMembership bool
 	// JoinOnly keeps a host without a cluster from founding one, for a host whose
-	// data folder is empty because it was lost.
+	// data folder is empty because it was lost. It has no effect on a folder that was
+	// made without it for the same founding hosts and belongs to no cluster yet.
 	JoinOnly bool
 }
 
@@ -174,7 +175,11 @@
 	}
 	if r.meta.Incarnation == "" {
 		r.meta.Incarnation = cfg.Token
+		if !cfg.JoinOnly {
+			r.meta.Founders = hostNames(cfg.Hosts)
+		}
 	}
+	r.cfg.JoinOnly = cfg.JoinOnly && !r.continuesFirstStart()
 	if r.cfg.MaxBatch == 0 {
 		r.cfg.MaxBatch = defaultBatch
 	}
--- a/internal/state/kqreplica/simulation_test.go
+++ b/internal/state/kqreplica/simulation_test.go
@@ -86,7 +86,7 @@
 	downUntil int
 	oldDisk   *kqfake.Disk // an earlier copy of the data folder
 	removed   bool         // permanently stopped
-	joinOnly  bool         // its folder was lost, or it was started after the founding
+	joinOnly  bool         // it was started before, or was added after the founding: its settings say so from then on
 	pending   []Effect     // effects of events handled together, not carried out yet
 	full      bool         // the disk refused the first of them
 	fullUntil int          // slot until which the disk is full
@@ -173,6 +173,7 @@
 	if s.mutant == commitsEarlierTerm {
 		r.canCommitTerm = func(uint64) bool { return true }
 	}
+	n.joinOnly = true
 	n.replica, n.up, n.pending, n.full = r, true, nil, false
 	s.perform(n, effects)
 	s.announceLinks(n)
@@ -245,7 +246,6 @@
 // loseFolder gives the host an empty data folder.
 func (s *simulation) loseFolder(n *node) {
 	n.disk = kqfake.NewDisk(s.rng)
-	n.joinOnly = true
 }
 
 func (s *simulation) feed(n *node, ev Event) {
