Contracts: the comment of the reason stale names announcements

A refused leave uses it since the ping of another program was found to void drains; no behaviour changes.

--- a/internal/state/kqcontract/state.go
+++ b/internal/state/kqcontract/state.go
@@ -111,7 +111,7 @@
 	ReasonGap     = "gap"     // the version skips at least one version
 	ReasonOld     = "old"     // the version is older than the kept versions
 	ReasonUnknown = "unknown" // the contract does not exist or the command is invalid
-	ReasonStale   = "stale"   // the entry has changed since the revision that the command names
+	ReasonStale   = "stale"   // the entry has changed since the revision that the command names, or has outdated the announcement
 	ReasonFull    = "full"    // there is no room for another entry
 )
 
