--- a/internal/bench/kqsoak/drive.go
+++ b/internal/bench/kqsoak/drive.go
@@ -27,7 +27,7 @@
 	safePrefix       = "/read/"
 	unsafePrefix     = "/file/"
 	uploadPrefix     = "/ledger/"
-	openPrefix       = "/open/" // in a scarce run, for callers without a key
+	openPrefix       = "/open/" // in a scarce run, for callers that need no key
 )
 
 // requestKind is a kind of requests, those of the routes with one prefix. One with once set
@@ -84,9 +84,10 @@
 	if !c.scarce {
 		return nil
 	}
-	drawn := openCredential
-	if rand.IntN(openRequests) > 0 {
-		drawn = drawCredential(c.ledger.Newest(time.Now()))
+	version := c.ledger.Newest(time.Now())
+	drawn := drawCredential(version)
+	if rand.IntN(openRequests) == 0 {
+		drawn = drawOpen(version)
 	}
 	return &drawn
 }
@@ -106,7 +107,7 @@
 // send sends one request and reports whether it succeeded.
 func (c *callers) send(ctx context.Context, addr string, cred *credential) bool {
 	k := requestKinds[rand.IntN(len(requestKinds))]
-	if cred != nil && *cred == openCredential {
+	if cred != nil && cred.open {
 		k = openKind
 	}
 	id := fmt.Sprintf("r%d", c.next.Add(1))
--- a/internal/bench/kqsoak/owner.go
+++ b/internal/bench/kqsoak/owner.go
@@ -58,10 +58,18 @@
 	owner      string
 	key        string // empty: none
 	first, end uint64
+	open       bool // the caller uses the open route, where no key is needed
 }
 
-// openCredential is what callers of the open route present: no key, and none is needed.
-var openCredential = credential{end: math.MaxUint64}
+// drawOpen draws what a caller of the open route presents while the version is in force: no key,
+// or one that it has for other routes.
+func drawOpen(version uint64) credential {
+	c := credential{end: math.MaxUint64, open: true}
+	if rand.IntN(2) == 0 {
+		c.key = drawCredential(version).key
+	}
+	return c
+}
 
 // valid reports whether the key is valid in all versions from low to high.
 func (c credential) valid(low, high uint64) bool { return c.first <= low && high < c.end }
