Transport: a response without length that ends in a reset during an upload is not complete

Callers saw: a target answered a long upload with a 200 without a length, sent a part of its body and reset the connection while the upload was being written; the caller got the part as a complete answer.

Cause: a socket reports a reset once. The write of the request takes ECONNRESET, and the read of the response, which decides by io.EOF, then meets the same end as after an orderly close.

Why this works: at the end of such a response the socket is asked whether it is closed in both directions (POLLHUP). If so, a write under way ends at once, and what the write got tells how the connection ended: ECONNRESET, or a timeout, is a failure. EPIPE, or no error of a write, means that the target had closed its side in order before: the response is complete, also if a reset follows, which the state of the socket alone would not tell. Responses with a length or in chunks are not asked.

--- a/internal/call/kqproxy/cut_test.go
+++ b/internal/call/kqproxy/cut_test.go
@@ -77,3 +77,23 @@
 	f.apply(f.engine.routing.Load().revision+1, list[:0]...)
 	f.apply(f.engine.routing.Load().revision+1, list...)
 }
+
+// TestResetDuringUpload guards against a part of a response that a caller takes for all of it:
+// the target responds to a long upload, without a length, and resets the connection while
+// the upload is still being written.
+func TestResetDuringUpload(t *testing.T) {
+	f := newFixture(t, kqroutes.Upload, 5*time.Second, func(c net.Conn, r *http.Request) bool {
+		io.WriteString(c, replyHead(r, "200 OK", "\r\nnot all"))
+		return resetConn(c, r)
+	})
+	upload := strings.Repeat("x", 4<<20)
+	for range 20 {
+		f.forgiveTargets()
+		if res, got, err := f.call("/filings/7", upload, "Early", "1"); err == nil && res.StatusCode/100 == 2 {
+			t.Errorf("%d with %q", res.StatusCode, got)
+		}
+	}
+	if f.arrivals() == 0 {
+		t.Error("no request reached the target")
+	}
+}
--- a/internal/call/kqtransport/conn.go
+++ b/internal/call/kqtransport/conn.go
@@ -31,6 +31,9 @@
 	idleLimit    time.Duration // longest time in the pool by the target's Keep-Alive field; 0 if the target named none
 	bytesWritten int64         // bytes written to the socket for the current request
 	readLimit    int64         // bytes that may still be read from the socket
+
+	writing  sync.Mutex // held during each write to the socket
+	writeErr error      // of the first write that failed
 }
 
 // Only connections in use have buffers, since a host keeps hundreds of idle
@@ -107,11 +110,55 @@
 type countingWriter struct{ c *conn }
 
 func (w countingWriter) Write(p []byte) (int, error) {
+	w.c.writing.Lock()
+	defer w.c.writing.Unlock()
 	n, err := w.c.Conn.Write(p)
 	w.c.bytesWritten += int64(n)
+	if w.c.writeErr == nil {
+		w.c.writeErr = err
+	}
 	return n, err
 }
 
+// endedByReset reports, after a read has returned io.EOF, whether the connection failed and
+// was not closed by the target. A socket reports a failure once. If a write takes the error,
+// reads end as they do after an orderly close.
+func (c *conn) endedByReset() bool {
+	if !c.isClosed() {
+		return false
+	}
+	c.writing.Lock() // a write to a closed socket does not block
+	defer c.writing.Unlock()
+	// A reset that follows an orderly close fails writes with EPIPE.
+	return c.writeErr != nil && !errors.Is(c.writeErr, unix.EPIPE)
+}
+
+// isClosed reports whether the socket is closed in both directions, and not only by the
+// target's end of its own.
+func (c *conn) isClosed() bool {
+	closed := false
+	c.control(func(fd int) {
+		fds := []unix.PollFd{{Fd: int32(fd)}} // POLLHUP is always reported
+		n, err := unix.Poll(fds, 0)
+		closed = err == nil && n > 0 && fds[0].Revents&unix.POLLHUP != 0 // an interrupted call found nothing
+	})
+	return closed
+}
+
+// control calls f with the file descriptor, if there is one. It does not wait for a read or
+// a write that is under way.
+func (c *conn) control(f func(fd int)) {
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { f(int(fd)) }) // a closed connection has nothing
+}
+
 // usable reports whether an idle connection can carry another request: the target
 // has neither closed it nor sent bytes that belong to no request.
 func (c *conn) usable() bool {
--- a/internal/call/kqtransport/send.go
+++ b/internal/call/kqtransport/send.go
@@ -321,7 +321,7 @@
 	}
 	chunked := len(res.TransferEncoding) > 0
 	delimited := chunked || res.ContentLength >= 0 || res.Body == http.NoBody
-	r.Body = &responseBody{reply: r, res: res, acceptEOF: delimited || acceptCloseDelimited, persistent: delimited, writeDone: writeDone}
+	r.Body = &responseBody{reply: r, conn: c, res: res, acceptEOF: delimited || acceptCloseDelimited, persistent: delimited, writeDone: writeDone}
 	return r
 }
 
@@ -329,9 +329,12 @@
 // its connection, so that it may be truncated.
 var ErrCloseDelimited = errors.New("answer of unknown length ended by close")
 
+var errReset = errors.New("answer of unknown length ended by a reset")
+
 // responseBody reads the body and records whether it was read completely.
 type responseBody struct {
 	reply      *Reply
+	conn       *conn
 	res        *http.Response
 	acceptEOF  bool // an end of file means a complete response
 	persistent bool // the connection can be used after the response
@@ -346,6 +349,9 @@
 	if !b.acceptEOF {
 		return n, ErrCloseDelimited
 	}
+	if !b.persistent && b.conn.endedByReset() {
+		return n, errReset
+	}
 	b.reply.Trailer = b.res.Trailer
 	b.reply.complete = true
 	select {
