Transport: a status outside 100 to 599 is no response

Callers saw: a target's answer with a status below 100 was skipped, and the bytes behind it, its own body among them, were passed on as the answer; 600 and 999 were passed on.

Cause: the parser of net/http takes any three characters that read as a number of 0 or more as a status (000, -00, +99), and the loop over interim responses skipped everything below 200.

Why this works: the head of each response, also of interim ones and of those that are skipped as another request's, is checked in the one place that reads them (RFC 9110, section 15). The connection ends, the request may have run: callers get our 502, and requests that may be repeated go to another target.

--- a/internal/call/kqcall/engine_test.go
+++ b/internal/call/kqcall/engine_test.go
@@ -179,6 +179,7 @@
 		{"over the rate", echoRequestBody, func(c *kqcontract.Contract) { c.Services[0].Rate = 0.001 }, "GET", "", nil, 429, "rate", kqheader.RunNo},
 		{"deadline passes", hang, shortDeadline, "POST", "x", nil, 504, "late", kqheader.RunUnknown},
 		{"target closes the connection", die, nil, "POST", "x", nil, 502, "broken", kqheader.RunUnknown},
+		{"status that is none", raw("HTTP/1.1 000 Broken\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), nil, "POST", "x", nil, 502, "broken", kqheader.RunUnknown},
 		{"target refuses", refuse, nil, "POST", "x", nil, 503, "target", kqheader.RunNo},
 	}
 	for _, c := range cases {
@@ -199,6 +200,19 @@
 	}
 }
 
+// raw returns a target that writes the bytes as its response and closes the connection.
+func raw(response string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		io.WriteString(c, response)
+	}
+}
+
 func TestContractKeyIsNotForwarded(t *testing.T) {
 	sum := sha256.Sum256([]byte("right"))
 	seen := make(chan string, 1)
--- a/internal/call/kqproxy/engine_test.go
+++ b/internal/call/kqproxy/engine_test.go
@@ -210,6 +210,9 @@
 			return replyHead(r, "200 OK", "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok")
 		}, true), 502, ""},
 		{"bytes that are no HTTP response", kqroutes.Unsafe, replyWith(func(*http.Request) string { return "\x00\x01garbage\r\n\r\n" }, false), 502, ""},
+		{"status that is none, and a response behind it", kqroutes.Unsafe, replyWith(func(r *http.Request) string {
+			return replyHead(r, "000 Broken", "Content-Length: 0\r\n\r\n") + replyHead(r, "200 OK", "Content-Length: 5\r\n\r\nwhole")
+		}, true), 502, ""},
 		{"truncated", kqroutes.Unsafe, replyWith(func(r *http.Request) string { return replyHead(r, "200 OK", "Content-Length: 50\r\n\r\nshort") }, false), 502, ""},
 		{"no length, closed in order", kqroutes.Unsafe, replyWith(func(r *http.Request) string { return replyHead(r, "200 OK", "\r\nall of it") }, false), 200, "all of it"},
 		{"no length, reset", kqroutes.Unsafe, func(c net.Conn, r *http.Request) bool {
@@ -264,6 +267,7 @@
 	}{
 		{"safe, reset", kqroutes.Safe, resetConn, 200, 2},
 		{"safe, truncated", kqroutes.Safe, replyWith(func(r *http.Request) string { return replyHead(r, "200 OK", "Content-Length: 50\r\n\r\nshort") }, false), 200, 2},
+		{"safe, status that is none", kqroutes.Safe, replyWith(func(r *http.Request) string { return replyHead(r, "999 Broken", "Content-Length: 3\r\n\r\nbad") }, true), 200, 2},
 		{"unsafe, reset", kqroutes.Unsafe, resetConn, 502, 1},
 		{"upload, reset", kqroutes.Upload, resetConn, 502, 1},
 		{"unsafe, not executed", kqroutes.Unsafe, replyNotExecuted, 200, 2},
--- a/internal/call/kqtransport/send.go
+++ b/internal/call/kqtransport/send.go
@@ -291,7 +291,7 @@
 
 // readFinalHead reads the header of the response and skips the interim (1xx) ones
 // before it. It returns errHeadTooLong if all heads together are longer than maxHead,
-// or one has too many fields.
+// or one has too many fields, and an error if one is malformed.
 func readFinalHead(c *conn, out *http.Request) (*http.Response, error) {
 	defer c.limitHead()()
 	for {
@@ -305,6 +305,9 @@
 		if kqheader.TooMany(res.Header) {
 			return nil, errHeadTooLong
 		}
+		if err := kqheader.CheckResponse(res); err != nil {
+			return nil, err
+		}
 		if res.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("target switches protocols")
 		}
