Transport: a response with a malformed field name is no response

Callers saw: a target's answer with a blank in the name of a field was passed on with that line, and where "Content-Length " was its only length, with everything up to the close as its body.

Cause: the parser of net/http lets blanks in names pass and leaves such a name as it is. So nothing here finds the field (length, seal, ID, load, not executed), while a caller's parser reads the line as another field. Control bytes, other characters that are no part of a token and an empty name were refused before.

Evidence: TestMalformedFieldName on the code before: 20 of 45 cases were taken as a response, the four names with a blank in each place: heads, also without length, interim heads, trailers, heads that are skipped as another request's.

Why this works: the names of each head that is read, and of a trailer at its end, must be tokens (RFC 9110, section 5.6.2). Otherwise the connection ends and the request may have run: our 502, or another target for what may be repeated.

--- a/internal/call/kqcall/engine_test.go
+++ b/internal/call/kqcall/engine_test.go
@@ -180,6 +180,7 @@
 		{"deadline passes", hang, shortDeadline, "POST", "x", nil, 504, "late", kqheader.RunUnknown},
 		{"target closes the connection", die, nil, "POST", "x", nil, 502, "broken", kqheader.RunUnknown},
 		{"status that is none", raw("HTTP/1.1 000 Broken\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), nil, "POST", "x", nil, 502, "broken", kqheader.RunUnknown},
+		{"field name with a blank", raw("HTTP/1.1 200 OK\r\nContent-Length : 2\r\nContent-Length: 2\r\n\r\nok"), nil, "POST", "x", nil, 502, "broken", kqheader.RunUnknown},
 		{"target refuses", refuse, nil, "POST", "x", nil, 503, "target", kqheader.RunNo},
 	}
 	for _, c := range cases {
--- a/internal/call/kqproxy/engine_test.go
+++ b/internal/call/kqproxy/engine_test.go
@@ -213,6 +213,15 @@
 		{"status that is none, and a response behind it", kqroutes.Unsafe, replyWith(func(r *http.Request) string {
 			return replyHead(r, "000 Broken", "Content-Length: 0\r\n\r\n") + replyHead(r, "200 OK", "Content-Length: 5\r\n\r\nwhole")
 		}, true), 502, ""},
+		{"field name with a blank", kqroutes.Unsafe, replyWith(func(r *http.Request) string {
+			return replyHead(r, "200 OK", "X Own: 1\r\nContent-Length: 5\r\n\r\nwhole")
+		}, true), 502, ""},
+		{"the only length in a malformed field", kqroutes.Unsafe, replyWith(func(r *http.Request) string {
+			return replyHead(r, "200 OK", "Content-Length : 5\r\n\r\nwhole and more")
+		}, false), 502, ""},
+		{"not executed, by a malformed field", kqroutes.Unsafe, replyWith(func(r *http.Request) string {
+			return replyHead(r, "503 Full", DefaultHeaderNames.NotExecuted+" : 1\r\nContent-Length: 0\r\n\r\n")
+		}, true), 502, ""},
 		{"truncated", kqroutes.Unsafe, replyWith(func(r *http.Request) string { return replyHead(r, "200 OK", "Content-Length: 50\r\n\r\nshort") }, false), 502, ""},
 		{"no length, closed in order", kqroutes.Unsafe, replyWith(func(r *http.Request) string { return replyHead(r, "200 OK", "\r\nall of it") }, false), 200, "all of it"},
 		{"no length, reset", kqroutes.Unsafe, func(c net.Conn, r *http.Request) bool {
--- a/internal/call/kqproxy/target_test.go
+++ b/internal/call/kqproxy/target_test.go
@@ -24,6 +24,7 @@
 	probeDelay  atomic.Int64           // delay of the answer to a probe, in nanoseconds
 	refuses     atomic.Bool            // probes are refused, as by a full target
 	cold        atomic.Pointer[string] // cold field of the answers to probes, nil: none
+	probeReply  atomic.Pointer[string] // raw answer to the next probe, nil: as the other fields say
 	lastBody    atomic.Pointer[string]
 }
 
@@ -72,6 +73,10 @@
 				load = f.load(n)
 			}
 			time.Sleep(time.Duration(f.probeDelay.Load()))
+			if raw := f.probeReply.Swap(nil); raw != nil {
+				io.WriteString(c, *raw)
+				continue
+			}
 			if f.refuses.Load() {
 				replyNotExecuted(c, req)
 				continue
--- a/internal/call/kqtransport/malformed_test.go
+++ b/internal/call/kqtransport/malformed_test.go
@@ -1,6 +1,7 @@
 package kqtransport
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -9,27 +10,20 @@
 	"github.com/cockroachdb/errors"
 )
 
-// answersWith returns a target that answers its first request with the raw response and all
-// others with success.
-func answersWith(t *testing.T, raw string) *scriptedTarget {
+// expectMalformed sends a request to a target that answers with the raw response, and checks
+// that it gets none and may have been executed.
+func expectMalformed(t *testing.T, raw string) {
 	t.Helper()
-	return serve(t, func(n int64, c net.Conn, _ *http.Request) bool {
-		if n > 1 {
-			writeOK(c)
-			return true
-		}
+	s := serve(t, func(_ int64, c net.Conn, _ *http.Request) bool {
 		io.WriteString(c, raw)
-		return true
+		return false
 	})
-}
-
-// expectMalformed sends a request that must get no response, and may have been executed.
-func expectMalformed(t *testing.T, raw string) {
-	t.Helper()
-	s := answersWith(t, raw)
 	p := NewPool(Config{})
 	defer p.Close()
-	got, err := send(t, p, newRequest(s, http.MethodPost))
+	req := newRequest(s, http.MethodPost)
+	req.AcceptCloseDelimited = true
+	req.IsForeign = func(_ Exchanges, _ int, h http.Header) bool { return h.Get("X-Foreign") != "" }
+	got, err := send(t, p, req)
 	var e *Error
 	if err == nil || errors.As(err, &e) && e.Unsent {
 		t.Errorf("got %q, %v", got, err)
@@ -49,6 +43,8 @@
 		for name, rest := range map[string]string{
 			"no body, response behind it": "Content-Length: 0\r\n\r\n" + okResponse,
 			"body that reads as response": "Content-Length: 40\r\n\r\n" + okResponse,
+			"no length":                   "\r\n" + okResponse,
+			"another request's":           "X-Foreign: 1\r\nContent-Length: 0\r\n\r\n" + okResponse,
 		} {
 			t.Run(status+", "+name, func(t *testing.T) {
 				expectMalformed(t, "HTTP/1.1 "+status+" Broken\r\n"+rest)
@@ -56,3 +52,19 @@
 		}
 	}
 }
+
+// TestMalformedFieldName guards against a field whose name is no token: what it says, a length
+// for instance, is overlooked here, and a caller reads it as another field.
+func TestMalformedFieldName(t *testing.T) {
+	for _, field := range []string{"X Own: 1", "X-Own : 1", "Content-Length : 2", "Transfer-Encoding : chunked", "X-\x01: 1", "X(: 1", "X\t: 1", "\xc3\xa9: 1", ": 1"} {
+		for name, raw := range map[string]string{
+			"head":              "HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 2\r\n\r\nok",
+			"head, no length":   "HTTP/1.1 200 OK\r\n" + field + "\r\n\r\nok",
+			"interim head":      "HTTP/1.1 103 Early\r\n" + field + "\r\n\r\n" + okResponse,
+			"trailer":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + field + "\r\n\r\n",
+			"another request's": "HTTP/1.1 200 OK\r\nX-Foreign: 1\r\n" + field + "\r\nContent-Length: 0\r\n\r\n" + okResponse,
+		} {
+			t.Run(fmt.Sprintf("%q, %s", field, name), func(t *testing.T) { expectMalformed(t, raw) })
+		}
+	}
+}
--- a/internal/call/kqtransport/send.go
+++ b/internal/call/kqtransport/send.go
@@ -355,6 +355,9 @@
 	if !b.persistent && b.conn.endedByReset() {
 		return n, errReset
 	}
+	if err := kqheader.CheckFields(b.res.Trailer); err != nil {
+		return n, err
+	}
 	b.reply.Trailer = b.res.Trailer
 	b.reply.complete = true
 	select {
