Listener: a response that breaks off ends in a reset for callers of HTTP/1.0

Callers of HTTP/1.0 saw: a long answer whose target broke it off within its chunks, or by a reset where it had no length, looked complete.

Cause: HTTP/1.0 has no chunks, so a response whose length is not known ahead ends with its connection. A handler that breaks it off panics, and the server closes the connection in order. The same happens when the server closes its connections or the process is killed behind such a head.

HTTP/1.1 held in each framing: a length or a missing last chunk tells.

Why this works: while a handler serves a request below HTTP/1.1 its socket is set to end by a reset (SO_LINGER 0), which holds for every way in which it may end. A handler that returns normally sets it back before the server ends the response.

--- a/internal/call/kqcall/pipeline_test.go
+++ b/internal/call/kqcall/pipeline_test.go
@@ -13,13 +13,9 @@
 	"kumquatglade/internal/call/kqlistener"
 )
 
-// TestShutdownAnswersCallsBehindEachOther guards against calls that were read behind another one
-// and are dropped with their connection, because a response of the shutdown closed it.
-func TestShutdownAnswersCallsBehindEachOther(t *testing.T) {
-	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(250 * time.Millisecond)
-		echoRequestBody(w, r)
-	}, nil)
+// listen serves the engine by a kqlistener and returns its address.
+func (f *fixture) listen(t *testing.T) string {
+	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -28,8 +24,19 @@
 	srv := &http.Server{Handler: l.Handler(f.engine), ConnContext: l.ConnContext, ConnState: l.ConnState}
 	go srv.Serve(l)
 	t.Cleanup(func() { srv.Close() })
+	return raw.Addr().String()
+}
+
+// TestShutdownAnswersCallsBehindEachOther guards against calls that were read behind another one
+// and are dropped with their connection, because a response of the shutdown closed it.
+func TestShutdownAnswersCallsBehindEachOther(t *testing.T) {
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(250 * time.Millisecond)
+		echoRequestBody(w, r)
+	}, nil)
+	addr := f.listen(t)
 	f.engine.Stop(time.Now().Add(30 * time.Second))
-	c, err := net.Dial("tcp", raw.Addr().String())
+	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/call/kqlistener/conn.go
+++ b/internal/call/kqlistener/conn.go
@@ -62,6 +62,7 @@
 	late      int       // bytes read since then
 	deadline  time.Time // read deadline that the server asked for
 	wroteAt   time.Time // when the last bytes were written
+	abortive  bool      // its end is a reset, until a response is complete that ends with it
 	closed    bool
 
 	headCounted bool        // its head counts towards what the listener holds
@@ -324,15 +325,40 @@
 	c.countHead()
 }
 
+// resetUnlessComplete makes the end of the connection a reset, also at the end of the process,
+// until the handler has returned normally. A response to HTTP/1.0 may have no length: its
+// caller takes an orderly close for its end.
+func (c *conn) resetUnlessComplete() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setAbortive(true)
+}
+
+// setAbortive sets whether the end of the connection is a reset. The lock is held.
+func (c *conn) setAbortive(on bool) {
+	conn, ok := c.Conn.(interface{ SetLinger(sec int) error })
+	if !ok {
+		return
+	}
+	sec := -1 // the default
+	if on {
+		sec = 0
+	}
+	c.abortive = conn.SetLinger(sec) == nil && on // without the option the connection ends in order
+}
+
 // finish records that the handler has returned, normally or by a panic.
 func (c *conn) finish(broken bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.finished, c.broken = true, broken
+	if c.abortive && !broken {
+		c.setAbortive(false)
+	}
 }
 
 // Close closes the connection, and only after a while for reading if a response may be
-// under way.
+// under way that is not broken off.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	if c.closed {
@@ -343,7 +369,7 @@
 	if c.headCounted {
 		c.listener.heads.remove(c)
 	}
-	linger := c.ended == nil && !c.wroteAt.IsZero() && time.Since(c.wroteAt) < lingerAfter
+	linger := c.ended == nil && !c.abortive && !c.wroteAt.IsZero() && time.Since(c.wroteAt) < lingerAfter
 	behind, why := c.unanswered(), c.whyClosed()
 	c.mu.Unlock()
 	if behind > 0 {
--- a/internal/call/kqlistener/listener.go
+++ b/internal/call/kqlistener/listener.go
@@ -149,6 +149,9 @@
 		broken := true
 		defer func() { c.finish(broken) }()
 		c.begin(r.ContentLength)
+		if !r.ProtoAtLeast(1, 1) {
+			c.resetUnlessComplete()
+		}
 		h.ServeHTTP(w, r)
 		broken = false
 	})
--- a/internal/call/kqproxy/cut_test.go
+++ b/internal/call/kqproxy/cut_test.go
@@ -1,6 +1,7 @@
 package kqproxy
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -97,3 +98,71 @@
 		t.Error("no request reached the target")
 	}
 }
+
+// TestBrokenResponseIsVisible breaks off responses behind their head, in each framing and
+// version of HTTP, below and above the size that is read completely first. It guards against
+// callers that take the end for the response's own, as that of one without a length.
+func TestBrokenResponseIsVisible(t *testing.T) {
+	var framing atomic.Pointer[string]
+	var resets atomic.Bool
+	f := newFixture(t, kqroutes.Unsafe, 5*time.Second, func(c net.Conn, r *http.Request) bool {
+		io.WriteString(c, replyHead(r, "200 OK", *framing.Load()))
+		if resets.Load() {
+			return resetConn(c, r)
+		}
+		c.Close()
+		return true
+	})
+	first, _ := f.dialListener(t)
+	first.Close()
+	addr := first.RemoteAddr().String()
+	begun := 0
+	for _, size := range []int{4 << 10, 5 * maxBufferedReply} {
+		part := strings.Repeat("x", size/2)
+		for name, raw := range map[string]string{
+			"length":      fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, part),
+			"chunks":      fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(part), part),
+			"until close": "\r\n" + part,
+		} {
+			for _, reset := range []bool{false, true} {
+				if name == "until close" && !reset {
+					continue // cannot be told from a complete response
+				}
+				for _, version := range []string{"1.0", "1.0\r\nConnection: keep-alive", "1.1", "1.1\r\nConnection: close"} {
+					framing.Store(&raw)
+					resets.Store(reset)
+					f.forgiveTargets()
+					status, got, err := callRaw(t, addr, version)
+					if err == nil && status/100 == 2 {
+						t.Errorf("%s, %d bytes, reset %t, HTTP/%q: %d with %d bytes looks complete", name, size, reset, version, status, got)
+					}
+					if status/100 == 2 {
+						begun++
+					}
+				}
+			}
+		}
+	}
+	if begun == 0 {
+		t.Error("no response was broken off behind its head")
+	}
+}
+
+// callRaw makes a request in a version of HTTP and returns the status, the bytes of the body
+// and how the response ended.
+func callRaw(t *testing.T, addr, version string) (status, n int, err error) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprintf(c, "POST /filings/7 HTTP/%s\r\nHost: index.example\r\n%s: id-1\r\nContent-Length: 6\r\n\r\nfiling", version, DefaultHeaderNames.RequestID)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	p, err := io.ReadAll(res.Body)
+	return res.StatusCode, len(p), err
+}
