Command: a broken answer leaves the outcome of a change unknown

Operators saw: a change whose answer had the status 000, a malformed field name, or no length and was cut, was reported as refused or as accepted for certain.

Cause: the client took every status below 500 other than 200 for a sure refusal, and net/http lets such answers pass. Its transport also reads a reset during a long document as an orderly end, as ours did.

Why this works: kqresponse.Transport checks each head, interim ones too, and the trailer, and ends a body without length in an error; our servers never send one. What is an error leaves the outcome unknown, and reads go to the next server. The checks moved out of kqheader, so that there is one copy for targets and for clients of net/http. TestEndlessAnswer only reaches the dialler by one more step.

--- a/internal/admin/kqclient/client.go
+++ b/internal/admin/kqclient/client.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"kumquatglade/internal/call/kqresponse"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -32,9 +34,9 @@
 
 // New returns a Client.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{
+	return &Client{cfg: cfg, http: &http.Client{Timeout: requestTimeout, Transport: kqresponse.Transport{Base: &http.Transport{
 		ResponseHeaderTimeout: requestTimeout, MaxResponseHeaderBytes: maxHeadBytes, DisableKeepAlives: true,
-	}}}
+	}}}}
 }
 
 // RefusedError is an error answer of a server.
--- a/internal/admin/kqclient/endless_test.go
+++ b/internal/admin/kqclient/endless_test.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"kumquatglade/internal/call/kqresponse"
 )
 
 // countingConn counts the bytes that are read from a connection.
@@ -62,7 +64,7 @@
 			var out json.RawMessage
 			var read atomic.Int64
 			client := New(Config{Servers: []string{l.Addr().String()}})
-			client.http.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			client.http.Transport.(kqresponse.Transport).Base.(*http.Transport).DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 				conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 				return countingConn{conn, &read}, err
 			}
--- a/internal/call/kqtransport/send.go
+++ b/internal/call/kqtransport/send.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kumquatglade/internal/call/kqheader"
+	"kumquatglade/internal/call/kqresponse"
 
 	"github.com/cockroachdb/errors"
 )
@@ -305,7 +306,7 @@
 		if kqheader.TooMany(res.Header) {
 			return nil, errHeadTooLong
 		}
-		if err := kqheader.CheckResponse(res); err != nil {
+		if err := kqresponse.CheckHead(res.StatusCode, res.Header); err != nil {
 			return nil, err
 		}
 		if res.StatusCode == http.StatusSwitchingProtocols {
@@ -328,10 +329,6 @@
 	return r
 }
 
-// ErrCloseDelimited means that the response has no length and ended by the close of
-// its connection, so that it may be truncated.
-var ErrCloseDelimited = errors.New("answer of unknown length ended by close")
-
 var errReset = errors.New("answer of unknown length ended by a reset")
 
 // responseBody reads the body and records whether it was read completely.
@@ -350,12 +347,12 @@
 		return n, err
 	}
 	if !b.acceptEOF {
-		return n, ErrCloseDelimited
+		return n, kqresponse.ErrCloseDelimited
 	}
 	if !b.persistent && b.conn.endedByReset() {
 		return n, errReset
 	}
-	if err := kqheader.CheckFields(b.res.Trailer); err != nil {
+	if err := kqresponse.CheckFields(b.res.Trailer); err != nil {
 		return n, err
 	}
 	b.reply.Trailer = b.res.Trailer
