Soak, load tool: callers take no broken answer as one, and targets draw such answers

The callers of the soak and of the load tool read by net/http, so that they could not tell a malformed answer, and one without a length that was cut, from an answer. Its targets answered whole or closed in order.

Change: clients of net/http use kqresponse.Transport, stayers kqresponse.Strict, and the ledger counts a malformed answer as a broken promise. A target that loses answers draws among: nothing, half of its length, status 000 with another answer behind it, a field name with a blank, and half an answer without length and a reset (not behind a link proxy, which ends in order what is reset). kqrelay broke the framing of chunks that were cut; now it breaks off.

--- a/internal/bench/kqcaller/caller.go
+++ b/internal/bench/kqcaller/caller.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"kumquatglade/internal/call/kqheader"
+	"kumquatglade/internal/call/kqresponse"
 
 	"github.com/cockroachdb/errors"
 )
@@ -41,9 +42,9 @@
 
 // New returns a Caller.
 func New(cfg Config) *Caller {
-	return &Caller{cfg: cfg, http: &http.Client{Transport: &http.Transport{
+	return &Caller{cfg: cfg, http: &http.Client{Transport: kqresponse.Transport{Base: &http.Transport{
 		MaxIdleConnsPerHost: connsPerHost, MaxIdleConns: connsPerHost, DisableCompression: true,
-	}}}
+	}}}}
 }
 
 // Close closes idle connections.
--- a/internal/bench/kqrelay/relay.go
+++ b/internal/bench/kqrelay/relay.go
@@ -4,12 +4,14 @@
 	"io"
 	"net"
 	"net/http"
+
+	"kumquatglade/internal/call/kqresponse"
 )
 
 // Relay forwards every HTTP request to one address.
 type Relay struct {
 	addr      string
-	transport *http.Transport
+	transport kqresponse.Transport
 	server    *http.Server
 	listener  net.Listener
 }
@@ -21,7 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{addr: addr, listener: l, transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
+	r := &Relay{addr: addr, listener: l, transport: kqresponse.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}}
 	r.server = &http.Server{Handler: r}
 	go r.server.Serve(l) // returns after Close
 	return r, nil
@@ -38,7 +40,8 @@
 	r.transport.CloseIdleConnections()
 }
 
-// ServeHTTP relays one request. It answers 502 when the address cannot be reached.
+// ServeHTTP relays one request. It answers 502 without a valid response, and breaks
+// off the response where it cannot be relayed to its end.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	out := in.Clone(in.Context())
 	out.RequestURI = ""
@@ -53,5 +56,7 @@
 		w.Header()[k] = v
 	}
 	w.WriteHeader(res.StatusCode)
-	io.Copy(w, res.Body) // fails if the caller is gone, which needs no handling
+	if _, err := io.Copy(w, res.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
--- a/internal/bench/kqsoak/drive.go
+++ b/internal/bench/kqsoak/drive.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"kumquatglade/internal/call/kqproxy"
+	"kumquatglade/internal/call/kqresponse"
 )
 
 const (
@@ -50,6 +51,9 @@
 	{uploadPrefix, "upload", http.MethodPost, uploadSize, true},
 }
 
+// strictClient takes no malformed or truncated response from a host as its answer.
+var strictClient = &http.Client{Transport: kqresponse.Transport{Base: http.DefaultTransport}}
+
 // callers sends requests at a fixed rate to randomly chosen entry hosts.
 type callers struct {
 	ledger *Ledger
@@ -61,7 +65,8 @@
 }
 
 func newCallers(ledger *Ledger, addrs []string) *callers {
-	return &callers{ledger: ledger, addrs: addrs, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
+	transport := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
+	return &callers{ledger: ledger, addrs: addrs, client: &http.Client{Transport: kqresponse.Transport{Base: transport}}}
 }
 
 func (c *callers) run(ctx context.Context, rate float64) {
@@ -274,7 +279,7 @@
 		return 0, nil
 	}
 	req.Header.Set("Authorization", "Bearer "+operatorKey)
-	res, err := http.DefaultClient.Do(req)
+	res, err := strictClient.Do(req)
 	if err != nil {
 		return 0, nil
 	}
--- a/internal/bench/kqsoak/ledger.go
+++ b/internal/bench/kqsoak/ledger.go
@@ -3,9 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"net/textproto"
 	"slices"
 	"sync"
 	"time"
+
+	"kumquatglade/internal/call/kqresponse"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Time limits of the guarantees, as the users require them.
@@ -205,6 +210,9 @@
 	l.counts.Broken++
 	c := l.call(id)
 	way := l.way(c.way)
+	if isMalformed(e.Err) {
+		l.violate("%s (%s) got a malformed response: %v", id, c.way, e.Err)
+	}
 	ran, late := c.runs > 0, !e.Sent.IsZero() && e.At.Sub(e.Sent) > lossSlack
 	began := e.Sent
 	if began.IsZero() {
@@ -223,6 +231,12 @@
 	l.violate("%s (%s) was cut %s, %s, passed on: %t: %v", id, c.way, after(e.Sent, e.At, "it was sent"), after(l.signals[e.Addr], e.At, "the last signal"), ran, e.Err)
 }
 
+// isMalformed reports whether a response ended with an error that no end of a connection causes.
+func isMalformed(err error) bool {
+	var syntax textproto.ProtocolError
+	return errors.As(err, &syntax) || errors.IsAny(err, kqresponse.ErrMalformed, kqresponse.ErrCloseDelimited)
+}
+
 // after says how long after an event something was.
 func after(event, at time.Time, name string) string {
 	if event.IsZero() {
--- a/internal/bench/kqsoak/ledger_test.go
+++ b/internal/bench/kqsoak/ledger_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"kumquatglade/internal/call/kqresponse"
+
+	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -48,6 +51,11 @@
 		{"cut long after it was sent", func(l *Ledger) { l.SetPlanned(true); l.Sent("a", true); l.Cut("a", cutAfter(lossSlack+1)) }, "passed on: false"},
 		{"crossed the close", func(l *Ledger) { l.SetPlanned(true); l.Sent("a", true); l.Cut("a", cutAfter(lossSlack)) }, ""},
 		{"cut by an unplanned fault", func(l *Ledger) { l.Sent("a", true); l.Ran("a", "t", epoch); l.Cut("a", cutAfter(time.Second)) }, ""},
+		{"malformed response", func(l *Ledger) {
+			l.Sent("a", true)
+			l.Ran("a", "t", epoch)
+			l.Cut("a", Cut{At: epoch, Err: errors.Wrap(kqresponse.ErrMalformed, "call")})
+		}, "malformed response"},
 		{"ended before it was whole", func(l *Ledger) { l.SetPlanned(true); l.Sent("a", true); l.Cut("a", Cut{At: at(time.Second)}) }, ""},
 		{"passed on and never known to be whole", func(l *Ledger) {
 			l.SetPlanned(true)
--- a/internal/bench/kqsoak/soak.go
+++ b/internal/bench/kqsoak/soak.go
@@ -287,7 +287,7 @@
 	if err != nil {
 		return 0
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := strictClient.Do(req)
 	if err != nil {
 		return 0
 	}
--- a/internal/bench/kqsoak/stay.go
+++ b/internal/bench/kqsoak/stay.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"kumquatglade/internal/call/kqproxy"
+	"kumquatglade/internal/call/kqresponse"
 )
 
 const (
@@ -167,6 +168,9 @@
 			}
 			continue
 		}
+		if err == nil {
+			err = kqresponse.Strict(res)
+		}
 		var p []byte
 		if err == nil {
 			p, err = e.readBody(res, pause)
--- a/internal/bench/kqsoak/target.go
+++ b/internal/bench/kqsoak/target.go
@@ -9,6 +9,7 @@
 	"hash/crc32"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -68,7 +69,7 @@
 	quiet        atomic.Bool // asks for quiet instead of running requests
 	link         *Proxy      // nil if its address is its own
 	slots        chan struct{}
-	dropsAnswers atomic.Bool // runs requests but breaks the connection instead of answering
+	dropsAnswers atomic.Bool // runs requests but breaks the connection, or its answer
 	inFlight     atomic.Int64
 	seq          atomic.Uint64
 	stop         context.CancelFunc // ends the announcements
@@ -186,7 +187,7 @@
 	if err != nil {
 		return false
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := strictClient.Do(req)
 	if err != nil {
 		return false
 	}
@@ -252,12 +253,39 @@
 	defer func() { <-t.slots }()
 	time.Sleep(t.workOn(id))
 	if t.dropsAnswers.Load() {
-		panic(http.ErrAbortHandler)
+		t.breakAnswer(w, id)
+		return
 	}
 	w.Header().Set(names.Seal, "sealed")
 	io.WriteString(w, answerTo(id)) // an error only means that the caller has disconnected
 }
 
+// breakAnswer writes nothing, or something that is no response or no complete one, and closes
+// the connection.
+func (t *Target) breakAnswer(w http.ResponseWriter, id string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer c.Close()
+	names, answer := kqproxy.DefaultHeaderNames, answerTo(id)
+	own := fmt.Sprintf("%s: %s\r\n%s: sealed\r\n", names.RequestID, id, names.Seal)
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(answer))
+	broken := []string{
+		"",
+		"HTTP/1.1 200 OK\r\n" + own + length + answer[:len(answer)/2],
+		"HTTP/1.1 000 Broken\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + own + "Content-Length: 4\r\n\r\nnone",
+		"HTTP/1.1 200 OK\r\nX Own: 1\r\n" + own + length + answer,
+	}
+	if t.link == nil { // a Proxy ends in order what is reset, which completes a response without length
+		broken = append(broken, "HTTP/1.1 200 OK\r\n"+own+"\r\n"+answer[:len(answer)/2])
+	}
+	io.WriteString(c, broken[rand.IntN(len(broken))]) // an error only means that the caller has disconnected
+	if conn, ok := c.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0) // a reset, or the close would complete a response without length
+	}
+}
+
 // leaves reports whether the target says in its answers that it leaves, as those behind a
 // Proxy do.
 func (t *Target) leaves() bool {
--- a/internal/bench/kqtarget/announce.go
+++ b/internal/bench/kqtarget/announce.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"kumquatglade/internal/call/kqresponse"
 	"kumquatglade/internal/route/kqdirectory"
 )
 
@@ -48,7 +49,7 @@
 func newAnnouncer(t *Target, entries []string) *announcer {
 	return &announcer{
 		t: t, entries: append([]string(nil), entries...), poke: make(chan struct{}, 1),
-		client: &http.Client{Timeout: announceLimit, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		client: &http.Client{Timeout: announceLimit, Transport: kqresponse.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 1}}},
 	}
 }
 
--- a/internal/run/kqmain/dev.go
+++ b/internal/run/kqmain/dev.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kumquatglade/internal/bench/kqtarget"
+	"kumquatglade/internal/call/kqresponse"
 	"kumquatglade/internal/host/kqlog"
 	"kumquatglade/internal/host/kqsettings"
 	"kumquatglade/internal/peer/kqsocket"
@@ -125,7 +126,8 @@
 }
 
 func expectOK(req *http.Request) error {
-	res, err := http.DefaultClient.Do(req)
+	client := http.Client{Transport: kqresponse.Transport{Base: http.DefaultTransport}}
+	res, err := client.Do(req)
 	if err != nil {
 		return err
 	}
