Sockets: one copy of the call by file descriptor

kqlistener had it, and the check of resets in kqtransport wrote it again. Both use kqsocket.Control now, as does BoundUnacked; whether a socket is closed is asked there too. No change of what is done; tests of kqlistener, kqtransport and kqlink pass.

--- a/internal/call/kqlistener/conn.go
+++ b/internal/call/kqlistener/conn.go
@@ -7,9 +7,10 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"kumquatglade/internal/peer/kqsocket"
+
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
@@ -191,24 +192,10 @@
 
 // readArrived reads without waiting.
 func (c *conn) readArrived(p []byte) (n int) {
-	c.control(func(fd int) { n, _ = unix.Read(fd, p) })
+	kqsocket.Control(c.Conn, func(fd int) { n, _ = unix.Read(fd, p) })
 	return max(n, 0)
 }
 
-// control calls f with the file descriptor, if there is one. Unlike a read, it does not wait for
-// a read that is under way, or fail after a deadline.
-func (c *conn) control(f func(fd int)) {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return
-	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = rc.Control(func(fd uintptr) { f(int(fd)) }) // a closed connection has nothing
-}
-
 // readAhead reads further requests until the caller leaves or a deadline passes.
 func (c *conn) readAhead() {
 	buf := make([]byte, aheadChunk)
--- a/internal/call/kqlistener/unanswered.go
+++ b/internal/call/kqlistener/unanswered.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 
+	"kumquatglade/internal/peer/kqsocket"
+
 	"golang.org/x/sys/unix"
 )
 
@@ -27,7 +29,7 @@
 
 // unread returns how many bytes have arrived that were not read from the connection.
 func (c *conn) unread() (n int) {
-	c.control(func(fd int) { n, _ = unix.IoctlGetInt(fd, unix.TIOCINQ) })
+	kqsocket.Control(c.Conn, func(fd int) { n, _ = unix.IoctlGetInt(fd, unix.TIOCINQ) })
 	return n
 }
 
--- a/internal/call/kqtransport/conn.go
+++ b/internal/call/kqtransport/conn.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"kumquatglade/internal/peer/kqsocket"
+
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
@@ -124,7 +126,7 @@
 // was not closed by the target. A socket reports a failure once. If a write takes the error,
 // reads end as they do after an orderly close.
 func (c *conn) endedByReset() bool {
-	if !c.isClosed() {
+	if !kqsocket.IsClosed(c.Conn) {
 		return false
 	}
 	c.writing.Lock() // a write to a closed socket does not block
@@ -133,32 +135,6 @@
 	return c.writeErr != nil && !errors.Is(c.writeErr, unix.EPIPE)
 }
 
-// isClosed reports whether the socket is closed in both directions, and not only by the
-// target's end of its own.
-func (c *conn) isClosed() bool {
-	closed := false
-	c.control(func(fd int) {
-		fds := []unix.PollFd{{Fd: int32(fd)}} // POLLHUP is always reported
-		n, err := unix.Poll(fds, 0)
-		closed = err == nil && n > 0 && fds[0].Revents&unix.POLLHUP != 0 // an interrupted call found nothing
-	})
-	return closed
-}
-
-// control calls f with the file descriptor, if there is one. It does not wait for a read or
-// a write that is under way.
-func (c *conn) control(f func(fd int)) {
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) { f(int(fd)) }) // a closed connection has nothing
-}
-
 // usable reports whether an idle connection can carry another request: the target
 // has neither closed it nor sent bytes that belong to no request.
 func (c *conn) usable() bool {
