--- a/internal/call/kqlistener/conn.go
+++ b/internal/call/kqlistener/conn.go
@@ -63,7 +63,7 @@
 	late      int       // bytes read since then
 	deadline  time.Time // read deadline that the server asked for
 	wroteAt   time.Time // when the last bytes were written
-	abortive  bool      // its end is a reset, until a response is complete that ends with it
+	abortive  bool      // to close it resets it
 	closed    bool
 
 	headCounted bool        // its head counts towards what the listener holds
--- a/internal/call/kqtransport/reset_test.go
+++ b/internal/call/kqtransport/reset_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -46,7 +47,7 @@
 				if writeFirst && !c.breaksWrite {
 					continue
 				}
-				t.Run(c.name+", "+kind, func(t *testing.T) {
+				t.Run(fmt.Sprintf("%s, %s, write first %t", c.name, kind, writeFirst), func(t *testing.T) {
 					wrong := 0
 					for range resetRuns {
 						if got, err := uploadUntilEnd(t, upload, c.framing, c.end, writeFirst); got != "whole" || (err == nil) != c.isWhole {
@@ -55,7 +56,7 @@
 						}
 					}
 					if wrong > 0 {
-						t.Errorf("%d of %d responses were judged wrong; write first: %t", wrong, resetRuns, writeFirst)
+						t.Errorf("%d of %d responses were judged wrong", wrong, resetRuns)
 					}
 				})
 			}
