--- a/internal/admin/kqclient/broken_test.go
+++ b/internal/admin/kqclient/broken_test.go
@@ -1,7 +1,6 @@
 package kqclient
 
 import (
-	"bufio"
 	"encoding/json"
 	"io"
 	"net"
@@ -25,27 +24,37 @@
 		"no length, accepted, truncated": "HTTP/1.1 200 OK\r\n\r\n{}",
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			go func() {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					io.Copy(io.Discard, req.Body)
-				}
+			addr := serveOnce(t, func(conn net.Conn, req *http.Request) {
+				io.Copy(io.Discard, req.Body)
 				io.WriteString(conn, raw)
-			}()
+			})
 			var out json.RawMessage
-			err = New(Config{Servers: []string{l.Addr().String()}}).Put(t.Context(), "/v1/routes", []byte("{}"), &out)
+			err := New(Config{Servers: []string{addr}}).Put(t.Context(), "/v1/routes", []byte("{}"), &out)
 			if !errors.Is(err, ErrUnknown) {
 				t.Errorf("%v with %q, want %v", err, out, ErrUnknown)
 			}
 		})
 	}
 }
+
+// TestResetDuringLongDocument guards against a refusal that is taken for certain though its
+// connection was reset while the document was still being sent.
+func TestResetDuringLongDocument(t *testing.T) {
+	document := make([]byte, 8<<20) // more than the buffers of both sockets hold
+	certain := 0
+	for range 20 {
+		addr := serveOnce(t, func(conn net.Conn, req *http.Request) {
+			io.CopyN(io.Discard, req.Body, 1<<10)
+			io.WriteString(conn, "HTTP/1.1 409 No\r\n\r\n{\"error\":\"version\"}")
+			conn.(*net.TCPConn).SetLinger(0)
+		})
+		var out json.RawMessage
+		if err := New(Config{Servers: []string{addr}}).Put(t.Context(), "/v1/routes", document, &out); !errors.Is(err, ErrUnknown) {
+			certain++
+			t.Log(err)
+		}
+	}
+	if certain > 0 {
+		t.Errorf("%d of 20 changes have a certain outcome", certain)
+	}
+}
--- a/internal/admin/kqclient/endless_test.go
+++ b/internal/admin/kqclient/endless_test.go
@@ -1,7 +1,6 @@
 package kqclient
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"io"
@@ -41,34 +40,21 @@
 		"refusal":               {"HTTP/1.1 500 No\r\n\r\n", kilobyte},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			go func() {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err = io.WriteString(conn, c.start)
+			addr := serveOnce(t, func(conn net.Conn, _ *http.Request) {
+				_, err := io.WriteString(conn, c.start)
 				for block := strings.Repeat(c.repeated, 64<<10/len(c.repeated)); err == nil; {
 					_, err = io.WriteString(conn, block)
 				}
-			}()
+			})
 			started := time.Now()
 			var out json.RawMessage
 			var read atomic.Int64
-			client := New(Config{Servers: []string{l.Addr().String()}})
+			client := New(Config{Servers: []string{addr}})
 			client.http.Transport.(kqresponse.Transport).Base.(*http.Transport).DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 				conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 				return countingConn{conn, &read}, err
 			}
-			err = client.Get(t.Context(), "/v1/routes", &out)
+			err := client.Get(t.Context(), "/v1/routes", &out)
 			if err == nil || time.Since(started) > requestTimeout/2 {
 				t.Errorf("%v after %v, want an error", err, time.Since(started))
 			}
