Responses: one copy of what says where a response ends

The transport to targets and kqresponse.Strict each decided whether a response has a length or chunks. Both ask kqresponse.IsDelimited; a response that net/http has decoded does not occur in the first, which sets no such field. No change of what is done: tests of kqresponse, kqtransport, kqproxy, kqcall and kqclient pass.

--- a/internal/call/kqresponse/check.go
+++ b/internal/call/kqresponse/check.go
@@ -40,3 +40,9 @@
 	}
 	return nil
 }
+
+// IsDelimited reports whether the response says itself where it ends, by a length, its last chunk
+// or an encoding that the client of net/http has decoded, or has no body.
+func IsDelimited(res *http.Response) bool {
+	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Uncompressed || res.Body == http.NoBody
+}
--- a/internal/call/kqresponse/strict.go
+++ b/internal/call/kqresponse/strict.go
@@ -53,8 +53,7 @@
 	if err := CheckHead(res.StatusCode, res.Header); err != nil {
 		return err
 	}
-	delimited := res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Uncompressed || res.Body == http.NoBody
-	res.Body = &body{ReadCloser: res.Body, res: res, delimited: delimited}
+	res.Body = &body{ReadCloser: res.Body, res: res, delimited: IsDelimited(res)}
 	return nil
 }
 
--- a/internal/call/kqtransport/send.go
+++ b/internal/call/kqtransport/send.go
@@ -323,8 +323,7 @@
 		Status: res.StatusCode, Header: res.Header, Trailer: res.Trailer,
 		BodyLength: res.ContentLength, pool: p, conn: c,
 	}
-	chunked := len(res.TransferEncoding) > 0
-	delimited := chunked || res.ContentLength >= 0 || res.Body == http.NoBody
+	delimited := kqresponse.IsDelimited(res)
 	r.Body = &responseBody{reply: r, conn: c, res: res, acceptEOF: delimited || acceptCloseDelimited, persistent: delimited, writeDone: writeDone}
 	return r
 }
