--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -20,6 +20,7 @@
 	sent    time.Time
 	ended   time.Time
 	status  int // 0: no answer
+	seal    string
 	retry   time.Duration
 	left    bool // the client left
 	timeout bool // the client's time was up
@@ -79,7 +80,7 @@
 	}
 	switch {
 	case err == nil:
-		t.status = res.StatusCode
+		t.status, t.seal = res.StatusCode, res.Header.Get("X-Kumquatglade-Server-Seal")
 		if s, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); err == nil {
 			t.retry = time.Duration(s * float64(time.Second))
 		}
