--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -15,8 +15,8 @@
 
 // cases holds what each script runs, by the number of its folder.
 var cases = map[string]func(dir string, rec *record, trouble bool) (broken bool, err error){
-	"12": runTokens,
-	"13": runOptions,
+	"11": runTokens,
+	"12": runOptions,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
