--- a/review/stand3/system.go
+++ b/review/stand3/system.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -83,6 +84,13 @@
 	for i := range p.entries {
 		s.add(fmt.Sprintf("front-%d", i+1), s.ip(2, i+1))
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-stop
+		s.end()
+		os.Exit(exitNotRun)
+	}()
 	return s, nil
 }
 
